--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets: make run, make test, make lint, make bench-policy, make bench-size, make soak.
+BIN := bin/boragecrank
+GOLANGCI_VERSION := v2.15.0
+TOOLS ?= $(CURDIR)/.tools
+GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+
+.PHONY: build test lint fmt generate check-examples clean
+
+build:
+	go build -o $(BIN) ./cmd/boragecrank
+
+# -count=1 runs tests that start processes every time.
+test:
+	go test -race -count=1 -timeout 10m ./...
+
+# The linter is built by version here: its requirements cannot be resolved as
+# a tool of go.mod (docs/design.md, section 7).
+$(GOLANGCI):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $(GOLANGCI)
+
+lint: $(GOLANGCI)
+	$(GOLANGCI) fmt --diff
+	$(GOLANGCI) run --allow-parallel-runners ./...
+
+fmt: $(GOLANGCI)
+	$(GOLANGCI) fmt
+
+generate:
+	cd internal/wire && go tool -modfile=$(CURDIR)/tools/go.mod buf generate
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/apperr/apperr.go
@@ -0,0 +1,163 @@
+// Package apperr holds the typed errors of the product.
+//
+// An Error names the object that it concerns, what is wrong with it and the
+// remedy. Its kind decides the HTTP status, the exit code of a command and,
+// for requests, its outcome tells whether anything was run.
+package apperr
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Kind classifies errors by what the receiver can do about them.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindUsage        Kind = "usage"
+	KindInvalid      Kind = "invalid"
+	KindUnauthorized Kind = "unauthorized"
+	KindNotFound     Kind = "not-found"
+	KindConflict     Kind = "conflict"
+	KindRefused      Kind = "refused"
+	KindTooLarge     Kind = "too-large"
+	KindLimited      Kind = "limited"
+	KindUnavailable  Kind = "unavailable"
+	KindUnreachable  Kind = "unreachable"
+	KindTimeout      Kind = "timeout"
+	KindUncertain    Kind = "uncertain"
+	KindInternal     Kind = "internal"
+)
+
+// Outcome tells what became of a request.
+type Outcome string
+
+// Outcomes of a request. The zero value is used where no request is involved.
+const (
+	OutcomeNone    Outcome = ""
+	OutcomeDone    Outcome = "done"
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Error is a typed error.
+type Error struct {
+	Kind Kind
+	// Object is what the error concerns, for example `service "berths"`.
+	Object string
+	// Problem is what is wrong with the object.
+	Problem string
+	// Remedy is what the receiver can do.
+	Remedy  string
+	Outcome Outcome
+	// RetryAfter is when a repeat may succeed; zero if unknown.
+	RetryAfter time.Duration
+	// Cause is the underlying error, or nil.
+	Cause error
+}
+
+// New returns an error of the given kind with the caller's stack trace.
+func New(kind Kind, object, problem, remedy string) error {
+	return trace.Wrap(&Error{Kind: kind, Object: object, Problem: problem, Remedy: remedy})
+}
+
+// Wrap returns an error of the given kind that carries a cause.
+func Wrap(cause error, kind Kind, object, problem, remedy string) error {
+	return trace.Wrap(&Error{Kind: kind, Object: object, Problem: problem, Remedy: remedy, Cause: cause})
+}
+
+// Error returns object, problem, cause and remedy in one line.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("%s: %s", e.Object, e.Problem)
+	if e.Cause != nil {
+		s += ": " + e.Cause.Error()
+	}
+	if e.Remedy != "" {
+		s += "; " + e.Remedy
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// From returns the typed error within err. An error of another type becomes
+// one of kind internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{
+		Kind:    KindInternal,
+		Object:  "boragecrank",
+		Problem: "unexpected error",
+		Remedy:  "report it with the log around this time",
+		Cause:   err,
+	}
+}
+
+// KindOf returns the kind of err, or the empty kind for nil.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	return From(err).Kind
+}
+
+// HTTPStatus returns the status code that reports the kind.
+func (k Kind) HTTPStatus() int {
+	switch k {
+	case KindUsage, KindInvalid:
+		return http.StatusBadRequest
+	case KindUnauthorized:
+		return http.StatusUnauthorized
+	case KindNotFound:
+		return http.StatusNotFound
+	case KindConflict:
+		return http.StatusConflict
+	case KindTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case KindLimited:
+		return http.StatusTooManyRequests
+	case KindRefused, KindUnavailable:
+		return http.StatusServiceUnavailable
+	case KindUnreachable, KindUncertain:
+		return http.StatusBadGateway
+	case KindTimeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// ExitCode returns the exit code of a command that ends with the kind:
+// 2 bad usage, 3 refused, 4 unreachable, 5 conflict, 6 invalid input,
+// 7 not found, 8 outcome uncertain, 1 anything else.
+func (k Kind) ExitCode() int {
+	switch k {
+	case KindUsage:
+		return 2
+	case KindRefused, KindLimited, KindUnauthorized, KindTooLarge, KindUnavailable:
+		return 3
+	case KindUnreachable, KindTimeout:
+		return 4
+	case KindConflict:
+		return 5
+	case KindInvalid:
+		return 6
+	case KindNotFound:
+		return 7
+	case KindUncertain:
+		return 8
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,39 @@
+// Package cli is the command line: roles and operators' tools as subcommands.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+)
+
+// Run executes the command line and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	cmd := &cli.Command{
+		Name:           "boragecrank",
+		Usage:          "schedule latency-critical and batch work on the same VMs",
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	if err := cmd.Run(ctx, args); err != nil {
+		fmt.Fprintln(stderr, "boragecrank:", err)
+		return exitCode(err)
+	}
+	return 0
+}
+
+// exitCode maps an error to an exit code. Errors without a type come from the
+// parser of the command line.
+func exitCode(err error) int {
+	var typed *apperr.Error
+	if errors.As(err, &typed) {
+		return typed.Kind.ExitCode()
+	}
+	return apperr.KindUsage.ExitCode()
+}
