--- /dev/null
+++ b/internal/telemetry/setup.go
@@ -0,0 +1,171 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// metricsInterval is how often tally reports counters to the reporter.
+const metricsInterval = time.Second
+
+// Options select what a process reports and where.
+type Options struct {
+	// Process names the process in logs and traces, for example "entry-1".
+	Process string
+	// Role is the subcommand.
+	Role string
+	// LogLevel is a logrus level; empty means info.
+	LogLevel string
+	// LogFormat is "json" or "text"; empty means json.
+	LogFormat string
+	// LogOutput defaults to standard error.
+	LogOutput io.Writer
+	// TraceExporter is "none", "stdout" or "file"; empty means none.
+	TraceExporter string
+	// TraceFile receives spans, one JSON object each, if the exporter is "file".
+	TraceFile string
+}
+
+// Telemetry bundles the logger, metrics scope and tracer of a process.
+type Telemetry struct {
+	Log     *Logger
+	Metrics tally.Scope
+	Tracer  trace.Tracer
+	// MetricsHandler serves the metrics in the text format of Prometheus.
+	MetricsHandler http.Handler
+	closers        []func(context.Context) error
+}
+
+// Setup builds the telemetry of a process.
+func Setup(o Options) (*Telemetry, error) {
+	log, err := newLogrus(o)
+	if err != nil {
+		return nil, err
+	}
+	t := &Telemetry{Log: NewLogger(log, Fields{"process": o.Process, "role": o.Role})}
+	t.setupMetrics(o)
+	if err := t.setupTraces(o); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Nop returns telemetry that reports nothing, for tests and short commands.
+func Nop() *Telemetry {
+	return &Telemetry{
+		Log:            Discard(),
+		Metrics:        tally.NoopScope,
+		Tracer:         noop.NewTracerProvider().Tracer("boragecrank"),
+		MetricsHandler: http.NotFoundHandler(),
+	}
+}
+
+// Close flushes metrics and traces.
+func (t *Telemetry) Close(ctx context.Context) error {
+	for _, closer := range t.closers {
+		if err := closer(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newLogrus(o Options) (*logrus.Logger, error) {
+	l := logrus.New()
+	if o.LogOutput != nil {
+		l.SetOutput(o.LogOutput)
+	}
+	if o.LogFormat != "text" {
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	}
+	if o.LogLevel == "" {
+		return l, nil
+	}
+	level, err := logrus.ParseLevel(o.LogLevel)
+	if err != nil {
+		return nil, fmt.Errorf("log level %q is not known: %w", o.LogLevel, err)
+	}
+	l.SetLevel(level)
+	return l, nil
+}
+
+func (t *Telemetry) setupMetrics(o Options) {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "boragecrank",
+		Tags:                   map[string]string{"role": o.Role},
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	t.Metrics = scope
+	t.MetricsHandler = reporter.HTTPHandler()
+	t.closers = append(t.closers, func(context.Context) error { return closer.Close() })
+}
+
+func (t *Telemetry) setupTraces(o Options) error {
+	var out io.Writer
+	switch o.TraceExporter {
+	case "", "none":
+		t.Tracer = noop.NewTracerProvider().Tracer("boragecrank")
+		return nil
+	case "stdout":
+		out = os.Stdout
+	case "file":
+		f, err := os.OpenFile(o.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return fmt.Errorf("trace file %q cannot be opened: %w", o.TraceFile, err)
+		}
+		out = f
+		defer func() {
+			t.closers = append(t.closers, func(context.Context) error { return f.Close() })
+		}()
+	default:
+		return fmt.Errorf("trace exporter %q is not one of none, stdout, file", o.TraceExporter)
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(out))
+	if err != nil {
+		return fmt.Errorf("trace exporter: %w", err)
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter, sdktrace.WithBatchTimeout(time.Second)),
+	)
+	t.Tracer = provider.Tracer("boragecrank", trace.WithInstrumentationAttributes(
+		attribute.String("process", o.Process),
+		attribute.String("role", o.Role),
+	))
+	t.closers = append(t.closers, provider.Shutdown)
+	return nil
+}
+
+// propagator carries the trace context in HTTP headers (W3C Trace Context).
+var propagator = propagation.TraceContext{}
+
+// Extract returns a context with the trace context of the headers.
+func Extract(ctx context.Context, h http.Header) context.Context {
+	return propagator.Extract(ctx, propagation.HeaderCarrier(h))
+}
+
+// Inject writes the trace context of ctx to the headers.
+func Inject(ctx context.Context, h http.Header) {
+	propagator.Inject(ctx, propagation.HeaderCarrier(h))
+}
--- /dev/null
+++ b/internal/wire/datagram/codec.go
@@ -0,0 +1,115 @@
+package datagram
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"hash"
+)
+
+// Codec seals and opens datagrams with a shared key. It is not safe for
+// concurrent use.
+type Codec struct {
+	mac hash.Hash
+	sum [sha256.Size]byte
+	in  inbox
+}
+
+// inbox holds one message of each type, so that decoding does not allocate.
+type inbox struct {
+	heartbeat     Heartbeat
+	ack           HeartbeatAck
+	digest        Digest
+	digestRequest DigestRequest
+	probe         Probe
+	notice        VersionNotice
+}
+
+// NewCodec returns a codec for the key that the system's processes share.
+func NewCodec(key []byte) *Codec {
+	return &Codec{mac: hmac.New(sha256.New, key)}
+}
+
+// Append encodes the message after b and returns the extended slice. It fails
+// with ErrOversize if the datagram is larger than MaxSize.
+func (c *Codec) Append(b []byte, m Message) ([]byte, error) {
+	start := len(b)
+	var zero [macSize]byte
+	b = append(b, wireVersion, byte(m.Type()))
+	b = append(b, zero[:]...)
+	b = m.appendBody(b)
+	frame := b[start:]
+	if len(frame) > MaxSize {
+		return b[:start], ErrOversize
+	}
+	copy(frame[2:headerSize], c.sign(frame))
+	return b, nil
+}
+
+// Decode checks and decodes a datagram. The message belongs to the codec and is
+// valid until the next call.
+func (c *Codec) Decode(frame []byte) (Message, error) {
+	if len(frame) < headerSize {
+		return nil, ErrTruncated
+	}
+	if len(frame) > MaxSize {
+		return nil, ErrOversize
+	}
+	if frame[0] != wireVersion {
+		return nil, ErrVersion
+	}
+	m := c.in.message(Type(frame[1]))
+	if m == nil {
+		return nil, ErrType
+	}
+	if !hmac.Equal(c.sign(frame), frame[2:headerSize]) {
+		return nil, ErrMAC
+	}
+	m.reset()
+	if !decodeBody(m, frame[headerSize:]) {
+		return nil, ErrMalformed
+	}
+	return m, nil
+}
+
+// sign returns the authentication code of a frame, over its version, type and
+// payload.
+func (c *Codec) sign(frame []byte) []byte {
+	c.mac.Reset()
+	c.mac.Write(frame[:2])
+	c.mac.Write(frame[headerSize:])
+	return c.mac.Sum(c.sum[:0])[:macSize]
+}
+
+func decodeBody(m Message, b []byte) bool {
+	head := m.Head()
+	for len(b) > 0 {
+		f, rest, ok := next(b)
+		if !ok {
+			return false
+		}
+		if !head.setHeader(f) && !m.setField(f) {
+			return false
+		}
+		b = rest
+	}
+	return head.Sender != 0 && head.Incarnation != 0
+}
+
+func (in *inbox) message(t Type) Message {
+	switch t {
+	case TypeHeartbeat:
+		return &in.heartbeat
+	case TypeHeartbeatAck:
+		return &in.ack
+	case TypeDigest:
+		return &in.digest
+	case TypeDigestRequest:
+		return &in.digestRequest
+	case TypeProbe:
+		return &in.probe
+	case TypeVersionNotice:
+		return &in.notice
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/wire/datagram/codec_test.go
@@ -0,0 +1,181 @@
+package datagram
+
+import (
+	"errors"
+	"net/netip"
+	"reflect"
+	"testing"
+)
+
+var testAddr = netip.MustParseAddrPort("10.1.2.3:7201")
+
+func testHeader() Header {
+	return Header{Sender: NameHash("gent-01"), Incarnation: 77, Seq: 9, ConfigVersion: 12, ConfigAgeMS: 40}
+}
+
+func testMessages() []Message {
+	ups := []Upstream{{Service: NameHash("berths"), Slots: 8, Connections: 64, InFlight: 3}, {Service: 5, Leaving: true}}
+	return []Message{
+		&Heartbeat{Header: testHeader(), Shard: 4, Clock: 123456, Epoch: 3, Draining: true, TasksHash: 8, Address: testAddr, Upstreams: ups},
+		&HeartbeatAck{Header: testHeader(), Shard: 4, Epoch: 3, Echo: 99, Owner: true, Relay: 6, RelayAddress: testAddr},
+		&Digest{Header: testHeader(), Shard: 4, Epoch: 3, Version: 2, Hash: 1, Owner: true, Members: []Member{
+			{VM: 1, Incarnation: 2, Changed: 3, Alive: true, Clock: 5, Address: testAddr, Upstreams: ups},
+			{VM: 2, Incarnation: 9, Draining: true},
+		}},
+		&DigestRequest{Header: testHeader(), Shard: 4, Have: 7},
+		&Probe{Header: testHeader(), Shard: 4},
+		&VersionNotice{Header: testHeader(), Address: testAddr},
+	}
+}
+
+// Guards against a field that is encoded but not decoded, or the reverse.
+func TestRoundTrip(t *testing.T) {
+	out, in := NewCodec([]byte("key")), NewCodec([]byte("key"))
+	for _, want := range testMessages() {
+		frame, err := out.Append(nil, want)
+		if err != nil {
+			t.Fatalf("%T: %v", want, err)
+		}
+		got, err := in.Decode(frame)
+		if err != nil {
+			t.Fatalf("%T: %v", want, err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+}
+
+// Guards against accepting datagrams that were damaged or forged.
+func TestDecodeRejects(t *testing.T) {
+	c := NewCodec([]byte("key"))
+	good, err := c.Append(nil, testMessages()[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	mutate := func(i int) []byte {
+		b := append([]byte(nil), good...)
+		b[i] ^= 0xff
+		return b
+	}
+	foreign, err := NewCodec([]byte("other")).Append(nil, testMessages()[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	anonymous, err := c.Append(nil, &Probe{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name  string
+		frame []byte
+		want  error
+	}{
+		{"empty", nil, ErrTruncated},
+		{"header only in part", good[:headerSize-1], ErrTruncated},
+		{"payload cut", good[:len(good)-1], ErrMAC},
+		{"other version", mutate(0), ErrVersion},
+		{"other type", mutate(1), ErrType},
+		{"damaged code", mutate(2), ErrMAC},
+		{"damaged payload", mutate(headerSize), ErrMAC},
+		{"other key", foreign, ErrMAC},
+		{"no sender", anonymous, ErrMalformed},
+		{"oversize", make([]byte, MaxSize+1), ErrOversize},
+	}
+	for _, tt := range tests {
+		if _, err := c.Decode(tt.frame); !errors.Is(err, tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, err, tt.want)
+		}
+	}
+}
+
+// Guards against a digest that would be fragmented by the network.
+func TestAppendRejectsOversize(t *testing.T) {
+	d := &Digest{Header: testHeader(), Members: make([]Member, maxMembers)}
+	for i := range d.Members {
+		d.Members[i] = Member{VM: 1 << 60, Incarnation: 1 << 60, Address: testAddr, Upstreams: make([]Upstream, maxUpstreams)}
+	}
+	if _, err := NewCodec([]byte("key")).Append(nil, d); !errors.Is(err, ErrOversize) {
+		t.Fatalf("got %v, want %v", err, ErrOversize)
+	}
+}
+
+// Guards against acting twice on a datagram that the network or an attacker repeats.
+func TestReplay(t *testing.T) {
+	r := NewReplay()
+	tests := []struct {
+		incarnation, seq uint64
+		want             bool
+	}{
+		{1, 1, true}, {1, 1, false}, {1, 3, true}, {1, 2, true}, {1, 2, false},
+		{1, 200, true}, {1, 150, true}, {1, 150, false}, {1, 136, false}, {2, 1, true}, {2, 1, false},
+	}
+	for i, tt := range tests {
+		h := Header{Sender: 5, Incarnation: tt.incarnation, Seq: tt.seq}
+		if got := r.Fresh(&h); got != tt.want {
+			t.Errorf("step %d: incarnation %d, sequence %d: got %v", i, tt.incarnation, tt.seq, got)
+		}
+	}
+}
+
+// Guards against allocations on the heartbeat path, whose cost every daemon pays.
+func TestSteadyPathDoesNotAllocate(t *testing.T) {
+	c := NewCodec([]byte("key"))
+	hb := testMessages()[0]
+	buf := make([]byte, 0, MaxSize)
+	allocs := testing.AllocsPerRun(200, func() {
+		frame, err := c.Append(buf[:0], hb)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Decode(frame); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if allocs != 0 {
+		t.Fatalf("%v allocations for one heartbeat, want 0", allocs)
+	}
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	c := NewCodec([]byte("key"))
+	hb := testMessages()[0]
+	buf := make([]byte, 0, MaxSize)
+	b.ReportAllocs()
+	for b.Loop() {
+		frame, err := c.Append(buf[:0], hb)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := c.Decode(frame); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(frame)), "bytes/msg")
+	}
+}
+
+// Guards against a decoder that panics or loops on hostile input. Frames are
+// signed first, so that the fuzzer reaches the payload.
+func FuzzDecode(f *testing.F) {
+	c := NewCodec([]byte("key"))
+	for _, m := range testMessages() {
+		frame, err := c.Append(nil, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame[1], frame[headerSize:])
+	}
+	f.Fuzz(func(t *testing.T, typ byte, payload []byte) {
+		frame := make([]byte, headerSize, headerSize+len(payload))
+		frame[0], frame[1] = wireVersion, typ
+		frame = append(frame, payload...)
+		copy(frame[2:headerSize], c.sign(frame))
+		m, err := c.Decode(frame)
+		if err != nil {
+			return
+		}
+		if _, err := c.Append(nil, m); err != nil && !errors.Is(err, ErrOversize) {
+			t.Fatalf("decoded message cannot be encoded: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/datagram/replay.go
@@ -0,0 +1,63 @@
+package datagram
+
+// replayWindow is how many sequence numbers behind the highest are still
+// accepted once; datagrams may be reordered by the network.
+const replayWindow = 64
+
+// Replay rejects datagrams that were received before. It keeps one window per
+// sender; a new incarnation of a sender starts a new one. Whether an old
+// incarnation may speak again is for the membership to decide.
+type Replay struct {
+	windows map[uint64]*window
+}
+
+type window struct {
+	incarnation uint64
+	highest     uint64
+	// seen has bit i set if highest-i was received.
+	seen uint64
+}
+
+// NewReplay returns an empty filter.
+func NewReplay() *Replay {
+	return &Replay{windows: make(map[uint64]*window)}
+}
+
+// Fresh records the datagram and reports whether it is new.
+func (r *Replay) Fresh(h *Header) bool {
+	w := r.windows[h.Sender]
+	if w == nil {
+		w = &window{}
+		r.windows[h.Sender] = w
+	}
+	if w.incarnation != h.Incarnation {
+		*w = window{incarnation: h.Incarnation, highest: h.Seq, seen: 1}
+		return true
+	}
+	if h.Seq > w.highest {
+		w.advance(h.Seq)
+		return true
+	}
+	behind := w.highest - h.Seq
+	if behind >= replayWindow || w.seen&(1<<behind) != 0 {
+		return false
+	}
+	w.seen |= 1 << behind
+	return true
+}
+
+func (w *window) advance(seq uint64) {
+	shift := seq - w.highest
+	if shift >= replayWindow {
+		w.seen = 0
+	} else {
+		w.seen <<= shift
+	}
+	w.seen |= 1
+	w.highest = seq
+}
+
+// Forget drops the window of a sender that has left.
+func (r *Replay) Forget(sender uint64) {
+	delete(r.windows, sender)
+}
