--- /dev/null
+++ b/internal/httpserve/server.go
@@ -0,0 +1,140 @@
+// Package httpserve runs HTTP servers with bounds on connections, headers and
+// time, and with graceful shutdown.
+package httpserve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+)
+
+// Limits bound what one client can hold of a server.
+type Limits struct {
+	// ReadHeader bounds the time to read a request's header.
+	ReadHeader time.Duration
+	// Read bounds the time to read a whole request.
+	Read time.Duration
+	// Write bounds the time from the end of the header to the end of the answer.
+	Write time.Duration
+	// Idle bounds how long a connection is kept open without a request.
+	Idle time.Duration
+	// HeaderBytes bounds the size of a request's header.
+	HeaderBytes int
+	// Connections bounds the open connections; further ones wait to be accepted.
+	Connections int
+}
+
+// DefaultLimits suit an entry with a few thousand callers.
+func DefaultLimits() Limits {
+	return Limits{
+		ReadHeader:  5 * time.Second,
+		Read:        15 * time.Second,
+		Write:       60 * time.Second,
+		Idle:        90 * time.Second,
+		HeaderBytes: 32 << 10,
+		Connections: 4096,
+	}
+}
+
+// Server is one listening HTTP server.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	done     chan error
+}
+
+// Listen opens the address and serves the handler until Shutdown or Close.
+func Listen(address string, handler http.Handler, l Limits) (*Server, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, apperr.Wrap(err, apperr.KindInvalid, "listen address "+address, "cannot be opened",
+			"choose a free port on an address of this VM")
+	}
+	s := &Server{
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: l.ReadHeader,
+			ReadTimeout:       l.Read,
+			WriteTimeout:      l.Write,
+			IdleTimeout:       l.Idle,
+			MaxHeaderBytes:    l.HeaderBytes,
+		},
+		listener: limitListener(inner, l.Connections),
+		done:     make(chan error, 1),
+	}
+	go func() { s.done <- s.http.Serve(s.listener) }()
+	return s, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// CloseIdle makes the server close each connection after its next answer, so
+// that clients behind keep-alive connections move elsewhere.
+func (s *Server) CloseIdle() { s.http.SetKeepAlivesEnabled(false) }
+
+// Shutdown stops accepting connections and returns when all requests in
+// progress are answered, or with the context's error.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return err
+	}
+	if err := <-s.done; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close cuts all connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// limitListener accepts at most n connections at a time; 0 means no bound.
+func limitListener(inner net.Listener, n int) net.Listener {
+	if n <= 0 {
+		return inner
+	}
+	return &limited{Listener: inner, tokens: make(chan struct{}, n), closed: make(chan struct{})}
+}
+
+type limited struct {
+	net.Listener
+	tokens chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	select {
+	case l.tokens <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.tokens
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, release: func() { <-l.tokens }}, nil
+}
+
+func (l *limited) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+	once    sync.Once
+}
+
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
