--- /dev/null
+++ b/internal/standin/runtime.go
@@ -0,0 +1,335 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+)
+
+// Runtime is the stand-in's task runtime of one VM. Tasks are virtual: they
+// advance with the clock while their lease lasts, at the speed of their
+// throttle, and are done when they have run for their RunTime. A RunTime of
+// zero never ends.
+type Runtime struct {
+	p  *Platform
+	vm types.VMID
+
+	mu    sync.Mutex
+	tasks map[types.TaskID]*runtimeTask
+}
+
+type runtimeTask struct {
+	spec       platform.StartSpec
+	phase      platform.RuntimePhase
+	leaseEnd   time.Duration
+	throttle   float64
+	checkpoint string
+	ran        time.Duration // at full speed
+	updated    time.Duration // ran is valid for this time
+	started    time.Duration
+	failure    string
+}
+
+// checkpointData is the content of a checkpoint object.
+type checkpointData struct {
+	Task types.TaskID
+	Ran  time.Duration
+}
+
+var _ platform.Runtime = (*Runtime)(nil)
+
+func (t *runtimeTask) live() bool {
+	return t.phase == platform.PhaseRunning || t.phase == platform.PhaseSuspended
+}
+
+// sync advances all tasks to the present.
+func (r *Runtime) sync() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+}
+
+// advance brings every task to the present and returns it.
+func (r *Runtime) advance() time.Duration {
+	now := r.p.opts.Clock()
+	for _, t := range r.tasks {
+		r.advanceTask(t, now)
+	}
+	return now
+}
+
+func (r *Runtime) advanceTask(t *runtimeTask, now time.Duration) {
+	if t.phase != platform.PhaseRunning {
+		return
+	}
+	from := t.updated
+	to := max(from, min(now, t.leaseEnd))
+	end := t.endsAt()
+	if end <= to {
+		to = end
+		t.ran = t.spec.RunTime
+		t.phase = platform.PhaseDone
+		r.p.witness.completed(t.spec.Task)
+	} else {
+		t.ran += time.Duration(float64(to-from) * t.throttle)
+		if now >= t.leaseEnd {
+			t.phase = platform.PhaseSuspended
+		}
+	}
+	t.updated = to
+	if to > from {
+		r.p.witness.ran(t.spec.Task, Run{VM: r.vm, Attempt: t.spec.Attempt, From: from, To: to})
+	}
+}
+
+// endsAt returns when the task is done if it keeps running at its throttle.
+func (t *runtimeTask) endsAt() time.Duration {
+	if t.spec.RunTime <= 0 || t.throttle <= 0 {
+		return math.MaxInt64
+	}
+	left := max(0, t.spec.RunTime-t.ran)
+	return t.updated + time.Duration(math.Ceil(float64(left)/t.throttle))
+}
+
+// find returns the present attempt of the task or ErrNotFound.
+func (r *Runtime) find(task types.TaskID, attempt types.Attempt) (*runtimeTask, error) {
+	t, ok := r.tasks[task]
+	if !ok || t.spec.Attempt != attempt {
+		return nil, fmt.Errorf("task %q attempt %d on VM %q: %w", task, attempt, r.vm, platform.ErrNotFound)
+	}
+	return t, nil
+}
+
+// State returns the clock and all tasks in order of ID.
+func (r *Runtime) State(ctx context.Context) (platform.RuntimeState, error) {
+	if err := ctx.Err(); err != nil {
+		return platform.RuntimeState{}, err
+	}
+	lag := r.p.lag()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := platform.RuntimeState{Now: r.advance()}
+	for _, t := range r.tasks {
+		st.Tasks = append(st.Tasks, r.status(t, st.Now, lag))
+	}
+	slices.SortFunc(st.Tasks, func(a, b platform.TaskStatus) int {
+		return strings.Compare(string(a.Task), string(b.Task))
+	})
+	return st, nil
+}
+
+// status reports a task with its usage as of lag ago; before its start there is
+// no measurement.
+func (r *Runtime) status(t *runtimeTask, now, lag time.Duration) platform.TaskStatus {
+	measured := now - lag
+	s := platform.TaskStatus{
+		Task: t.spec.Task, Attempt: t.spec.Attempt, Class: t.spec.Class,
+		Phase: t.phase, Reserved: t.spec.Reserved, Throttle: t.throttle,
+		Checkpoint: t.checkpoint, Ran: t.ran, Error: t.failure,
+	}
+	if measured < t.started {
+		return s
+	}
+	s.MeasuredAt = measured
+	s.Usage = t.spec.Reserved
+	if r.p.opts.Usage != nil {
+		s.Usage = r.p.opts.Usage(r.vm, t.spec, max(0, t.ran-lag))
+	}
+	s.Usage.MilliCPU = int64(float64(s.Usage.MilliCPU) * t.throttle)
+	if t.phase != platform.PhaseRunning {
+		s.Usage.MilliCPU = 0
+	}
+	return s
+}
+
+// Start begins an attempt. A lease that has already ended leaves it suspended.
+func (r *Runtime) Start(ctx context.Context, spec platform.StartSpec) error {
+	ran, err := r.loadCheckpoint(ctx, spec)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.advance()
+	if old, ok := r.tasks[spec.Task]; ok {
+		if old.spec.Attempt == spec.Attempt {
+			return nil
+		}
+		if old.live() || old.spec.Attempt > spec.Attempt {
+			return fmt.Errorf("task %q: attempt %d is present on VM %q, attempt %d cannot start",
+				spec.Task, old.spec.Attempt, r.vm, spec.Attempt)
+		}
+	}
+	t := &runtimeTask{
+		spec: spec, phase: platform.PhaseRunning, throttle: 1,
+		leaseEnd:   spec.Lease.ReadAt + spec.Lease.Budget,
+		checkpoint: spec.Checkpoint, ran: ran, updated: now, started: now,
+	}
+	r.tasks[spec.Task] = t
+	r.p.witness.started(spec.Task, spec.Attempt)
+	r.advanceTask(t, now)
+	r.checkLoad(now)
+	return nil
+}
+
+func (r *Runtime) loadCheckpoint(ctx context.Context, spec platform.StartSpec) (time.Duration, error) {
+	if spec.Checkpoint == "" {
+		return 0, ctx.Err()
+	}
+	data, err := r.p.Objects.Get(ctx, spec.Checkpoint)
+	if err != nil {
+		return 0, fmt.Errorf("checkpoint of task %q: %w", spec.Task, err)
+	}
+	var c checkpointData
+	if err := json.Unmarshal(data, &c); err != nil {
+		return 0, fmt.Errorf("checkpoint %q of task %q: %w", spec.Checkpoint, spec.Task, err)
+	}
+	if c.Task != spec.Task {
+		return 0, fmt.Errorf("checkpoint %q belongs to task %q, not %q", spec.Checkpoint, c.Task, spec.Task)
+	}
+	return c.Ran, nil
+}
+
+// checkLoad records an overload. Suspended tasks count, because they keep
+// their memory and may resume in place.
+func (r *Runtime) checkLoad(now time.Duration) {
+	capacity := r.p.capacityOf(r.vm)
+	if capacity.IsZero() {
+		return
+	}
+	var sum types.Resources
+	for _, t := range r.tasks {
+		if t.live() {
+			sum = sum.Add(t.spec.Reserved)
+		}
+	}
+	if !sum.Fits(capacity) {
+		r.p.witness.overload(Overload{VM: r.vm, At: now, Reserved: sum, Capacity: capacity})
+	}
+}
+
+// Renew extends the lease; it never shortens it. A suspended task resumes if
+// the given lease has not ended.
+func (r *Runtime) Renew(ctx context.Context, task types.TaskID, attempt types.Attempt, lease platform.RuntimeLease) error {
+	return r.change(ctx, task, attempt, func(t *runtimeTask, now time.Duration) error {
+		end := lease.ReadAt + lease.Budget
+		t.leaseEnd = max(t.leaseEnd, end)
+		if t.phase == platform.PhaseSuspended && end > now {
+			t.phase = platform.PhaseRunning
+			t.updated = now
+		}
+		return nil
+	})
+}
+
+// Suspend suspends the task in place and voids its lease.
+func (r *Runtime) Suspend(ctx context.Context, task types.TaskID, attempt types.Attempt) error {
+	return r.change(ctx, task, attempt, func(t *runtimeTask, now time.Duration) error {
+		if t.phase == platform.PhaseRunning {
+			t.phase = platform.PhaseSuspended
+		}
+		t.leaseEnd = min(t.leaseEnd, now)
+		return nil
+	})
+}
+
+// Throttle sets the share of its reservation that the task may use.
+func (r *Runtime) Throttle(ctx context.Context, task types.TaskID, attempt types.Attempt, share float64) error {
+	if math.IsNaN(share) || share < 0 || share > 1 {
+		return fmt.Errorf("throttle share %v of task %q is outside 0 to 1", share, task)
+	}
+	return r.change(ctx, task, attempt, func(t *runtimeTask, _ time.Duration) error {
+		t.throttle = share
+		return nil
+	})
+}
+
+// Checkpoint stores the time run in the named object.
+func (r *Runtime) Checkpoint(ctx context.Context, task types.TaskID, attempt types.Attempt, object string) error {
+	var ran time.Duration
+	err := r.change(ctx, task, attempt, func(t *runtimeTask, _ time.Duration) error {
+		if !t.live() {
+			return fmt.Errorf("task %q is %s and cannot be checkpointed", task, t.phase)
+		}
+		ran = t.ran
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(checkpointData{Task: task, Ran: ran})
+	if err != nil {
+		return err
+	}
+	if err := r.p.Objects.Put(ctx, object, data); err != nil {
+		return fmt.Errorf("checkpoint of task %q: %w", task, err)
+	}
+	return r.change(ctx, task, attempt, func(t *runtimeTask, _ time.Duration) error {
+		t.checkpoint = object
+		return nil
+	})
+}
+
+// Stop ends a live attempt; a finished one stays as it ended.
+func (r *Runtime) Stop(ctx context.Context, task types.TaskID, attempt types.Attempt) error {
+	return r.change(ctx, task, attempt, func(t *runtimeTask, _ time.Duration) error {
+		if t.live() {
+			t.phase = platform.PhaseStopped
+		}
+		return nil
+	})
+}
+
+// Fail makes a live attempt fail with the given reason.
+func (r *Runtime) Fail(ctx context.Context, task types.TaskID, attempt types.Attempt, reason string) error {
+	return r.change(ctx, task, attempt, func(t *runtimeTask, _ time.Duration) error {
+		if t.live() {
+			t.phase = platform.PhaseFailed
+			t.failure = reason
+		}
+		return nil
+	})
+}
+
+// Forget drops a finished attempt; a live one is refused.
+func (r *Runtime) Forget(ctx context.Context, task types.TaskID, attempt types.Attempt) error {
+	return r.change(ctx, task, attempt, func(t *runtimeTask, _ time.Duration) error {
+		if t.live() {
+			return fmt.Errorf("task %q is %s and cannot be forgotten", task, t.phase)
+		}
+		delete(r.tasks, task)
+		return nil
+	})
+}
+
+// Reset drops all tasks, as the failure of the VM does.
+func (r *Runtime) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+	clear(r.tasks)
+}
+
+// change runs f on the present attempt after advancing the VM to now.
+func (r *Runtime) change(ctx context.Context, task types.TaskID, attempt types.Attempt,
+	f func(*runtimeTask, time.Duration) error) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.advance()
+	t, err := r.find(task, attempt)
+	if err != nil {
+		return err
+	}
+	return f(t, now)
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+)
+
+// maxRequestBytes bounds a request body.
+const maxRequestBytes = 64 << 20
+
+// CapacityRequest sets the capacity of a VM for the overload record.
+type CapacityRequest struct {
+	VM       types.VMID
+	Capacity types.Resources
+}
+
+// NewHandler serves the platform's table, object store and runtimes under the
+// paths that the clients of package platform use, and an admin interface:
+// GET /admin/witness, POST /admin/capacity (CapacityRequest) and
+// POST /admin/reset/{vm}, which drops the tasks of a VM.
+func NewHandler(p *Platform) http.Handler {
+	mux := http.NewServeMux()
+	handleTable(mux, p.Table)
+	handleObjects(mux, p.Objects)
+	handleRuntime(mux, p)
+	mux.HandleFunc("GET /admin/witness", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, p.Witness())
+	})
+	handle(mux, "/admin/capacity", func(_ *http.Request, in CapacityRequest) (any, error) {
+		p.SetCapacity(in.VM, in.Capacity)
+		return struct{}{}, nil
+	})
+	mux.HandleFunc("POST /admin/reset/{vm}", func(w http.ResponseWriter, r *http.Request) {
+		p.Runtime(types.VMID(r.PathValue("vm"))).Reset()
+		writeJSON(w, struct{}{})
+	})
+	return mux
+}
+
+func handleTable(mux *http.ServeMux, table platform.Table) {
+	handle(mux, platform.TablePath+platform.OpCommit, func(r *http.Request, in platform.Txn) (any, error) {
+		return table.Commit(r.Context(), in)
+	})
+	handle(mux, platform.TablePath+platform.OpGet, func(r *http.Request, in platform.GetRequest) (any, error) {
+		rows, err := table.Get(r.Context(), in.Keys...)
+		return platform.RowsResponse{Rows: rows}, err
+	})
+	handle(mux, platform.TablePath+platform.OpScan, func(r *http.Request, in platform.ScanRequest) (any, error) {
+		rows, err := table.Scan(r.Context(), in.Prefix, in.After, in.Limit)
+		return platform.RowsResponse{Rows: rows}, err
+	})
+}
+
+func handleObjects(mux *http.ServeMux, objects platform.Objects) {
+	handle(mux, platform.ObjectsPath+platform.OpPut, func(r *http.Request, in platform.ObjectRequest) (any, error) {
+		return struct{}{}, objects.Put(r.Context(), in.Key, in.Data)
+	})
+	handle(mux, platform.ObjectsPath+platform.OpGet, func(r *http.Request, in platform.ObjectRequest) (any, error) {
+		data, err := objects.Get(r.Context(), in.Key)
+		return platform.ObjectResponse{Data: data}, err
+	})
+	handle(mux, platform.ObjectsPath+platform.OpDelete, func(r *http.Request, in platform.ObjectRequest) (any, error) {
+		return struct{}{}, objects.Delete(r.Context(), in.Key)
+	})
+}
+
+func handleRuntime(mux *http.ServeMux, p *Platform) {
+	base := platform.RuntimePath + "{vm}/"
+	handle(mux, base+platform.OpState, func(r *http.Request, _ struct{}) (any, error) {
+		return p.runtimeFor(r).State(r.Context())
+	})
+	handle(mux, base+platform.OpStart, func(r *http.Request, in platform.StartSpec) (any, error) {
+		return struct{}{}, p.runtimeFor(r).Start(r.Context(), in)
+	})
+	attempt := func(op string, f func(context.Context, platform.Runtime, platform.AttemptRequest) error) {
+		handle(mux, base+op, func(r *http.Request, in platform.AttemptRequest) (any, error) {
+			return struct{}{}, f(r.Context(), p.runtimeFor(r), in)
+		})
+	}
+	type req = platform.AttemptRequest
+	attempt(platform.OpRenew, func(ctx context.Context, rt platform.Runtime, in req) error {
+		return rt.Renew(ctx, in.Task, in.Attempt, in.Lease)
+	})
+	attempt(platform.OpSuspend, func(ctx context.Context, rt platform.Runtime, in req) error {
+		return rt.Suspend(ctx, in.Task, in.Attempt)
+	})
+	attempt(platform.OpThrottle, func(ctx context.Context, rt platform.Runtime, in req) error {
+		return rt.Throttle(ctx, in.Task, in.Attempt, in.Share)
+	})
+	attempt(platform.OpCheckpoint, func(ctx context.Context, rt platform.Runtime, in req) error {
+		return rt.Checkpoint(ctx, in.Task, in.Attempt, in.Checkpoint)
+	})
+	attempt(platform.OpStop, func(ctx context.Context, rt platform.Runtime, in req) error {
+		return rt.Stop(ctx, in.Task, in.Attempt)
+	})
+	attempt(platform.OpForget, func(ctx context.Context, rt platform.Runtime, in req) error {
+		return rt.Forget(ctx, in.Task, in.Attempt)
+	})
+}
+
+func (p *Platform) runtimeFor(r *http.Request) platform.Runtime {
+	return p.Runtime(types.VMID(r.PathValue("vm")))
+}
+
+// handle serves POST path with a JSON body of type T.
+func handle[T any](mux *http.ServeMux, path string, f func(*http.Request, T) (any, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var in T
+		if err := readJSON(w, r, &in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out, err := f(r, in)
+		if err != nil {
+			http.Error(w, err.Error(), errorStatus(err))
+			return
+		}
+		writeJSON(w, out)
+	})
+}
+
+// readJSON reads the whole body; the server notices that a client went away
+// only after that.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) error {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
+}
+
+func errorStatus(err error) int {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, platform.ErrUnavailable):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, platform.ErrUncertain), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusConflict
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The client has gone if this fails; it treats the call as uncertain.
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/standin/upstream.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sizes of booking responses in bytes.
+const (
+	defaultBookingBytes = 256
+	maxBookingBytes     = 16 << 20
+	checksumBytes       = 16 // hexadecimal digits of a 64-bit hash
+)
+
+// Booking is the request body of POST /bookings.
+type Booking struct {
+	ID string `json:"id"`
+	// Size is the length of the response body in bytes; 0 means 256. The
+	// response is never shorter than its header line.
+	Size int `json:"size,omitempty"`
+	// ServiceMS overrides the upstream's service time, in milliseconds.
+	ServiceMS *int `json:"service_ms,omitempty"`
+}
+
+// UpstreamOptions configures an Upstream.
+type UpstreamOptions struct {
+	// ServiceTime is how long a booking takes.
+	ServiceTime time.Duration
+}
+
+// Upstream is a toy upstream that records bookings. POST /bookings runs a
+// Booking, GET /record returns the executions by booking ID, GET /cut the
+// executions whose caller went away before the response was written.
+type Upstream struct {
+	mux *http.ServeMux
+
+	mu          sync.Mutex
+	serviceTime time.Duration
+	executions  map[string]int
+	cut         map[string]int
+}
+
+// NewUpstream returns an upstream without bookings.
+func NewUpstream(opts UpstreamOptions) *Upstream {
+	u := &Upstream{
+		mux:         http.NewServeMux(),
+		serviceTime: opts.ServiceTime,
+		executions:  make(map[string]int),
+		cut:         make(map[string]int),
+	}
+	u.mux.HandleFunc("POST /bookings", u.book)
+	u.mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Record()) })
+	u.mux.HandleFunc("GET /cut", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Cut()) })
+	return u
+}
+
+// ServeHTTP implements http.Handler.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u.mux.ServeHTTP(w, r)
+}
+
+// SetServiceTime changes how long a booking takes from now on.
+func (u *Upstream) SetServiceTime(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.serviceTime = d
+}
+
+// Record returns the number of executions by booking ID.
+func (u *Upstream) Record() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.executions)
+}
+
+// Cut returns the number of executions without a response by booking ID.
+func (u *Upstream) Cut() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.cut)
+}
+
+func (u *Upstream) book(w http.ResponseWriter, r *http.Request) {
+	var b Booking
+	if err := readJSON(w, r, &b); err != nil {
+		http.Error(w, "booking: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if b.ID == "" || b.Size < 0 || b.Size > maxBookingBytes {
+		http.Error(w, fmt.Sprintf("booking %q with size %d is invalid", b.ID, b.Size), http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(u.execute(b))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		u.cutOff(b.ID)
+		return
+	}
+	body := BookingBody(b.ID, b.Size)
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if _, err := w.Write(body); err != nil {
+		u.cutOff(b.ID)
+	}
+}
+
+// execute records the booking and returns its service time.
+func (u *Upstream) execute(b Booking) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.executions[b.ID]++
+	if b.ServiceMS != nil {
+		return time.Duration(*b.ServiceMS) * time.Millisecond
+	}
+	return u.serviceTime
+}
+
+func (u *Upstream) cutOff(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cut[id]++
+}
+
+// BookingBody returns the response to a booking: a checksum, the booking ID in
+// quotes, a new line and filler that depends on the ID.
+func BookingBody(id string, size int) []byte {
+	if size == 0 {
+		size = defaultBookingBytes
+	}
+	header := fmt.Sprintf(" %q\n", id)
+	body := make([]byte, max(size, checksumBytes+len(header)))
+	n := checksumBytes + copy(body[checksumBytes:], header)
+	rng := rand.New(rand.NewPCG(xxhash.Sum64String(id), uint64(len(body))))
+	for i := n; i < len(body); i++ {
+		body[i] = byte('a' + rng.IntN(26))
+	}
+	copy(body, fmt.Sprintf("%016x", xxhash.Sum64(body[checksumBytes:])))
+	return body
+}
+
+// errBookingBody reports a body that is not the whole response to its request.
+var errBookingBody = errors.New("body is not the response to the booking")
+
+// CheckBookingBody returns an error unless the body is the whole response to
+// the booking with the ID.
+func CheckBookingBody(id string, body []byte) error {
+	header := fmt.Sprintf(" %q\n", id)
+	if len(body) < checksumBytes+len(header) {
+		return fmt.Errorf("booking %q: %d bytes: %w", id, len(body), errBookingBody)
+	}
+	rest := body[checksumBytes:]
+	if string(rest[:len(header)]) != header {
+		return fmt.Errorf("booking %q: names another booking: %w", id, errBookingBody)
+	}
+	if string(body[:checksumBytes]) != fmt.Sprintf("%016x", xxhash.Sum64(rest)) {
+		return fmt.Errorf("booking %q: wrong checksum: %w", id, errBookingBody)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/witness.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// maxViolations bounds the lists of a Record; the counts go on.
+const maxViolations = 100
+
+// Overload is a VM that was given more than its capacity.
+type Overload struct {
+	VM       types.VMID
+	At       time.Duration
+	Reserved types.Resources
+	Capacity types.Resources
+}
+
+// Overlap is a task that ran in two places at once, or in one place twice.
+type Overlap struct {
+	Task          types.TaskID
+	First, Second Run
+}
+
+// Run is one uninterrupted run of an attempt, on the platform's clock.
+type Run struct {
+	VM       types.VMID
+	Attempt  types.Attempt
+	From, To time.Duration
+}
+
+// Start identifies an attempt that was started more than once.
+type Start struct {
+	Task    types.TaskID
+	Attempt types.Attempt
+	Times   int
+}
+
+// Record holds the violations seen so far. Lists are cut at 100 entries.
+type Record struct {
+	OverloadCount   int
+	Overloads       []Overload
+	Overlaps        []Overlap
+	RepeatedStarts  []Start
+	RepeatedEndings []types.TaskID
+	// Completed counts tasks that ran to their end.
+	Completed int
+}
+
+// Clean reports whether no violation was recorded.
+func (r Record) Clean() bool {
+	return r.OverloadCount == 0 && len(r.Overlaps) == 0 &&
+		len(r.RepeatedStarts) == 0 && len(r.RepeatedEndings) == 0
+}
+
+type attemptKey struct {
+	task    types.TaskID
+	attempt types.Attempt
+}
+
+type witness struct {
+	mu            sync.Mutex
+	overloadCount int
+	overloads     []Overload
+	runs          map[types.TaskID][]Run
+	starts        map[attemptKey]int
+	endings       map[types.TaskID]int
+}
+
+func (w *witness) overload(o Overload) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.overloadCount++
+	if len(w.overloads) < maxViolations {
+		w.overloads = append(w.overloads, o)
+	}
+}
+
+func (w *witness) started(task types.TaskID, attempt types.Attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.starts == nil {
+		w.starts = make(map[attemptKey]int)
+	}
+	w.starts[attemptKey{task, attempt}]++
+}
+
+// ran records a run. Runs of one attempt that touch are joined, so the record
+// grows with interruptions and not with the number of reads.
+func (w *witness) ran(task types.TaskID, run Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.runs == nil {
+		w.runs = make(map[types.TaskID][]Run)
+	}
+	runs := w.runs[task]
+	for i := range runs {
+		old := &runs[i]
+		if old.VM == run.VM && old.Attempt == run.Attempt && old.To == run.From {
+			old.To = run.To
+			return
+		}
+	}
+	w.runs[task] = append(runs, run)
+}
+
+func (w *witness) completed(task types.TaskID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.endings == nil {
+		w.endings = make(map[types.TaskID]int)
+	}
+	w.endings[task]++
+}
+
+func (w *witness) record() Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rec := Record{
+		OverloadCount: w.overloadCount,
+		Overloads:     slices.Clone(w.overloads),
+		Completed:     len(w.endings),
+	}
+	for k, n := range w.starts {
+		if n > 1 && len(rec.RepeatedStarts) < maxViolations {
+			rec.RepeatedStarts = append(rec.RepeatedStarts, Start{k.task, k.attempt, n})
+		}
+	}
+	for t, n := range w.endings {
+		if n > 1 && len(rec.RepeatedEndings) < maxViolations {
+			rec.RepeatedEndings = append(rec.RepeatedEndings, t)
+		}
+	}
+	for t, runs := range w.runs {
+		rec.Overlaps = append(rec.Overlaps, overlaps(t, runs)...)
+	}
+	if len(rec.Overlaps) > maxViolations {
+		rec.Overlaps = rec.Overlaps[:maxViolations]
+	}
+	return rec
+}
+
+func overlaps(task types.TaskID, runs []Run) []Overlap {
+	sorted := slices.Clone(runs)
+	slices.SortFunc(sorted, func(a, b Run) int { return int(a.From - b.From) })
+	var found []Overlap
+	for i, a := range sorted {
+		for _, b := range sorted[i+1:] {
+			if b.From >= a.To {
+				break
+			}
+			found = append(found, Overlap{Task: task, First: a, Second: b})
+		}
+	}
+	return found
+}
