--- /dev/null
+++ b/internal/core/config/shards.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// MaxShardVMs is the largest number of VMs in one shard. It keeps the shards
+// of the target size at about 30, whose lease renewals cost 15 writes/s.
+const MaxShardVMs = 32
+
+// AssignShards sets the shard of each VM of a failure domain. VMs that
+// previous holds in the same domain keep their shard. A new VM joins the shard
+// with the fewest VMs; a shard is added when the domain has more VMs than its
+// shards can hold. Removing VMs moves no others. previous may be nil.
+func AssignShards(d *Domain, previous *Config) {
+	fill := make(map[types.ShardID]int)
+	var fresh []*types.VM
+	slices.SortFunc(d.VMs, func(a, b types.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for i := range d.VMs {
+		vm := &d.VMs[i]
+		old, ok := previous.heldVM(vm.ID)
+		if !ok || old.FailureDomain != d.Name {
+			fresh = append(fresh, vm)
+			continue
+		}
+		vm.Shard = old.Shard
+		fill[old.Shard]++
+	}
+	addShards(d, fill)
+	for _, vm := range fresh {
+		vm.Shard = leastFilled(fill)
+		fill[vm.Shard]++
+	}
+}
+
+func (c *Config) heldVM(id types.VMID) (types.VM, bool) {
+	if c == nil {
+		return types.VM{}, false
+	}
+	return c.VM(id)
+}
+
+// addShards adds empty shards until all VMs of the domain fit.
+func addShards(d *Domain, fill map[types.ShardID]int) {
+	need := (len(d.VMs) + MaxShardVMs - 1) / MaxShardVMs
+	for n := 0; len(fill) < need; n++ {
+		id := types.ShardID(fmt.Sprintf("%s-s%02d", d.Name, n))
+		if _, ok := fill[id]; !ok {
+			fill[id] = 0
+		}
+	}
+}
+
+// leastFilled returns the shard with the fewest VMs, the first by name among
+// equals.
+func leastFilled(fill map[types.ShardID]int) types.ShardID {
+	var best types.ShardID
+	for id, n := range fill {
+		if best == "" || n < fill[best] || n == fill[best] && id < best {
+			best = id
+		}
+	}
+	return best
+}
