Add the worker's admission of requests and tasks

The worker has the last word on slots, connections, capacity and identities. A refusal seals the identity, so that a delayed copy of an offer cannot run after the sender has acted on the refusal. Identities are forgotten only after their validity, up to a recorded horizon.

--- /dev/null
+++ b/internal/core/admission/admission_test.go
@@ -0,0 +1,200 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+const testIncarnation types.Incarnation = 7
+
+func testLimits() Limits {
+	return Limits{
+		Slots: 2, Connections: 2, MaxBudget: 10 * time.Second, Retention: 5 * time.Second,
+		MaxIdentities: 4, SealReserve: 2, MaxRetained: 8, AnnouncementTTL: 3 * time.Second,
+	}
+}
+
+func newWorker() *Requests {
+	r := NewRequests(testIncarnation, testLimits())
+	r.Announce(0, Announcement{Upstream: "u1", Service: "berths", Slots: 2, Connections: 2})
+	return r
+}
+
+func requestID(n byte) types.RequestID {
+	return types.RequestID{15: n}
+}
+
+func offer(n byte, echo time.Duration) Offer {
+	return Offer{ID: requestID(n), Target: testIncarnation, Service: "berths", Config: 1, Echo: echo, Budget: time.Second}
+}
+
+// Guards against admitting an offer that one of the refusal rules forbids, and
+// against claiming a proof where there is none.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Requests, *Offer)
+		now    time.Duration
+		want   Reason
+		proven bool
+	}{
+		{"incarnation", func(_ *Requests, o *Offer) { o.Target = 8 }, 0, ReasonWrongIncarnation, true},
+		{"sealed", func(r *Requests, o *Offer) {
+			r.Seal(0, SealRequest{ID: o.ID, Target: testIncarnation, ValidUntil: o.ValidUntil()})
+		}, 0, ReasonSealed, true},
+		{"running", func(r *Requests, o *Offer) { r.Admit(0, *o) }, 0, ReasonKnown, false},
+		{"finished", func(r *Requests, o *Offer) {
+			r.Admit(0, *o)
+			r.Finish(o.ID, apperr.OutcomeDone, nil, true)
+		}, 0, ReasonKnown, false},
+		{"budget", func(*Requests, *Offer) {}, 1001 * time.Millisecond, ReasonBudgetOver, true},
+		{"echo ahead of the clock", func(_ *Requests, o *Offer) { o.Echo = 1 }, 0, ReasonInvalid, false},
+		{"budget too long", func(_ *Requests, o *Offer) { o.Budget = time.Minute }, 0, ReasonInvalid, false},
+		{"draining", func(r *Requests, _ *Offer) { r.Drain() }, 0, ReasonDraining, true},
+		{"unconfirmed", func(r *Requests, _ *Offer) { r.SetUnconfirmed(true) }, 0, ReasonUnconfirmed, true},
+		{"old configuration", func(r *Requests, _ *Offer) { r.Require(2) }, 0, ReasonOldConfig, true},
+		{"service", func(_ *Requests, o *Offer) { o.Service = "locks" }, 0, ReasonNoUpstream, true},
+		{"left", func(r *Requests, _ *Offer) { r.Leave("u1") }, 0, ReasonNoUpstream, true},
+		{"expired", func(_ *Requests, o *Offer) { o.Budget = 5 * time.Second }, 3 * time.Second, ReasonNoUpstream, true},
+		{"slots", func(r *Requests, _ *Offer) {
+			r.Admit(0, offer(8, 0))
+			r.Admit(0, offer(9, 0))
+		}, 0, ReasonNoSlot, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newWorker()
+			o := offer(1, 0)
+			c.change(r, &o)
+			d := r.Admit(c.now, o)
+			if d.Reason != c.want || d.Proven != c.proven {
+				t.Fatalf("refusal %q proven %v, want %q %v", d.Reason, d.Proven, c.want, c.proven)
+			}
+		})
+	}
+}
+
+// Guards against a second copy of a refused offer being admitted after the
+// sender has acted on the refusal.
+func TestRefusalIsFinal(t *testing.T) {
+	r := newWorker()
+	r.Admit(0, offer(1, 0))
+	r.Admit(0, offer(2, 0))
+	r.Admit(0, offer(3, 0))
+	r.Finish(requestID(1), apperr.OutcomeDone, nil, true)
+	if d := r.Admit(0, offer(3, 0)); d.Reason != ReasonSealed {
+		t.Fatalf("copy after refusal: %q, want %q", d.Reason, ReasonSealed)
+	}
+}
+
+// Guards against a seal that reports something other than what happened.
+func TestSeal(t *testing.T) {
+	r := newWorker()
+	seal := func(n byte) SealResult {
+		return r.Seal(0, SealRequest{ID: requestID(n), Target: testIncarnation, ValidUntil: time.Second})
+	}
+	if got := seal(1).State; got != SealNeverRan {
+		t.Fatalf("unseen: %q", got)
+	}
+	r.Admit(0, offer(2, 0))
+	if got := seal(2).State; got != SealInProgress {
+		t.Fatalf("running: %q", got)
+	}
+	r.Finish(requestID(2), apperr.OutcomeDone, []byte("berth 4"), true)
+	if got := seal(2); got.State != SealFinished || string(got.Response) != "berth 4" {
+		t.Fatalf("finished: %+v", got)
+	}
+	r.Admit(0, offer(3, 0))
+	r.Finish(requestID(3), apperr.OutcomeNotRun, nil, false)
+	if got := seal(3).State; got != SealNeverRan {
+		t.Fatalf("upstream not reached: %q", got)
+	}
+	if got := r.Seal(0, SealRequest{ID: requestID(4), Target: 8}).State; got != SealIncarnationOver {
+		t.Fatalf("other incarnation: %q", got)
+	}
+}
+
+// Guards against a forgotten identity being reported as never run, and against
+// an offer that is still valid being forgotten.
+func TestForgetting(t *testing.T) {
+	r := newWorker()
+	r.Admit(0, offer(1, 0))
+	r.Finish(requestID(1), apperr.OutcomeDone, nil, true)
+	r.Forget(6 * time.Second)
+	if r.Identities() != 1 {
+		t.Fatal("identity was forgotten before its retention ended")
+	}
+	r.Forget(6*time.Second + 1)
+	if r.Identities() != 0 {
+		t.Fatal("identity was kept after its retention")
+	}
+	got := r.Seal(7*time.Second, SealRequest{ID: requestID(1), Target: testIncarnation, ValidUntil: time.Second})
+	if got.State != SealUnknown {
+		t.Fatalf("seal of a forgotten identity: %q", got.State)
+	}
+	if d := r.Admit(7*time.Second, offer(1, 0)); d.Proven {
+		t.Fatalf("copy of a forgotten offer: %+v", d)
+	}
+}
+
+// Guards against the identity memory growing without bound, and against a
+// promise that is not remembered when it is full.
+func TestMemoryFull(t *testing.T) {
+	r := newWorker()
+	for n := byte(1); n <= 4; n++ {
+		r.Admit(0, offer(n, 0))
+		r.Finish(requestID(n), apperr.OutcomeDone, nil, true)
+	}
+	if d := r.Admit(0, offer(5, 0)); d.Reason != ReasonMemoryFull || !d.Proven {
+		t.Fatalf("fifth identity: %+v", d)
+	}
+	r.Admit(0, offer(6, 0))
+	if d := r.Admit(0, offer(7, 0)); d.Proven {
+		t.Fatal("refusal without room for its seal claims a proof")
+	}
+	s := r.Seal(0, SealRequest{ID: requestID(8), Target: testIncarnation, ValidUntil: time.Second})
+	if s.State != SealDeferred {
+		t.Fatalf("seal without room: %q", s.State)
+	}
+	if d := r.Admit(2*time.Second, offer(9, 2*time.Second)); !d.Admitted() {
+		t.Fatalf("after the validity of the others ended: %+v", d)
+	}
+}
+
+// Guards against two runs of a task attempt, a start by a superseded owner and
+// an overfilled VM.
+func TestTasks(t *testing.T) {
+	tasks := NewTasks(testIncarnation, types.Resources{MilliCPU: 4000, MemoryBytes: 8}, 10*time.Second)
+	cmd := StartCommand{
+		Task: "plan/0", Attempt: 1, Shard: "s", Epoch: 2, Target: testIncarnation,
+		Demand: types.Resources{MilliCPU: 3000, MemoryBytes: 4}, Budget: time.Second,
+	}
+	with := func(change func(*StartCommand)) StartCommand {
+		c := cmd
+		change(&c)
+		return c
+	}
+	check := func(name string, now time.Duration, c StartCommand, want TaskDecision) {
+		t.Helper()
+		if got := tasks.Reserve(now, c); got != want {
+			t.Fatalf("%s: %+v, want %+v", name, got, want)
+		}
+	}
+	check("first", 0, cmd, TaskDecision{})
+	check("copy", 0, cmd, TaskDecision{Repeat: true})
+	check("old owner", 0, with(func(c *StartCommand) { c.Epoch, c.Task = 1, "plan/1" }), TaskDecision{Reason: TaskLowerEpoch})
+	check("no room", 0, with(func(c *StartCommand) { c.Task = "plan/1" }), TaskDecision{Reason: TaskNoCapacity})
+	check("next attempt while held", 0, with(func(c *StartCommand) { c.Attempt = 2 }), TaskDecision{Reason: TaskOtherAttempt})
+	check("after a freeze", 2*time.Second, with(func(c *StartCommand) { c.Task = "plan/1" }), TaskDecision{Reason: TaskBudgetOver})
+	check("other incarnation", 0, with(func(c *StartCommand) { c.Target = 1 }), TaskDecision{Reason: TaskWrongIncarnation})
+	if !tasks.Release("plan/0", 1) || !tasks.Used().IsZero() {
+		t.Fatalf("release: used %v", tasks.Used())
+	}
+	tasks.Forget(time.Hour)
+	check("copy after the end", time.Hour, with(func(c *StartCommand) { c.Echo = time.Hour }), TaskDecision{Reason: TaskReleased})
+	tasks.Settle(time.Hour, "plan/0", 1)
+	check("next attempt", time.Hour, with(func(c *StartCommand) { c.Attempt, c.Echo = 2, time.Hour }), TaskDecision{})
+}
--- /dev/null
+++ b/internal/core/admission/seal.go
@@ -0,0 +1,115 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// SealState is what a worker knows of a sealed identity.
+type SealState string
+
+// Results of a seal.
+const (
+	// SealNeverRan means that the request has not run and never will.
+	SealNeverRan SealState = "never-ran"
+	// SealFinished means that the request was admitted and has ended.
+	SealFinished SealState = "finished"
+	// SealInProgress means that the request is running.
+	SealInProgress SealState = "in-progress"
+	// SealUnknown means that the identity may have been forgotten.
+	SealUnknown SealState = "unknown"
+	// SealDeferred means that nothing was promised; ask again.
+	SealDeferred SealState = "deferred"
+	// SealIncarnationOver means that the addressed incarnation has ended. The
+	// request will not be admitted any more, but it may have run before.
+	SealIncarnationOver SealState = "incarnation-over"
+)
+
+// SealRequest asks a worker never to run an identity.
+type SealRequest struct {
+	ID     types.RequestID
+	Target types.Incarnation
+	// ValidUntil is the end of the validity of the offer, on the worker's clock.
+	ValidUntil time.Duration
+}
+
+// SealResult is the worker's answer to a seal.
+type SealResult struct {
+	State SealState
+	// Outcome is set for SealFinished.
+	Outcome apperr.Outcome
+	// Response is the whole response of a finished request if it was kept.
+	Response []byte
+}
+
+// Seal bars an identity for ever and tells what became of it.
+func (r *Requests) Seal(now time.Duration, s SealRequest) SealResult {
+	r.Forget(now)
+	if s.Target != r.incarnation {
+		return SealResult{State: SealIncarnationOver}
+	}
+	if entry, known := r.memory.known[s.ID]; known {
+		return sealKnown(entry)
+	}
+	if r.memory.forgotten(s.ValidUntil) {
+		return SealResult{State: SealUnknown}
+	}
+	if s.ValidUntil < now {
+		// The offer is refused by its validity; nothing has to be remembered.
+		return SealResult{State: SealNeverRan}
+	}
+	if s.ValidUntil > now+r.limits.MaxBudget || !r.roomForSeal() {
+		return SealResult{State: SealDeferred}
+	}
+	r.memory.addSealed(s.ID, s.ValidUntil)
+	return SealResult{State: SealNeverRan}
+}
+
+func sealKnown(entry *identity) SealResult {
+	switch {
+	case entry.state == identityRunning:
+		return SealResult{State: SealInProgress}
+	case entry.state == identityFinished && entry.outcome != apperr.OutcomeNotRun:
+		return SealResult{State: SealFinished, Outcome: entry.outcome, Response: entry.response}
+	default:
+		return SealResult{State: SealNeverRan}
+	}
+}
+
+// Finish ends an admitted request. The outcome is done for a whole response,
+// not-run if the upstream was never reached, and unknown otherwise. The
+// response is kept for late seals while there is room. With reusable the
+// connection stays open for the next request. It reports false for an
+// identity that is not running.
+func (r *Requests) Finish(id types.RequestID, outcome apperr.Outcome, response []byte, reusable bool) bool {
+	entry, known := r.memory.known[id]
+	if !known || entry.state != identityRunning {
+		return false
+	}
+	r.release(entry.upstream, reusable)
+	if outcome != apperr.OutcomeDone || r.memory.retained+len(response) > r.limits.MaxRetained {
+		response = nil
+	}
+	r.memory.finish(entry, outcome, response)
+	return true
+}
+
+func (r *Requests) release(u *upstream, reusable bool) {
+	u.active--
+	r.slots--
+	if reusable && !u.gone {
+		u.idle++
+	} else {
+		r.connections--
+	}
+	r.dropIfUnused(u)
+}
+
+// Forget drops identities whose validity and retention are over. While memory
+// is full it drops any whose validity is over.
+func (r *Requests) Forget(now time.Duration) {
+	r.memory.forget(now-r.limits.Retention, 0)
+	r.memory.forget(now, r.limits.MaxIdentities-1)
+}
--- /dev/null
+++ b/internal/core/admission/upstreams.go
@@ -0,0 +1,158 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// UpstreamID names one run of an upstream on the VM. An upstream that restarts
+// announces itself under a new ID.
+type UpstreamID string
+
+// Announcement is what an upstream says about itself every second.
+type Announcement struct {
+	Upstream UpstreamID
+	Service  types.ServiceName
+	// Slots is the number of requests that the upstream runs at once.
+	Slots int
+	// Connections is the number of connections that the upstream accepts.
+	Connections int
+}
+
+// upstream is one announced upstream and what is in use at it.
+type upstream struct {
+	Announcement
+	expires time.Duration
+	gone    bool
+	active  int
+	// idle is the number of open connections that carry no request.
+	idle int
+}
+
+// open is the number of open connections.
+func (u *upstream) open() int {
+	return u.active + u.idle
+}
+
+// Announce takes or renews an announcement. It reports whether the upstream
+// is new, so that the shell can push the change.
+func (r *Requests) Announce(now time.Duration, a Announcement) bool {
+	u, known := r.upstreams[a.Upstream]
+	if !known {
+		u = &upstream{}
+		r.upstreams[a.Upstream] = u
+	}
+	fresh := !known || u.gone
+	u.Announcement = a
+	u.expires = now + r.limits.AnnouncementTTL
+	u.gone = false
+	return fresh
+}
+
+// Leave withdraws an upstream at its own request. Requests in progress at it
+// continue. It reports whether the upstream was announced.
+func (r *Requests) Leave(id UpstreamID) bool {
+	u, ok := r.upstreams[id]
+	if !ok || u.gone {
+		return false
+	}
+	r.withdraw(u)
+	return true
+}
+
+// Expire withdraws the upstreams whose announcement has expired and appends
+// their IDs to gone.
+func (r *Requests) Expire(now time.Duration, gone []UpstreamID) []UpstreamID {
+	for id, u := range r.upstreams {
+		if !u.gone && now >= u.expires {
+			gone = append(gone, id)
+			r.withdraw(u)
+		}
+	}
+	return gone
+}
+
+// ConnectionClosed records that an idle connection to the upstream was closed.
+func (r *Requests) ConnectionClosed(id UpstreamID) {
+	u, ok := r.upstreams[id]
+	if !ok || u.idle == 0 {
+		return
+	}
+	u.idle--
+	r.connections--
+	r.dropIfUnused(u)
+}
+
+// withdraw keeps an upstream only for the requests that still run at it.
+func (r *Requests) withdraw(u *upstream) {
+	u.gone = true
+	r.connections -= u.idle
+	u.idle = 0
+	r.dropIfUnused(u)
+}
+
+func (r *Requests) dropIfUnused(u *upstream) {
+	if u.gone && u.active == 0 {
+		delete(r.upstreams, u.Upstream)
+	}
+}
+
+// serves reports whether the upstream is announced for the service at now.
+func (u *upstream) serves(now time.Duration, service types.ServiceName) bool {
+	return !u.gone && now < u.expires && u.Service == service
+}
+
+// choose returns the upstream of the service with the most free slots, and
+// the reason when none can take a request.
+func (r *Requests) choose(now time.Duration, service types.ServiceName) (*upstream, Reason) {
+	var best *upstream
+	reason := ReasonNoUpstream
+	for _, u := range r.upstreams {
+		if !u.serves(now, service) {
+			continue
+		}
+		if u.active >= u.Slots {
+			reason = worse(reason, ReasonNoSlot)
+			continue
+		}
+		if u.idle == 0 && u.open() >= u.Connections {
+			reason = worse(reason, ReasonNoConnection)
+			continue
+		}
+		if best == nil || better(u, best) {
+			best = u
+		}
+	}
+	return best, reason
+}
+
+// worse keeps the reason that is closest to admission.
+func worse(a, b Reason) Reason {
+	if a == ReasonNoUpstream {
+		return b
+	}
+	return a
+}
+
+// better orders upstreams by free slots, then by ID so that the choice does
+// not depend on map order.
+func better(a, b *upstream) bool {
+	freeA, freeB := a.Slots-a.active, b.Slots-b.active
+	if freeA != freeB {
+		return freeA > freeB
+	}
+	return a.Upstream < b.Upstream
+}
+
+// idleElsewhere returns an upstream with an idle connection that can be
+// closed to make room for a new one.
+func (r *Requests) idleElsewhere() *upstream {
+	var found *upstream
+	for _, u := range r.upstreams {
+		if u.idle > 0 && (found == nil || u.Upstream < found.Upstream) {
+			found = u
+		}
+	}
+	return found
+}
