Add the shard lease: holder, observer and row codec

Ownership needs one acting owner per shard without comparing clocks. Batches cannot be conditional on the lease row's revision, because renewals change it; a fence row written only by takeovers serves as their condition.

--- /dev/null
+++ b/internal/core/lease/lease_test.go
@@ -0,0 +1,88 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+func held() *Holder {
+	return NewHolder(DefaultConfig(), Row{Shard: "s", Owner: "a", Incarnation: 7, Epoch: 3}, 10, 100*time.Second)
+}
+
+// Guards against validity counted from the answer instead of the send.
+func TestValidityCountsFromSend(t *testing.T) {
+	h := held()
+	if _, ok := h.BeginRenewal(101 * time.Second); ok {
+		t.Fatal("renewal before it is due")
+	}
+	r, ok := h.BeginRenewal(102 * time.Second)
+	if !ok || r.Row.Renewal != 1 || r.Revision != 10 {
+		t.Fatalf("renewal %+v, %v", r, ok)
+	}
+	h.Committed(11)
+	if got := h.Until(); got != 107*time.Second {
+		t.Fatalf("until %v, want send + TTL - margin", got)
+	}
+}
+
+// Guards against an uncertain renewal that extends the lease, and against one
+// that landed late being counted from a repeat.
+func TestUncertainRenewal(t *testing.T) {
+	h := held()
+	h.BeginRenewal(102 * time.Second)
+	h.Uncertain()
+	if h.Until() != 105*time.Second || !h.NeedsRead() {
+		t.Fatalf("until %v, needs read %v", h.Until(), h.NeedsRead())
+	}
+	h.Observed(Row{Shard: "s", Owner: "a", Incarnation: 7, Epoch: 3}, 10, true)
+	h.BeginRenewal(104 * time.Second)
+	h.Observed(Row{Shard: "s", Owner: "a", Incarnation: 7, Epoch: 3, Renewal: 1}, 11, true)
+	if h.Until() != 107*time.Second {
+		t.Fatalf("until %v, want it counted from the first send", h.Until())
+	}
+	h.Observed(Row{Shard: "s", Owner: "b", Incarnation: 9, Epoch: 4}, 12, true)
+	if !h.Lost() || h.MayAct(0) {
+		t.Fatal("holder acts after a takeover")
+	}
+}
+
+// Guards against a takeover before the TTL has passed on the observer's clock,
+// and against one of a lease that was renewed meanwhile.
+func TestObserverWaitsForTTL(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	o := NewObserver(DefaultConfig(), "s", "b", 9)
+	row := Row{Shard: "s", Owner: "a", Incarnation: 7, Epoch: 3}
+	o.Observe(row, 10, true, 50*time.Second, rng)
+	row.Renewal = 1
+	o.Observe(row, 11, true, 55*time.Second, rng)
+	if _, ok := o.TryTakeover(61*time.Second-1, []types.VMID{"b"}); ok {
+		t.Fatal("takeover before the TTL")
+	}
+	take, ok := o.TryTakeover(62*time.Second, []types.VMID{"b"})
+	if !ok || take.Row.Epoch != 4 || take.Revision != 11 {
+		t.Fatalf("takeover %+v, %v", take, ok)
+	}
+	o.Observe(Row{Shard: "s", Epoch: 4}, 12, true, 70*time.Second, rng)
+	if _, ok := o.TryTakeover(70*time.Second+DefaultConfig().Jitter, []types.VMID{"b"}); !ok {
+		t.Fatal("a released lease is not taken at once")
+	}
+}
+
+// Guards against a codec that loses digits of the incarnation.
+func TestRowRoundTrip(t *testing.T) {
+	want := Row{Shard: "s", Owner: "a", Incarnation: 1<<63 + 1, Epoch: 3, Renewal: 4}
+	b, err := want.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(b)
+	if err != nil || got != want {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	if _, err := Decode([]byte(`{}`)); err == nil {
+		t.Fatal("a row without shard is accepted")
+	}
+}
--- /dev/null
+++ b/internal/core/lease/observer.go
@@ -0,0 +1,123 @@
+package lease
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Rand is the source of jitter. *rand.Rand of math/rand/v2 implements it.
+type Rand interface {
+	Int64N(n int64) int64
+}
+
+// Takeover is a compare-and-set that makes a candidate the holder. Row is
+// written to the lease row and the fence row in one transaction, conditional
+// on the lease row's revision (0: it does not exist).
+type Takeover struct {
+	Row      Row
+	Revision uint64
+}
+
+// Observer watches the lease of one shard for a candidate.
+type Observer struct {
+	cfg         Config
+	shard       types.ShardID
+	self        types.VMID
+	incarnation types.Incarnation
+	row         Row
+	revision    uint64
+	exists      bool
+	seen        bool
+	// unchangedSince is when an answer first showed the present row.
+	unchangedSince time.Duration
+	jitter         time.Duration
+}
+
+// NewObserver returns the observer of a shard's lease on the candidate VM.
+func NewObserver(cfg Config, shard types.ShardID, self types.VMID, incarnation types.Incarnation) *Observer {
+	return &Observer{cfg: cfg, shard: shard, self: self, incarnation: incarnation}
+}
+
+// Observe records the row as read; receivedAt is when the answer arrived.
+// Exists is false if the row does not exist. A change restarts the wait and
+// draws a new jitter.
+func (o *Observer) Observe(row Row, revision uint64, exists bool, receivedAt time.Duration, rng Rand) {
+	if o.seen && o.exists == exists && o.revision == revision && o.row == row {
+		return
+	}
+	o.seen = true
+	o.row = row
+	o.revision = revision
+	o.exists = exists
+	o.unchangedSince = receivedAt
+	o.jitter = 0
+	if o.cfg.Jitter > 0 {
+		o.jitter = time.Duration(rng.Int64N(int64(o.cfg.Jitter)))
+	}
+}
+
+// Row returns the last observed row, and false if none was.
+func (o *Observer) Row() (Row, bool) {
+	return o.row, o.seen && o.exists
+}
+
+// TakeoverAt returns when the candidate may take over, given the live members
+// it knows. It returns false while no row was observed, or while the lease is
+// its own.
+func (o *Observer) TakeoverAt(live []types.VMID) (time.Duration, bool) {
+	if !o.seen {
+		return 0, false
+	}
+	if o.exists && o.row.Owner == o.self && o.row.Incarnation == o.incarnation {
+		return 0, false
+	}
+	at := o.unchangedSince + o.jitter
+	at += time.Duration(Rank(o.shard, o.row.Epoch, o.self, live)) * o.cfg.RankStep
+	if o.exists && o.row.Owner != "" {
+		at += o.cfg.TTL
+	}
+	return at, true
+}
+
+// TryTakeover returns the takeover to send if it is due at now. The write's
+// send time, read before, is the start of the new holder's validity.
+func (o *Observer) TryTakeover(now time.Duration, live []types.VMID) (Takeover, bool) {
+	at, ok := o.TakeoverAt(live)
+	if !ok || now < at {
+		return Takeover{}, false
+	}
+	row := Row{Shard: o.shard, Owner: o.self, Incarnation: o.incarnation, Epoch: o.row.Epoch + 1}
+	return Takeover{Row: row, Revision: o.revision}, true
+}
+
+// Rank returns the position of a VM among the live members, from 0, ordered by
+// hash of shard, epoch and VM. The VM itself need not be among them.
+func Rank(shard types.ShardID, epoch types.Epoch, vm types.VMID, live []types.VMID) int {
+	own := rankHash(shard, epoch, vm)
+	rank := 0
+	for _, other := range live {
+		if other == vm {
+			continue
+		}
+		h := rankHash(shard, epoch, other)
+		if h < own || (h == own && other < vm) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func rankHash(shard types.ShardID, epoch types.Epoch, vm types.VMID) uint64 {
+	var d xxhash.Digest
+	var number [8]byte
+	d.Reset()
+	binary.LittleEndian.PutUint64(number[:], uint64(epoch))
+	_, _ = d.WriteString(string(shard))
+	_, _ = d.Write(number[:])
+	_, _ = d.WriteString(string(vm))
+	return d.Sum64()
+}
