--- /dev/null
+++ b/internal/confsync/confsync.go
@@ -0,0 +1,221 @@
+// Package confsync keeps a process on the accepted configuration: it reads the
+// table (entries and shard owners), fetches deltas from peers, and tells
+// whether new work may be taken.
+package confsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/wire/wirepb"
+)
+
+var (
+	eventInEffect = telemetry.Define(250, logrus.InfoLevel, "configuration in effect",
+		"The process works by a new accepted version. No action.")
+	eventRejected = telemetry.Define(251, logrus.ErrorLevel, "configuration delta rejected",
+		"A delta was incomplete, damaged or contradicts the held version; the held version stays and a full copy is fetched. If it repeats, compare the release of the sending process.")
+	eventUnconfirmed = telemetry.Define(252, logrus.WarnLevel, "new work stopped: configuration cannot be confirmed",
+		"The process is cut off from the table and from most failure domains of its region. Check the network of its VM.")
+	eventConfirmed = telemetry.Define(253, logrus.InfoLevel, "new work allowed again",
+		"The configuration is confirmed again. No action.")
+)
+
+// Syncer holds the configuration in effect in one process.
+type Syncer struct {
+	log    *telemetry.Logger
+	now    clock.Func
+	region types.Region
+
+	current atomic.Pointer[config.Config]
+
+	mu          sync.Mutex
+	confirmer   *config.Confirmer
+	confirmedAt time.Duration
+	confirmed   bool
+	stopped     bool
+	watchers    []func(*config.Config)
+}
+
+// New returns a syncer without a configuration.
+func New(region types.Region, now clock.Func, log *telemetry.Logger) *Syncer {
+	return &Syncer{log: log, now: now, region: region, confirmer: config.NewConfirmer()}
+}
+
+// Current returns the configuration in effect, or nil.
+func (s *Syncer) Current() *config.Config { return s.current.Load() }
+
+// Version returns the version in effect, 0 for none.
+func (s *Syncer) Version() types.Version {
+	if c := s.current.Load(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+// Watch calls f with the configuration in effect, now and after each change.
+func (s *Syncer) Watch(f func(*config.Config)) {
+	s.mu.Lock()
+	s.watchers = append(s.watchers, f)
+	s.mu.Unlock()
+	if c := s.current.Load(); c != nil {
+		f(c)
+	}
+}
+
+// Apply puts a delta into effect if it is newer than the held version.
+func (s *Syncer) Apply(d config.Delta) error {
+	s.mu.Lock()
+	held := s.current.Load()
+	next, err := held.Apply(d)
+	if err != nil {
+		s.mu.Unlock()
+		s.log.Log(eventRejected, err, telemetry.Fields{"version": d.Head.Version})
+		return err
+	}
+	if next == held {
+		s.mu.Unlock()
+		return nil
+	}
+	s.current.Store(next)
+	s.confirmer.Hold(next, s.region)
+	watchers := s.watchers
+	s.mu.Unlock()
+	s.log.Log(eventInEffect, nil, telemetry.Fields{"version": next.Version()})
+	for _, f := range watchers {
+		f(s.current.Load())
+	}
+	return nil
+}
+
+// Confirm records that the version was the accepted one at a time on this
+// process's clock.
+func (s *Syncer) Confirm(at time.Duration, v types.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmer.Confirmed(at, v)
+	if !s.confirmed || at > s.confirmedAt {
+		s.confirmed, s.confirmedAt = true, at
+	}
+}
+
+// Heard records a message from another process: its failure domain, version
+// and the age of its confirmation. It reports whether the version is higher
+// than the held one, so that a delta has to be fetched.
+func (s *Syncer) Heard(domain types.FailureDomain, v types.Version, age time.Duration, ageKnown bool) bool {
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if domain != "" {
+		s.confirmer.PeerReached(now, domain)
+	}
+	if ageKnown && age < config.ConfirmWithin {
+		at := now - age
+		s.confirmer.Confirmed(at, v)
+		if !s.confirmed || at > s.confirmedAt {
+			s.confirmed, s.confirmedAt = true, at
+		}
+	}
+	return v > s.confirmer.Held()
+}
+
+// TableReached records an answer of the table.
+func (s *Syncer) TableReached(at time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmer.TableReached(at)
+}
+
+// MayTakeNew tells whether new work may be taken now.
+func (s *Syncer) MayTakeNew() bool {
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	verdict := s.confirmer.MayTakeNew(now)
+	if s.confirmer.Held() != 0 && verdict.MayTakeNew == s.stopped {
+		s.stopped = !verdict.MayTakeNew
+		event := eventConfirmed
+		if s.stopped {
+			event = eventUnconfirmed
+		}
+		s.log.Log(event, nil, telemetry.Fields{"basis": verdict.Basis.String()})
+	}
+	return verdict.MayTakeNew
+}
+
+// Age returns the time since a version was confirmed; false if it never was.
+func (s *Syncer) Age() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() - s.confirmedAt, s.confirmed
+}
+
+// AgeMS returns the age in milliseconds, -1 for never.
+func (s *Syncer) AgeMS() int64 {
+	age, ok := s.Age()
+	if !ok {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// Fetch implements the server side of ConfigService.Fetch.
+func (s *Syncer) Fetch(_ context.Context, r *wirepb.FetchRequest) (*wirepb.FetchResponse, error) {
+	c := s.Current()
+	resp := &wirepb.FetchResponse{ConfirmedAgeMs: s.AgeMS()}
+	if c == nil {
+		return resp, nil
+	}
+	resp.Version = uint64(c.Version())
+	if r.GetHeld() >= resp.GetVersion() {
+		return resp, nil
+	}
+	delta, err := json.Marshal(c.Since(types.Version(r.GetHeld())))
+	if err != nil {
+		return nil, err
+	}
+	resp.Delta = delta
+	return resp, nil
+}
+
+// Pull fetches what the peer has beyond the held version. A delta that leaves
+// a gap is fetched again as a whole.
+func (s *Syncer) Pull(ctx context.Context, peer wirepb.ConfigService) error {
+	err := s.pull(ctx, peer, s.Version())
+	var gap *config.GapError
+	if errors.As(err, &gap) {
+		return s.pull(ctx, peer, 0)
+	}
+	return err
+}
+
+func (s *Syncer) pull(ctx context.Context, peer wirepb.ConfigService, held types.Version) error {
+	sent := s.now()
+	resp, err := peer.Fetch(ctx, &wirepb.FetchRequest{Held: uint64(held)})
+	if err != nil {
+		return err
+	}
+	if len(resp.GetDelta()) > 0 {
+		var d config.Delta
+		if err := json.Unmarshal(resp.GetDelta(), &d); err != nil {
+			return err
+		}
+		if err := s.Apply(d); err != nil {
+			return err
+		}
+	}
+	if age := resp.GetConfirmedAgeMs(); age >= 0 {
+		s.Confirm(sent-time.Duration(age)*time.Millisecond, types.Version(resp.GetVersion()))
+	}
+	return nil
+}
--- a/internal/core/config/delta.go
+++ b/internal/core/config/delta.go
@@ -65,12 +65,17 @@
 // reach to. from may be nil. It goes by version and not by content: a part that
 // changed and changed back since from is missing at holders in between.
 func Difference(from, to *Config) Delta {
-	d := Delta{Head: to.Head()}
-	if from != nil {
-		d.From = from.version
+	if from == nil {
+		return to.Since(0)
 	}
-	for _, p := range to.parts {
-		if p.Version > d.From {
+	return to.Since(from.version)
+}
+
+// Since returns what a holder of the given version, 0 for none, needs to reach c.
+func (c *Config) Since(held types.Version) Delta {
+	d := Delta{From: held, Head: c.Head()}
+	for _, p := range c.parts {
+		if p.Version > held {
 			d.Parts = append(d.Parts, p)
 		}
 	}
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -50,7 +50,7 @@
 
 // Listen opens the address and serves the handler until Shutdown or Close.
 func Listen(address string, handler http.Handler, l Limits) (*Server, error) {
-	inner, err := net.Listen("tcp", address)
+	inner, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, apperr.Wrap(err, apperr.KindInvalid, "listen address "+address, "cannot be opened",
 			"choose a free port on an address of this VM")
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,216 @@
+// Package node holds what every process of the system has: an identity, the
+// configuration in effect, a datagram socket, and an HTTP server and client
+// for authenticated calls between processes.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/actors"
+	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/confsync"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/httpserve"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/udp"
+	"github.com/boragecrank/boragecrank/internal/wire/callauth"
+	"github.com/boragecrank/boragecrank/internal/wire/datagram"
+	"github.com/boragecrank/boragecrank/internal/wire/wirepb"
+)
+
+const (
+	// MaxCallBody bounds the body of a call between processes: the largest
+	// request or response body of a caller and some room for JSON.
+	MaxCallBody = 9 << 20
+	// callTimeout bounds calls that carry no request of a caller.
+	callTimeout = 3 * time.Second
+)
+
+// Options describe a process.
+type Options struct {
+	// Name is the VM's name for a worker and the entry's name for an entry.
+	Name          string
+	Role          string
+	Region        types.Region
+	FailureDomain types.FailureDomain
+	// Internal is the IP address and port for calls (TCP) and datagrams (UDP).
+	Internal string
+	// Key is the secret that all processes of the system share.
+	Key []byte
+	// Peers are internal addresses to fetch the configuration from at start.
+	Peers     []string
+	Telemetry *telemetry.Telemetry
+}
+
+// Node is a running process's common part.
+type Node struct {
+	Options
+	Incarnation types.Incarnation
+	Clock       clock.Func
+	Config      *confsync.Syncer
+	Socket      *udp.Socket
+	Actors      *actors.System
+	// Calls signs and sends calls to other processes.
+	Calls *http.Client
+	// Mux serves authenticated calls; roles add their services before Serve.
+	Mux    *http.ServeMux
+	server *httpserve.Server
+	state  func() *wirepb.StateResponse
+}
+
+// New binds the datagram socket and prepares the rest. Serve starts it.
+func New(o Options) (*Node, error) {
+	socket, err := udp.Listen(o.Internal, o.Key, o.Telemetry)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		Options:     o,
+		Incarnation: NewIncarnation(),
+		Clock:       clock.Now,
+		Config:      confsync.New(o.Region, clock.Now, o.Telemetry.Log),
+		Socket:      socket,
+		Actors:      actors.NewSystem(),
+		Mux:         http.NewServeMux(),
+		Calls:       newCallClient(o.Key),
+	}
+	service := wirepb.NewConfigServiceServer(configService{n})
+	n.Mux.Handle(service.PathPrefix(), service)
+	return n, nil
+}
+
+// newCallClient returns a client whose connections are kept per peer. Calls are
+// never repeated by the transport (package callauth).
+func newCallClient(key []byte) *http.Client {
+	base := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     60 * time.Second,
+	}
+	return &http.Client{Transport: &callauth.Transport{Key: key, Base: base}}
+}
+
+// Serve starts the server for calls and handles datagrams until Close.
+func (n *Node) Serve(handle udp.Handler) error {
+	limits := httpserve.DefaultLimits()
+	limits.Read, limits.Write = 2*time.Minute, 2*time.Minute
+	// Calls also arrive for requests that run long at an upstream.
+	server, err := httpserve.Listen(n.Internal, callauth.Middleware(n.Key, MaxCallBody, n.Mux), limits)
+	if err != nil {
+		return err
+	}
+	n.server = server
+	go func() {
+		// Receive ends when the socket is closed; nothing is left to report.
+		_ = n.Socket.Receive(handle)
+	}()
+	return nil
+}
+
+// SetState sets the source of the role-specific part of the process's state.
+func (n *Node) SetState(f func() *wirepb.StateResponse) { n.state = f }
+
+// Address returns the internal address as bound.
+func (n *Node) Address() netip.AddrPort { return n.Socket.Addr() }
+
+// Hash is the node's name as it appears in datagrams.
+func (n *Node) Hash() uint64 { return datagram.NameHash(n.Name) }
+
+// Header returns the header of an outgoing datagram.
+func (n *Node) Header() datagram.Header {
+	age := uint32(1<<32 - 1)
+	if ms := n.Config.AgeMS(); ms >= 0 && ms < 1<<32-1 {
+		age = uint32(ms)
+	}
+	return datagram.Header{
+		Sender:        n.Hash(),
+		Incarnation:   uint64(n.Incarnation),
+		ConfigVersion: uint64(n.Config.Version()),
+		ConfigAgeMS:   age,
+	}
+}
+
+// ConfigPeer returns a client for the configuration service of a peer.
+func (n *Node) ConfigPeer(address string) wirepb.ConfigService {
+	return wirepb.NewConfigServiceProtobufClient("http://"+address, n.Calls)
+}
+
+// WorkerPeer returns a client for the worker at an address.
+func (n *Node) WorkerPeer(address string) wirepb.WorkerService {
+	return wirepb.NewWorkerServiceProtobufClient("http://"+address, n.Calls)
+}
+
+// OwnerPeer returns a client for the shard owner at an address.
+func (n *Node) OwnerPeer(address string) wirepb.OwnerService {
+	return wirepb.NewOwnerServiceProtobufClient("http://"+address, n.Calls)
+}
+
+// PullFrom fetches the configuration from the peer if it holds a newer one.
+func (n *Node) PullFrom(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return n.Config.Pull(ctx, n.ConfigPeer(address))
+}
+
+// Shutdown ends the call server gracefully, then everything else.
+func (n *Node) Shutdown(ctx context.Context) error {
+	var err error
+	if n.server != nil {
+		err = n.server.Shutdown(ctx)
+	}
+	if closeErr := n.Socket.Close(); err == nil {
+		err = closeErr
+	}
+	n.Actors.Shutdown()
+	n.Calls.CloseIdleConnections()
+	return err
+}
+
+// NewIncarnation returns a random incarnation.
+func NewIncarnation() types.Incarnation {
+	var b [8]byte
+	for {
+		// crypto/rand.Read never fails on Linux; it ends the program instead.
+		_, _ = rand.Read(b[:])
+		if v := binary.BigEndian.Uint64(b[:]); v != 0 {
+			return types.Incarnation(v)
+		}
+	}
+}
+
+// NewRequestID returns a random request ID.
+func NewRequestID() types.RequestID {
+	var id types.RequestID
+	_, _ = rand.Read(id[:])
+	return id
+}
+
+// configService serves ConfigService on behalf of a node.
+type configService struct {
+	n *Node
+}
+
+// Fetch implements wirepb.ConfigService.
+func (c configService) Fetch(ctx context.Context, r *wirepb.FetchRequest) (*wirepb.FetchResponse, error) {
+	return c.n.Config.Fetch(ctx, r)
+}
+
+// State implements wirepb.ConfigService.
+func (c configService) State(context.Context, *wirepb.StateRequest) (*wirepb.StateResponse, error) {
+	resp := &wirepb.StateResponse{}
+	if c.n.state != nil {
+		resp = c.n.state()
+	}
+	resp.Process = c.n.Name
+	resp.Role = c.n.Role
+	resp.Incarnation = uint64(c.n.Incarnation)
+	resp.Version = uint64(c.n.Config.Version())
+	resp.ConfirmedAgeMs = c.n.Config.AgeMS()
+	return resp, nil
+}
--- /dev/null
+++ b/internal/worker/service.go
@@ -0,0 +1,86 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/boragecrank/boragecrank/internal/core/admission"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/wire/wirepb"
+)
+
+// rpc serves wirepb.WorkerService.
+type rpc struct {
+	w *Worker
+}
+
+// Seal implements wirepb.WorkerService.
+func (s rpc) Seal(_ context.Context, r *wirepb.SealRequest) (*wirepb.SealResponse, error) {
+	var id types.RequestID
+	if len(r.GetRequestId()) != len(id) {
+		return nil, twirp.InvalidArgumentError("request_id", "must have 16 bytes")
+	}
+	copy(id[:], r.GetRequestId())
+	var result admission.SealResult
+	err := s.w.state.Do(func(st *state) {
+		result = st.requests.Seal(s.w.node.Clock(), admission.SealRequest{
+			ID:         id,
+			Target:     types.Incarnation(r.GetIncarnation()),
+			ValidUntil: time.Duration(r.GetValidUntilNs()),
+		})
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &wirepb.SealResponse{
+		State:       string(result.State),
+		Outcome:     string(result.Outcome),
+		Response:    result.Response,
+		Incarnation: uint64(s.w.node.Incarnation),
+	}, nil
+}
+
+// Command implements wirepb.WorkerService.
+func (s rpc) Command(ctx context.Context, r *wirepb.CommandRequest) (*wirepb.CommandResponse, error) {
+	return s.w.tasks.command(ctx, r)
+}
+
+// Tasks implements wirepb.WorkerService.
+func (s rpc) Tasks(ctx context.Context, _ *wirepb.TasksRequest) (*wirepb.TasksResponse, error) {
+	return s.w.tasks.report(ctx)
+}
+
+// Drain implements wirepb.WorkerService.
+func (s rpc) Drain(_ context.Context, r *wirepb.DrainRequest) (*wirepb.DrainResponse, error) {
+	if types.Incarnation(r.GetIncarnation()) != s.w.node.Incarnation {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "worker has another incarnation; read the status again")
+	}
+	if !r.GetDraining() {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "a draining worker takes new work only after a restart; restart it")
+	}
+	s.w.Drain()
+	return &wirepb.DrainResponse{
+		Incarnation:        uint64(s.w.node.Incarnation),
+		RequestsInProgress: int32(s.w.inFlight.Load()),
+	}, nil
+}
+
+// Kept is the form of a response that is kept for late seals.
+type Kept struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header"`
+	Body   []byte      `json:"body"`
+}
+
+// encodeKept encodes a response, or returns nil if it cannot be encoded.
+func encodeKept(r *response) []byte {
+	b, err := json.Marshal(Kept{Status: r.status, Header: r.header, Body: r.body})
+	if err != nil {
+		return nil
+	}
+	return b
+}
--- /dev/null
+++ b/internal/worker/upstreams.go
@@ -0,0 +1,155 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/admission"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+const (
+	// maxAnnouncement bounds the body of an announcement in bytes.
+	maxAnnouncement = 4 << 10
+	// maxUpstreamsPerVM is what one heartbeat can carry.
+	maxUpstreamsPerVM = 16
+	// expiryInterval is how often announcements are checked.
+	expiryInterval = 250 * time.Millisecond
+)
+
+// Announcement is the body with which an upstream announces itself to the
+// worker on its VM, every second: PUT /v1/upstreams/{id}.
+type Announcement struct {
+	Service types.ServiceName `json:"service"`
+	// Address is the IP address and port where the upstream serves HTTP.
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+}
+
+// localHandler serves the processes of this VM.
+func (w *Worker) localHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/upstreams/{id}", w.serveAnnounce)
+	mux.HandleFunc("DELETE /v1/upstreams/{id}", w.serveLeave)
+	mux.HandleFunc("GET /healthz", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", w.serveReady)
+	mux.Handle("GET /metrics", w.tel.MetricsHandler)
+	return mux
+}
+
+func (w *Worker) serveReady(rw http.ResponseWriter, _ *http.Request) {
+	if w.draining.Load() || !w.node.Config.MayTakeNew() {
+		apperr.WriteHTTP(rw, apperr.New(apperr.KindUnavailable, "worker "+w.node.Name,
+			"takes no new work", "wait until it is ready, or use another worker"))
+		return
+	}
+	rw.WriteHeader(http.StatusOK)
+}
+
+func (w *Worker) serveAnnounce(rw http.ResponseWriter, r *http.Request) {
+	var a Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(rw, r.Body, maxAnnouncement))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		apperr.WriteHTTP(rw, apperr.Wrap(err, apperr.KindInvalid, "announcement", "is not valid JSON",
+			`send {"service","address","slots","connections"}`))
+		return
+	}
+	if err := w.checkAnnouncement(a); err != nil {
+		apperr.WriteHTTP(rw, err)
+		return
+	}
+	if err := w.announce(admission.UpstreamID(r.PathValue("id")), a); err != nil {
+		apperr.WriteHTTP(rw, err)
+		return
+	}
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+func (w *Worker) checkAnnouncement(a Announcement) error {
+	object := "announcement of service " + string(a.Service)
+	if _, ok := w.node.Config.Current().Service(a.Service); !ok {
+		return apperr.New(apperr.KindNotFound, object, "the service is not in the inventory",
+			"add the service to the inventory and apply it")
+	}
+	addr, err := netip.ParseAddrPort(a.Address)
+	if err != nil || addr.Port() == 0 {
+		return apperr.New(apperr.KindInvalid, object, "address is not an IP address with port", "write it as 127.0.0.1:8080")
+	}
+	if a.Slots < 1 || a.Connections < 1 {
+		return apperr.New(apperr.KindInvalid, object, "slots and connections must be at least 1", "announce what the upstream can serve")
+	}
+	return nil
+}
+
+func (w *Worker) announce(id admission.UpstreamID, a Announcement) error {
+	var isNew, full bool
+	err := w.state.Do(func(s *state) {
+		if _, known := s.upstreams[id]; !known && len(s.upstreams) >= maxUpstreamsPerVM {
+			full = true
+			return
+		}
+		s.upstreams[id] = upstreamInfo{url: "http://" + a.Address, service: a.Service}
+		isNew = s.requests.Announce(w.node.Clock(), admission.Announcement{
+			Upstream:    id,
+			Service:     a.Service,
+			Slots:       a.Slots,
+			Connections: a.Connections,
+		})
+	})
+	if err != nil {
+		return apperr.Wrap(err, apperr.KindUnavailable, "worker "+w.node.Name, "is stopping", "announce to its successor")
+	}
+	if full {
+		return apperr.New(apperr.KindLimited, "worker "+w.node.Name, "has as many upstreams as one heartbeat carries",
+			"run at most 16 upstreams on a VM")
+	}
+	if isNew {
+		w.tel.Log.Log(eventUpstreamJoined, nil, telemetry.Fields{"upstream": string(id), "service": string(a.Service)})
+		w.signalChange()
+	}
+	return nil
+}
+
+func (w *Worker) serveLeave(rw http.ResponseWriter, r *http.Request) {
+	id := admission.UpstreamID(r.PathValue("id"))
+	if err := w.state.Do(func(s *state) { s.requests.Leave(id) }); err != nil {
+		apperr.WriteHTTP(rw, apperr.Wrap(err, apperr.KindUnavailable, "worker "+w.node.Name, "is stopping", "stop as planned"))
+		return
+	}
+	w.gone(id)
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+// gone reports that an upstream takes no new requests.
+func (w *Worker) gone(id admission.UpstreamID) {
+	w.state.Tell(func(s *state) { delete(s.upstreams, id) })
+	w.tel.Log.Log(eventUpstreamGone, nil, telemetry.Fields{"upstream": string(id)})
+	w.signalChange()
+}
+
+// expireUpstreams withdraws upstreams that stopped renewing, and lets the
+// admission forget old request IDs.
+func (w *Worker) expireUpstreams(ctx context.Context) {
+	for wait(ctx, expiryInterval) == nil {
+		var gone []admission.UpstreamID
+		err := w.state.Do(func(s *state) {
+			now := w.node.Clock()
+			gone = s.requests.Expire(now, nil)
+			s.requests.Forget(now)
+			s.tasks.Forget(now)
+		})
+		if err != nil {
+			return
+		}
+		for _, id := range gone {
+			w.gone(id)
+		}
+	}
+}
