Add routing at the entry

Two random choices inside the failure domain with spill-over, age-discounted load reports, slow start, bounded ejection with return by probe, a retry budget and a queue ordered by urgency and deadline that refuses what cannot be served in time.

--- /dev/null
+++ b/internal/core/routing/health.go
@@ -0,0 +1,154 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// failureRateWeight is the weight of the latest result in the moving failure
+// rate; 0.1 follows the last 20 or so results.
+const failureRateWeight = 0.1
+
+// health is the recent record of a member.
+type health struct {
+	inRow   int
+	rate    float64
+	samples int
+	// ejections counts ejections and failed probes since the last reset.
+	ejections int
+	probeAt   time.Duration
+	probing   bool
+	// returned is when the member last came back.
+	returned time.Duration
+}
+
+// success takes a good result.
+func (h *health) success() {
+	h.inRow = 0
+	h.sample(0)
+}
+
+// failure takes a bad result.
+func (h *health) failure() {
+	h.inRow++
+	h.sample(1)
+}
+
+func (h *health) sample(v float64) {
+	h.rate += failureRateWeight * (v - h.rate)
+	h.samples++
+}
+
+// bad reports whether the record is reason to eject.
+func (h *health) bad(c *Config) bool {
+	if h.inRow >= c.FailuresToEject {
+		return true
+	}
+	return h.samples >= c.FailureRateSamples && h.rate >= c.FailureRateToEject
+}
+
+// backOff sets the time of the next probe.
+func (h *health) backOff(now time.Duration, c *Config) {
+	wait := c.EjectionBase
+	for range h.ejections {
+		wait = min(2*wait, c.EjectionMax)
+	}
+	h.ejections++
+	h.probing = false
+	h.probeAt = now + wait
+}
+
+// maxEjected is the number of a service's members that may be ejected.
+func (r *Router) maxEjected(s *service) int {
+	return int(r.config.MaxEjectedShare * float64(s.size()))
+}
+
+// eject takes a member out of routing if the ejected share allows it.
+func (r *Router) eject(now time.Duration, m *member) {
+	routable := m.place == placeLocal || m.place == placeRemote
+	if !routable || len(m.service.ejected) >= r.maxEjected(m.service) {
+		return
+	}
+	if now-m.health.returned >= r.config.EjectionReset {
+		m.health.ejections = 0
+	}
+	m.health.backOff(now, &r.config)
+	m.move(placeEjected)
+}
+
+// readmit puts an ejected member back into routing with a slow start.
+func (r *Router) readmit(now time.Duration, m *member) {
+	m.health.inRow, m.health.rate, m.health.samples = 0, 0, 0
+	m.health.probing = false
+	m.health.returned = now
+	m.since = now
+	m.move(r.home(m))
+}
+
+// boundEjected readmits the members ejected first while the share is above
+// its bound, after members have gone.
+func (r *Router) boundEjected(now time.Duration, s *service) {
+	for len(s.ejected) > r.maxEjected(s) {
+		r.readmit(now, s.ejected[0])
+	}
+}
+
+// Probe names a member to be probed.
+type Probe struct {
+	VM          types.VMID
+	Incarnation types.Incarnation
+	Service     types.ServiceName
+}
+
+// Probes appends the ejected members whose probe is due. Each is given once
+// until its result is in.
+func (r *Router) Probes(now time.Duration, due []Probe) []Probe {
+	for _, s := range r.ordered {
+		for _, m := range s.ejected {
+			if m.health.probing || now < m.health.probeAt {
+				continue
+			}
+			m.health.probing = true
+			due = append(due, Probe{VM: m.worker.vm, Incarnation: m.worker.incarnation, Service: s.name})
+		}
+	}
+	return due
+}
+
+// ProbeResult takes the result of a probe. A good one returns the member with
+// a slow start, a bad one puts its next probe off.
+func (r *Router) ProbeResult(now time.Duration, p Probe, ok bool) {
+	w, known := r.workers[p.VM]
+	if !known || w.incarnation != p.Incarnation {
+		return
+	}
+	m := w.member(p.Service)
+	if m == nil || m.place != placeEjected || !m.health.probing {
+		return
+	}
+	if ok {
+		r.readmit(now, m)
+		return
+	}
+	m.health.backOff(now, &r.config)
+}
+
+// retryBudget is a token bucket that is filled by first attempts.
+type retryBudget struct {
+	tokens float64
+}
+
+// FirstAttempt counts a first attempt towards the retry budget.
+func (r *Router) FirstAttempt() {
+	r.retries.tokens = min(r.config.RetryBurst, r.retries.tokens+r.config.RetryShare)
+}
+
+// Retry takes one retry from the budget and reports whether there was one.
+func (r *Router) Retry() bool {
+	if r.retries.tokens < 1 {
+		return false
+	}
+	r.retries.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/core/routing/members.go
@@ -0,0 +1,288 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// WorkerState is what a digest says about one worker.
+type WorkerState struct {
+	VM          types.VMID
+	Incarnation types.Incarnation
+	Domain      types.FailureDomain
+	// Reading is the worker's clock when it made the report.
+	Reading time.Duration
+	// Slots and Connections are the limits of the VM.
+	Slots       int
+	Connections int
+	// InUse is the number of slots in use on the VM.
+	InUse    int
+	Draining bool
+	Services []ServiceState
+}
+
+// ServiceState is the part of a worker's state for one service: the sum over
+// the upstreams of the service on the VM.
+type ServiceState struct {
+	Service     types.ServiceName
+	Slots       int
+	Connections int
+	InUse       int
+}
+
+// load is a limit and the use of it, as reported and as known here.
+type load struct {
+	limit int
+	// others is the reported use that is not from this entry.
+	others     int
+	reportedAt time.Duration
+	// local is the number of requests in flight from this entry.
+	local int
+}
+
+// report takes a reported use. Requests from this entry that were in flight
+// count as part of it; those that the worker had not seen yet make others too
+// small, which the worker's refusal corrects.
+func (l *load) report(now time.Duration, limit, inUse int) {
+	l.limit = limit
+	l.others = max(0, inUse-l.local)
+	l.reportedAt = now
+}
+
+// refused takes a refusal for lack of room. The load counts as full now, but
+// only as nearly full from then on, because slots become free within the time
+// of one request.
+func (l *load) refused(now time.Duration, c *Config) {
+	l.report(now-c.ReportFresh, l.limit, l.limit)
+}
+
+// full reports whether no further request fits.
+func (l *load) full(now time.Duration, c *Config) bool {
+	return l.local >= l.limit || l.used(now, c) >= float64(l.limit)
+}
+
+// used is the local use plus the reported use discounted by its age.
+func (l *load) used(now time.Duration, c *Config) float64 {
+	if l.others == 0 {
+		return float64(l.local)
+	}
+	return float64(l.local) + float64(l.others)*c.reportWeight(now-l.reportedAt)
+}
+
+// share is the use after one more request, relative to the limit.
+func (l *load) share(now time.Duration, c *Config) float64 {
+	return (l.used(now, c) + 1) / float64(l.limit)
+}
+
+// reportWeight is 1 for a fresh report and falls linearly to 0.
+func (c *Config) reportWeight(age time.Duration) float64 {
+	if age <= c.ReportFresh {
+		return 1
+	}
+	if age >= c.ReportStale {
+		return 0
+	}
+	return float64(c.ReportStale-age) / float64(c.ReportStale-c.ReportFresh)
+}
+
+// worker is one worker incarnation.
+type worker struct {
+	vm          types.VMID
+	incarnation types.Incarnation
+	domain      types.FailureDomain
+	reading     time.Duration
+	readingAt   time.Duration
+	draining    bool
+	load        load
+	members     []*member
+}
+
+// member is one service on one worker.
+type member struct {
+	worker  *worker
+	service *service
+	load    load
+	// since is when the member became routable, for the slow start.
+	since  time.Duration
+	health health
+	// place is the set that holds the member.
+	place place
+}
+
+// place tells in which set of the service a member is.
+type place uint8
+
+const (
+	placeNone place = iota
+	placeLocal
+	placeRemote
+	placeEjected
+)
+
+// service is what the router knows of one service.
+type service struct {
+	name    types.ServiceName
+	local   []*member
+	remote  []*member
+	ejected []*member
+	// inFlight is the number of requests in flight from this entry.
+	inFlight int
+	times    serviceTimes
+	queue    itemHeap
+	// skipped is the number of the Next call that found no slot.
+	skipped uint64
+}
+
+// size is the number of members that are not draining.
+func (s *service) size() int {
+	return len(s.local) + len(s.remote) + len(s.ejected)
+}
+
+func (s *service) set(p place) *[]*member {
+	switch p {
+	case placeLocal:
+		return &s.local
+	case placeRemote:
+		return &s.remote
+	default:
+		return &s.ejected
+	}
+}
+
+// move puts a member into another set.
+func (m *member) move(p place) {
+	if m.place == p {
+		return
+	}
+	if m.place != placeNone {
+		set := m.service.set(m.place)
+		i := slices.Index(*set, m)
+		*set = slices.Delete(*set, i, i+1)
+	}
+	m.place = p
+	if p != placeNone {
+		set := m.service.set(p)
+		*set = append(*set, m)
+	}
+}
+
+// home is the set that a routable member belongs to.
+func (r *Router) home(m *member) place {
+	if m.worker.domain == r.config.Domain {
+		return placeLocal
+	}
+	return placeRemote
+}
+
+// Update takes the state of a worker from a digest. A new incarnation replaces
+// the one before, whose requests in flight count no more.
+func (r *Router) Update(now time.Duration, state WorkerState) {
+	w, known := r.workers[state.VM]
+	if known && w.incarnation != state.Incarnation {
+		r.Remove(now, state.VM)
+		known = false
+	}
+	if !known {
+		w = &worker{vm: state.VM, incarnation: state.Incarnation, domain: state.Domain}
+		r.workers[state.VM] = w
+	}
+	w.takeReading(now, state.Reading)
+	w.draining = state.Draining
+	w.load.report(now, min(state.Slots, state.Connections), state.InUse)
+	r.dropMembers(now, w, state.Services)
+	for _, s := range state.Services {
+		r.updateMember(now, w, s)
+	}
+}
+
+// takeReading keeps the latest reading of the worker's clock.
+func (w *worker) takeReading(now, reading time.Duration) {
+	if reading >= w.reading {
+		w.reading = reading
+		w.readingAt = now
+	}
+}
+
+func (r *Router) updateMember(now time.Duration, w *worker, state ServiceState) {
+	m := w.member(state.Service)
+	if m == nil {
+		m = &member{worker: w, service: r.service(state.Service), since: now}
+		w.members = append(w.members, m)
+	}
+	m.load.report(now, min(state.Slots, state.Connections), state.InUse)
+	switch {
+	case w.draining:
+		m.move(placeNone)
+	case m.place != placeEjected:
+		m.move(r.home(m))
+	}
+	r.boundEjected(now, m.service)
+}
+
+func (w *worker) member(name types.ServiceName) *member {
+	for _, m := range w.members {
+		if m.service.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// dropMembers removes the services that the worker no longer has.
+func (r *Router) dropMembers(now time.Duration, w *worker, states []ServiceState) {
+	w.members = slices.DeleteFunc(w.members, func(m *member) bool {
+		kept := slices.ContainsFunc(states, func(s ServiceState) bool { return s.Service == m.service.name })
+		if !kept {
+			m.move(placeNone)
+			r.boundEjected(now, m.service)
+		}
+		return !kept
+	})
+}
+
+// Remove drops a worker that is dead or has left.
+func (r *Router) Remove(now time.Duration, vm types.VMID) {
+	w, ok := r.workers[vm]
+	if !ok {
+		return
+	}
+	r.dropMembers(now, w, nil)
+	delete(r.workers, vm)
+}
+
+// Report takes the load report of a response. It is ignored for another
+// incarnation than the known one.
+func (r *Router) Report(now time.Duration, vm types.VMID, incarnation types.Incarnation, reading time.Duration, inUse int) {
+	w, ok := r.workers[vm]
+	if !ok || w.incarnation != incarnation {
+		return
+	}
+	w.takeReading(now, reading)
+	w.load.report(now, w.load.limit, inUse)
+}
+
+// Drain stops new work to a worker at once, ahead of its next digest.
+func (r *Router) Drain(now time.Duration, vm types.VMID, incarnation types.Incarnation) {
+	w, ok := r.workers[vm]
+	if !ok || w.incarnation != incarnation {
+		return
+	}
+	w.draining = true
+	for _, m := range w.members {
+		m.move(placeNone)
+		r.boundEjected(now, m.service)
+	}
+}
+
+// service returns the state of a service, which is made on first use.
+func (r *Router) service(name types.ServiceName) *service {
+	s, ok := r.services[name]
+	if !ok {
+		s = &service{name: name, times: newServiceTimes(r.config.TimesWindow)}
+		r.services[name] = s
+		r.ordered = append(r.ordered, s)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/core/routing/queue.go
@@ -0,0 +1,187 @@
+package routing
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Item is a request that waits for a slot.
+type Item struct {
+	ID      types.RequestID
+	Service types.ServiceName
+	// Deadline is when the request has to have ended.
+	Deadline time.Duration
+	Urgent   bool
+	sequence uint64
+}
+
+// before orders items: urgent ones first, then by deadline, then by arrival.
+func (i Item) before(o Item) bool {
+	if i.Urgent != o.Urgent {
+		return i.Urgent
+	}
+	if i.Deadline != o.Deadline {
+		return i.Deadline < o.Deadline
+	}
+	return i.sequence < o.sequence
+}
+
+// itemHeap has the next item at its root.
+type itemHeap []Item
+
+// Len implements heap.Interface.
+func (h itemHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h itemHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+
+// Swap implements heap.Interface.
+func (h itemHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *itemHeap) Push(x any) { *h = append(*h, x.(Item)) }
+
+// Pop implements heap.Interface.
+func (h *itemHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// ahead returns the number of items that go before the given one.
+func (h itemHeap) ahead(item Item) int {
+	n := 0
+	for _, other := range h {
+		if other.before(item) {
+			n++
+		}
+	}
+	return n
+}
+
+// last returns the index of the item that goes after all others.
+func (h itemHeap) last() int {
+	worst := 0
+	for i := range h {
+		if h[worst].before(h[i]) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+// Enqueue lets a request wait for a slot, or refuses it at once with TooLate,
+// QueueFull or NoUpstream. In a full queue it takes the place of the item that
+// goes after all others, which is then among the dropped ones.
+func (r *Router) Enqueue(now time.Duration, item Item) Verdict {
+	s, ok := r.services[item.Service]
+	if !ok || s.size() == 0 {
+		return NoUpstream
+	}
+	r.sequence++
+	item.sequence = r.sequence
+	if !s.times.inTime(now, s.waits(s.queue.ahead(item)), item.Deadline) {
+		return TooLate
+	}
+	if len(s.queue) >= r.config.QueueLimit {
+		last := s.queue.last()
+		if !item.before(s.queue[last]) {
+			return QueueFull
+		}
+		r.dropped = append(r.dropped, heap.Remove(&s.queue, last).(Item))
+	}
+	heap.Push(&s.queue, item)
+	return Queued
+}
+
+// waits estimates the time until a slot is free for an item with the given
+// number of items ahead, in mean service times. Slots become free at the rate
+// at which this entry's own requests end, which leaves the other entries their
+// share.
+func (s *service) waits(ahead int) float64 {
+	return float64(ahead+1) / float64(max(s.inFlight, 1))
+}
+
+// Waiting returns the number of queued requests of the service.
+func (r *Router) Waiting(name types.ServiceName) int {
+	s, ok := r.services[name]
+	if !ok {
+		return 0
+	}
+	return len(s.queue)
+}
+
+// Cancel removes a queued request whose caller has gone. It reports whether
+// the request was queued.
+func (r *Router) Cancel(name types.ServiceName, id types.RequestID) bool {
+	s, ok := r.services[name]
+	if !ok {
+		return false
+	}
+	for i := range s.queue {
+		if s.queue[i].ID == id {
+			heap.Remove(&s.queue, i)
+			return true
+		}
+	}
+	return false
+}
+
+// Next returns the first queued request for which a slot is free, and the
+// worker for it. Services without a free slot are passed over. Requests that
+// cannot end by their deadline any more are dropped when they come first; the
+// shell cancels the others by their own deadline timer. The caller calls Next after a request has finished or an update has come, until it
+// reports false, and takes the dropped ones with Dropped.
+func (r *Router) Next(now time.Duration, rng *rand.Rand) (Item, Choice, bool) {
+	r.nextCall++
+	for {
+		s := r.nextService(now)
+		if s == nil {
+			return Item{}, Choice{}, false
+		}
+		m := r.pick(now, s, rng)
+		if m == nil {
+			s.skipped = r.nextCall
+			continue
+		}
+		return heap.Pop(&s.queue).(Item), choiceOf(now, m), true
+	}
+}
+
+// nextService returns the service whose first item goes before the first items
+// of the others, without those passed over in this call.
+func (r *Router) nextService(now time.Duration) *service {
+	var best *service
+	for _, s := range r.ordered {
+		if s.skipped == r.nextCall {
+			continue
+		}
+		r.dropLate(now, s)
+		if len(s.queue) == 0 {
+			continue
+		}
+		if best == nil || s.queue[0].before(best.queue[0]) {
+			best = s
+		}
+	}
+	return best
+}
+
+// dropLate drops the first items of the queue that cannot end in time.
+func (r *Router) dropLate(now time.Duration, s *service) {
+	for len(s.queue) > 0 && !s.times.inTime(now, 0, s.queue[0].Deadline) {
+		r.dropped = append(r.dropped, heap.Pop(&s.queue).(Item))
+	}
+}
+
+// Dropped returns the requests dropped since the last call; none of them was
+// run. The slice is valid until the next call of a method.
+func (r *Router) Dropped() []Item {
+	dropped := r.dropped
+	r.dropped = r.dropped[:0]
+	return dropped
+}
--- /dev/null
+++ b/internal/core/routing/router.go
@@ -0,0 +1,232 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Verdict is the result of Pick and Enqueue.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Picked has a choice.
+	Picked Verdict = iota + 1
+	// Queued is waiting; Next returns it when a slot is free.
+	Queued
+	// NoUpstream means that no routable worker has the service.
+	NoUpstream
+	// Full means that all slots are in use; the request may be queued.
+	Full
+	// TooLate means that the request is not likely to end by its deadline.
+	TooLate
+	// QueueFull means that only requests that go before it are queued.
+	QueueFull
+)
+
+// String returns the verdict for logs.
+func (v Verdict) String() string {
+	names := [...]string{"none", "picked", "queued", "no-upstream", "full", "too-late", "queue-full"}
+	if int(v) < len(names) {
+		return names[v]
+	}
+	return "invalid"
+}
+
+// Choice is a chosen worker.
+type Choice struct {
+	VM          types.VMID
+	Incarnation types.Incarnation
+	// Echo is the latest reading of the worker's clock and EchoAge the time
+	// since it arrived here. The budget of an offer is EchoAge plus the time
+	// that the request may take.
+	Echo    time.Duration
+	EchoAge time.Duration
+	member  *member
+}
+
+// Result is how a request to a chosen worker ended.
+type Result uint8
+
+// Results of requests.
+const (
+	// ResultSuccess is a whole response.
+	ResultSuccess Result = iota + 1
+	// ResultFailure is a failure of the upstream or of its worker.
+	ResultFailure
+	// ResultFull is a refusal for lack of a slot or connection.
+	ResultFull
+	// ResultOther says nothing about the upstream, for example a caller that
+	// left.
+	ResultOther
+)
+
+// Router is the routing state of one entry.
+type Router struct {
+	config   Config
+	workers  map[types.VMID]*worker
+	services map[types.ServiceName]*service
+	// ordered holds the services in the order in which they were first seen.
+	ordered []*service
+	retries retryBudget
+	// sequence numbers queued items.
+	sequence uint64
+	// nextCall numbers the calls of Next.
+	nextCall uint64
+	dropped  []Item
+}
+
+// New returns a router that knows no workers. Its retry budget starts full.
+func New(config Config) *Router {
+	return &Router{
+		config:   config,
+		workers:  make(map[types.VMID]*worker),
+		services: make(map[types.ServiceName]*service),
+		retries:  retryBudget{tokens: config.RetryBurst},
+	}
+}
+
+// Pick chooses a worker for a request of the service that has to end by the
+// deadline. The caller calls Started when it uses the choice.
+func (r *Router) Pick(now time.Duration, name types.ServiceName, deadline time.Duration, rng *rand.Rand) (Choice, Verdict) {
+	s, ok := r.services[name]
+	if !ok || len(s.local)+len(s.remote) == 0 {
+		return Choice{}, NoUpstream
+	}
+	if !s.times.inTime(now, 0, deadline) {
+		return Choice{}, TooLate
+	}
+	m := r.pick(now, s, rng)
+	if m == nil {
+		return Choice{}, Full
+	}
+	return choiceOf(now, m), Picked
+}
+
+func choiceOf(now time.Duration, m *member) Choice {
+	w := m.worker
+	return Choice{
+		VM:          w.vm,
+		Incarnation: w.incarnation,
+		Echo:        w.reading,
+		EchoAge:     now - w.readingAt,
+		member:      m,
+	}
+}
+
+// pick returns a member with a free slot, or nil if all are full.
+func (r *Router) pick(now time.Duration, s *service, rng *rand.Rand) *member {
+	local := r.betterOfTwo(now, s.local, rng)
+	if local != nil && r.share(now, local) < r.config.SpillAt {
+		return local
+	}
+	remote := r.betterOfTwo(now, s.remote, rng)
+	if remote != nil && (local == nil || r.share(now, remote)+r.config.SpillMargin < r.share(now, local)) {
+		return remote
+	}
+	if local != nil {
+		return local
+	}
+	if m := r.anyFree(now, s.local, rng); m != nil {
+		return m
+	}
+	return r.anyFree(now, s.remote, rng)
+}
+
+// betterOfTwo returns the less used of two random members, or nil if both are
+// full.
+func (r *Router) betterOfTwo(now time.Duration, set []*member, rng *rand.Rand) *member {
+	if len(set) == 0 {
+		return nil
+	}
+	a := r.draw(now, set, rng)
+	b := r.draw(now, set, rng)
+	switch {
+	case r.full(now, a):
+		a = b
+	case r.full(now, b):
+		b = a
+	}
+	if r.full(now, a) {
+		return nil
+	}
+	if r.share(now, b) < r.share(now, a) {
+		return b
+	}
+	return a
+}
+
+// draw returns a random member. A fresh one is drawn again once with a
+// probability that falls over the slow start.
+func (r *Router) draw(now time.Duration, set []*member, rng *rand.Rand) *member {
+	m := set[rng.IntN(len(set))]
+	age := now - m.since
+	if age >= r.config.SlowStart || rng.Int64N(int64(r.config.SlowStart)) < int64(age) {
+		return m
+	}
+	return set[rng.IntN(len(set))]
+}
+
+// anyFree returns the first member with a free slot from a random start.
+func (r *Router) anyFree(now time.Duration, set []*member, rng *rand.Rand) *member {
+	if len(set) == 0 {
+		return nil
+	}
+	start := rng.IntN(len(set))
+	for i := range set {
+		m := set[(start+i)%len(set)]
+		if !r.full(now, m) {
+			return m
+		}
+	}
+	return nil
+}
+
+// full reports whether the member or its VM has no free slot.
+func (r *Router) full(now time.Duration, m *member) bool {
+	return m.load.full(now, &r.config) || m.worker.load.full(now, &r.config)
+}
+
+// share is the larger use of the member and its VM after one more request.
+func (r *Router) share(now time.Duration, m *member) float64 {
+	return max(m.load.share(now, &r.config), m.worker.load.share(now, &r.config))
+}
+
+// Started counts a request to the chosen worker as in flight.
+func (r *Router) Started(c Choice) {
+	c.member.load.local++
+	c.member.worker.load.local++
+	c.member.service.inFlight++
+}
+
+// Finished ends a request that was started and takes its result. For a success
+// took is its service time.
+func (r *Router) Finished(now time.Duration, c Choice, result Result, took time.Duration) {
+	m := c.member
+	m.load.local--
+	m.worker.load.local--
+	m.service.inFlight--
+	switch result {
+	case ResultSuccess:
+		m.health.success()
+		m.service.times.record(now, took)
+	case ResultFailure:
+		m.health.failure()
+		if m.health.bad(&r.config) {
+			r.eject(now, m)
+		}
+	case ResultFull:
+		m.load.refused(now, &r.config)
+	}
+}
+
+// InFlight returns the requests in flight from this entry to the service.
+func (r *Router) InFlight(name types.ServiceName) int {
+	s, ok := r.services[name]
+	if !ok {
+		return 0
+	}
+	return s.inFlight
+}
--- /dev/null
+++ b/internal/core/routing/router_test.go
@@ -0,0 +1,224 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+const berths types.ServiceName = "berths"
+
+func newRNG() *rand.Rand {
+	return rand.New(rand.NewPCG(1, 2))
+}
+
+func workerState(n int, domain types.FailureDomain, slots, inUse int) WorkerState {
+	connections := max(64, slots)
+	return WorkerState{
+		VM: types.VMID(fmt.Sprintf("v%03d", n)), Incarnation: 1, Domain: domain,
+		Slots: slots, Connections: connections, InUse: inUse,
+		Services: []ServiceState{{Service: berths, Slots: slots, Connections: connections, InUse: inUse}},
+	}
+}
+
+// newRouter returns a router of an entry in Gent with workers spread over the
+// given failure domains in turn.
+func newRouter(workers, slots int, domains ...types.FailureDomain) *Router {
+	r := New(DefaultConfig("Gent"))
+	for n := range workers {
+		r.Update(0, workerState(n, domains[n%len(domains)], slots, 0))
+	}
+	return r
+}
+
+// fill starts count requests and returns how many went to each worker.
+func fill(t *testing.T, r *Router, now time.Duration, count int) map[types.VMID]int {
+	t.Helper()
+	rng := newRNG()
+	got := make(map[types.VMID]int)
+	for range count {
+		c, v := r.Pick(now, berths, time.Hour, rng)
+		if v != Picked {
+			t.Fatalf("after %v: %v", got, v)
+		}
+		r.Started(c)
+		got[c.VM]++
+	}
+	return got
+}
+
+// Guards against requests leaving the entry's failure domain while it has
+// room, and against its overload while others have room.
+func TestSpill(t *testing.T) {
+	const now = time.Minute
+	r := newRouter(6, 8, "Gent", "Brugge")
+	local := func(got map[types.VMID]int) int { return got["v000"] + got["v002"] + got["v004"] }
+	if n := local(fill(t, r, now, 15)); n != 15 {
+		t.Fatalf("%d of 15 requests stayed local", n)
+	}
+	if n := local(fill(t, r, now, 33)); n > 9 {
+		t.Fatalf("%d more requests on 9 local slots", n)
+	}
+	if _, v := r.Pick(now, berths, time.Hour, newRNG()); v != Full {
+		t.Fatalf("all slots in use: %v", v)
+	}
+}
+
+// Guards against a stale load report keeping a worker out for ever, and
+// against a fresh one being ignored.
+func TestReportAge(t *testing.T) {
+	r := New(DefaultConfig("Gent"))
+	r.Update(0, workerState(1, "Gent", 8, 8))
+	if _, v := r.Pick(time.Second, berths, time.Hour, newRNG()); v != Full {
+		t.Fatalf("fresh report of a full worker: %v", v)
+	}
+	if _, v := r.Pick(5*time.Second, berths, time.Hour, newRNG()); v != Picked {
+		t.Fatalf("old report of a full worker: %v", v)
+	}
+}
+
+// Guards against a fresh upstream getting its full share at once.
+func TestSlowStart(t *testing.T) {
+	r := newRouter(3, 1000, "Gent")
+	now := time.Minute
+	r.Update(now, workerState(3, "Gent", 1000, 0))
+	early := fill(t, r, now+time.Second, 400)["v003"]
+	if early >= 80 {
+		t.Fatalf("fresh upstream got %d of the first 400 requests", early)
+	}
+	if late := fill(t, r, now+time.Minute, 400)["v003"]; late <= early {
+		t.Fatalf("upstream got %d after its slow start, %d in it", late, early)
+	}
+}
+
+// Guards against a failing upstream being used, against too many being
+// ejected, and against a return without a probe.
+func TestEjection(t *testing.T) {
+	const now = time.Minute
+	r := newRouter(4, 8, "Gent")
+	rng := newRNG()
+	for range 100 {
+		c, _ := r.Pick(now, berths, time.Hour, rng)
+		r.Started(c)
+		r.Finished(now, c, ResultFailure, 0)
+	}
+	s := r.services[berths]
+	if len(s.ejected) != 1 {
+		t.Fatalf("%d of 4 ejected, want 1 (30%%)", len(s.ejected))
+	}
+	if got := r.Probes(now+time.Second, nil); len(got) != 0 {
+		t.Fatalf("probe before its time: %v", got)
+	}
+	due := r.Probes(now+5*time.Second, nil)
+	if len(due) != 1 || len(r.Probes(now+5*time.Second, nil)) != 0 {
+		t.Fatalf("probes: %v", due)
+	}
+	r.ProbeResult(now+5*time.Second, due[0], false)
+	if len(r.Probes(now+14*time.Second, nil)) != 0 {
+		t.Fatal("failed probe was repeated without back-off")
+	}
+	r.ProbeResult(now+15*time.Second, r.Probes(now+15*time.Second, nil)[0], true)
+	if len(s.ejected) != 0 || len(s.local) != 4 {
+		t.Fatalf("after a good probe: %d ejected, %d local", len(s.ejected), len(s.local))
+	}
+}
+
+// Guards against retries multiplying the load in an outage.
+func TestRetryBudget(t *testing.T) {
+	r := New(DefaultConfig("Gent"))
+	retries := 0
+	for range 1000 {
+		r.FirstAttempt()
+		if r.Retry() {
+			retries++
+		}
+	}
+	if retries > 110 {
+		t.Fatalf("%d retries of 1000 first attempts", retries)
+	}
+}
+
+// Guards against work for a worker that drains or belongs to an incarnation
+// that has ended, and against counts of the old incarnation.
+func TestDrainAndNewIncarnation(t *testing.T) {
+	r := newRouter(1, 2, "Gent")
+	fill(t, r, 0, 2)
+	r.Drain(0, "v000", 1)
+	if _, v := r.Pick(0, berths, time.Hour, newRNG()); v != NoUpstream {
+		t.Fatalf("draining: %v", v)
+	}
+	state := workerState(0, "Gent", 2, 0)
+	state.Incarnation = 2
+	r.Update(0, state)
+	c, v := r.Pick(0, berths, time.Hour, newRNG())
+	if v != Picked || c.Incarnation != 2 {
+		t.Fatalf("new incarnation: %v %v", c, v)
+	}
+}
+
+// measure records service times of 100 ms.
+func measure(r *Router, now time.Duration) {
+	rng := newRNG()
+	for range minTimes {
+		c, _ := r.Pick(now, berths, time.Hour, rng)
+		r.Started(c)
+		r.Finished(now, c, ResultSuccess, 100*time.Millisecond)
+	}
+}
+
+// Guards against accepting what cannot be served in time, and against a
+// measurement that refuses everything and so is never renewed.
+func TestTooLate(t *testing.T) {
+	r := newRouter(1, 2, "Gent")
+	measure(r, 0)
+	if _, v := r.Pick(0, berths, 90*time.Millisecond, newRNG()); v != TooLate {
+		t.Fatalf("90 ms for a service of 100 ms: %v", v)
+	}
+	fill(t, r, 0, 2)
+	for n := range 4 {
+		item := Item{ID: types.RequestID{byte(n)}, Service: berths, Deadline: 290 * time.Millisecond}
+		want := Queued
+		if n == 3 {
+			want = TooLate
+		}
+		if v := r.Enqueue(0, item); v != want {
+			t.Fatalf("item %d: %v, want %v", n, v, want)
+		}
+	}
+	later := 2 * time.Minute
+	if v := r.Enqueue(later, Item{Service: berths, Deadline: later + time.Millisecond}); v != Queued {
+		t.Fatalf("with old service times only: %v", v)
+	}
+}
+
+// Guards against an item at the end of a full queue keeping its place from a
+// more urgent one, and against dropped items getting lost.
+func TestQueueFull(t *testing.T) {
+	config := DefaultConfig("Gent")
+	config.QueueLimit = 2
+	r := New(config)
+	r.Update(0, workerState(0, "Gent", 1, 1))
+	put := func(n byte, urgent bool) Verdict {
+		return r.Enqueue(0, Item{ID: types.RequestID{n}, Service: berths, Deadline: time.Duration(n) * time.Second, Urgent: urgent})
+	}
+	put(1, false)
+	put(2, false)
+	if v := put(3, false); v != QueueFull {
+		t.Fatalf("third: %v", v)
+	}
+	if v := put(4, true); v != Queued {
+		t.Fatalf("urgent: %v", v)
+	}
+	dropped := r.Dropped()
+	if len(dropped) != 1 || dropped[0].ID != (types.RequestID{2}) || len(r.Dropped()) != 0 {
+		t.Fatalf("dropped: %v", dropped)
+	}
+	r.Update(0, workerState(0, "Gent", 1, 0))
+	item, _, ok := r.Next(0, newRNG())
+	if !ok || !item.Urgent {
+		t.Fatalf("next: %v %v", item, ok)
+	}
+}
