--- /dev/null
+++ b/internal/core/claim/claim_test.go
@@ -0,0 +1,152 @@
+package claim
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/admission"
+	"github.com/boragecrank/boragecrank/internal/core/request"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+var (
+	attempt1 = types.RequestID{1, 15: 1}
+	attempt2 = types.RequestID{1, 15: 2}
+	target   = request.Target{VM: "v1", Incarnation: 1 << 63, ValidUntil: 12345}
+)
+
+// Guards against a repeat running what has run, may have run or belongs to
+// another request.
+func TestDecide(t *testing.T) {
+	row := func(s State, response []byte) *Row {
+		return &Row{Fingerprint: "f", Attempt: attempt1, State: s, Response: response}
+	}
+	cases := []struct {
+		row    *Row
+		print  string
+		active bool
+		want   Decision
+	}{
+		{nil, "f", false, DecideClaim},
+		{row(StateDone, []byte("x")), "g", false, DecideConflict},
+		{row(StateDone, []byte("x")), "f", false, DecideReplay},
+		{row(StateDone, nil), "f", false, DecideRan},
+		{row(StateNotRun, nil), "f", false, DecideRunAnew},
+		{row(StateUnknown, nil), "f", false, DecideUnknown},
+		{row(StateClaimed, nil), "f", true, DecideInProgress},
+		{row(StateClaimed, nil), "f", false, DecideSeal},
+		{row("later", nil), "f", false, DecideUnknown},
+	}
+	for _, c := range cases {
+		if got := Decide(c.row, c.print, c.active); got != c.want {
+			t.Errorf("%+v: %v, want %v", c.row, got, c.want)
+		}
+	}
+}
+
+// Guards against a claim being resolved to another run without proof.
+func TestResolve(t *testing.T) {
+	cases := []struct {
+		sealed admission.SealResult
+		want   Decision
+		state  State
+	}{
+		{admission.SealResult{State: admission.SealNeverRan}, DecideRunAnew, StateClaimed},
+		{admission.SealResult{State: admission.SealInProgress}, DecideInProgress, StateClaimed},
+		{admission.SealResult{State: admission.SealDeferred}, DecideInProgress, StateClaimed},
+		{admission.SealResult{State: admission.SealUnknown}, DecideUnknown, StateUnknown},
+		{admission.SealResult{State: admission.SealIncarnationOver}, DecideUnknown, StateUnknown},
+		{admission.SealResult{State: admission.SealFinished, Outcome: apperr.OutcomeUnknown}, DecideUnknown, StateUnknown},
+		{admission.SealResult{State: admission.SealFinished, Outcome: apperr.OutcomeDone}, DecideRan, StateDone},
+		{admission.SealResult{State: admission.SealFinished, Outcome: apperr.OutcomeDone, Response: []byte("x")}, DecideReplay, StateDone},
+	}
+	for _, c := range cases {
+		next, got, write := Resolve(New("f", attempt1, target), c.sealed)
+		if got != c.want || next.State != c.state || write != (c.state != StateClaimed) {
+			t.Errorf("%+v: %v %q write %v, want %v %q", c.sealed, got, next.State, write, c.want, c.state)
+		}
+	}
+}
+
+// Guards against an outcome being overwritten, or taken over by an attempt
+// that the row does not name.
+func TestSettleAndReclaim(t *testing.T) {
+	row := New("f", attempt1, target)
+	done, ok := Settle(row, attempt1, apperr.OutcomeDone, []byte("x"))
+	if !ok || done.State != StateDone {
+		t.Fatalf("done: %+v", done)
+	}
+	if _, ok := Settle(done, attempt1, apperr.OutcomeUnknown, nil); ok {
+		t.Fatal("done was overwritten")
+	}
+	if _, ok := Settle(row, attempt2, apperr.OutcomeDone, nil); ok {
+		t.Fatal("outcome of another attempt was stored")
+	}
+	unknown, _ := Settle(row, attempt1, apperr.OutcomeUnknown, nil)
+	if _, ok := Settle(unknown, attempt1, apperr.OutcomeDone, []byte("x")); !ok {
+		t.Fatal("response in hand did not replace the unknown outcome")
+	}
+	if _, ok := Settle(unknown, attempt1, apperr.OutcomeNotRun, nil); ok {
+		t.Fatal("unknown became not-run")
+	}
+	for _, r := range []Row{done, unknown} {
+		if _, err := Reclaim(r, attempt1, attempt2, target); apperr.KindOf(err) != apperr.KindConflict {
+			t.Fatalf("reclaim of %q: %v", r.State, err)
+		}
+	}
+	if _, err := Reclaim(row, attempt2, attempt1, target); err == nil {
+		t.Fatal("reclaim with the proof of another attempt")
+	}
+	if next, err := Reclaim(row, attempt1, attempt2, target); err != nil || next.Attempt != attempt2 {
+		t.Fatalf("reclaim: %+v %v", next, err)
+	}
+}
+
+// Guards against a dispatch on a row that was not written or was taken over.
+func TestConfirm(t *testing.T) {
+	none := types.RequestID{}
+	row := New("f", attempt1, target)
+	settled, _ := Settle(row, attempt1, apperr.OutcomeNotRun, nil)
+	cases := []struct {
+		row               *Row
+		attempt, previous types.RequestID
+		want              Confirmation
+	}{
+		{nil, attempt1, none, NotWritten},
+		{nil, attempt2, attempt1, LostTo},
+		{&row, attempt1, none, Held},
+		{&row, attempt2, attempt1, NotWritten},
+		{&row, attempt2, none, LostTo},
+		{&settled, attempt1, none, LostTo},
+	}
+	for i, c := range cases {
+		if got := Confirm(c.row, c.attempt, c.previous); got != c.want {
+			t.Errorf("case %d: %v, want %v", i, got, c.want)
+		}
+	}
+}
+
+// Guards against a row that is read back differently from how it was written,
+// and against a damaged row being taken for a usable one.
+func TestEncoding(t *testing.T) {
+	for _, response := range [][]byte{nil, {}, []byte("berth 4")} {
+		row := Row{Fingerprint: "f", Attempt: attempt2, Target: target, State: StateDone, Response: response}
+		data, err := row.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(data)
+		if err != nil || !reflect.DeepEqual(got, row) {
+			t.Fatalf("%s: %+v %v", data, got, err)
+		}
+	}
+	for _, data := range []string{"{", `{"attempt":"00"}`, `{"fingerprint":"f","vm":"v","attempt":"` + attempt1.String() + `","state":"later"}`} {
+		if _, err := Decode([]byte(data)); apperr.KindOf(err) != apperr.KindInternal {
+			t.Errorf("%s: %v", data, err)
+		}
+	}
+	if Key("a", "bc") == Key("ab", "c") || Fingerprint("POST", "/a", nil) == Fingerprint("POST", "/", []byte("a")) {
+		t.Error("parts run together")
+	}
+}
