--- /dev/null
+++ b/internal/core/membership/directory.go
@@ -0,0 +1,177 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// learned is an entry with the time of its last change at the receiver.
+type learned struct {
+	entry Entry
+	at    time.Duration
+}
+
+// view is the copy of one source's view.
+type view struct {
+	source  Source
+	known   bool
+	version uint64
+	hash    uint64
+	heardAt time.Duration
+	entries map[types.VMID]learned
+}
+
+// Directory is an entry's merged view of the members of one shard.
+type Directory struct {
+	cfg    Config
+	views  [roles]view
+	silent [roles]bool
+	merged map[types.VMID]Entry
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory(cfg Config) *Directory {
+	return &Directory{cfg: cfg, merged: make(map[types.VMID]Entry)}
+}
+
+// Lookup returns the merged entry of a VM; its Version has no meaning.
+func (d *Directory) Lookup(vm types.VMID) (Entry, bool) {
+	e, ok := d.merged[vm]
+	return e, ok
+}
+
+// Members appends all merged entries to dst, in no order.
+func (d *Directory) Members(dst []Entry) []Entry {
+	for _, e := range d.merged {
+		dst = append(dst, e)
+	}
+	return dst
+}
+
+// Digest applies a digest received at now. It returns true and a version if a
+// delta since that version must be fetched from the source.
+func (d *Directory) Digest(now time.Duration, dg Digest) (since uint64, fetch bool) {
+	if dg.Source.Role >= roles {
+		return 0, false
+	}
+	v := &d.views[dg.Source.Role]
+	if !v.known || v.source != dg.Source {
+		return 0, !v.known || dg.Source.after(v.source)
+	}
+	v.heardAt = now
+	if dg.Version < v.version || (dg.Version == v.version && dg.Hash == v.hash) {
+		return 0, false
+	}
+	if dg.Version == v.version {
+		return 0, true // the copy is damaged; fetch it whole
+	}
+	return v.version, true
+}
+
+// Delta applies a delta received at now and appends the merged entries that
+// changed to dst. It returns true if the whole view must be fetched, because
+// the delta does not follow the copy or the copy does not match its hash.
+func (d *Directory) Delta(now time.Duration, delta Delta, dst []Entry) (changed []Entry, refetch bool) {
+	source := delta.Digest.Source
+	if source.Role >= roles {
+		return dst, false
+	}
+	v := &d.views[source.Role]
+	if v.known && v.source != source && !source.after(v.source) {
+		return dst, false
+	}
+	replaced := !v.known || v.source != source
+	switch {
+	case delta.Since == 0:
+		if !replaced && delta.Digest.Version < v.version {
+			return dst, false
+		}
+		v.reset(source)
+	case replaced || delta.Since > v.version:
+		return dst, true
+	case delta.Digest.Version <= v.version:
+		return dst, false
+	}
+	v.apply(now, delta)
+	refetch = v.sum() != delta.Digest.Hash
+	if refetch {
+		v.version = 0
+	}
+	return d.mergeAll(dst), refetch
+}
+
+// Tick stops counting a source that was silent for DeadAfter while the other
+// is heard, and appends the merged entries that changed to dst. When both are
+// silent the last views stay.
+func (d *Directory) Tick(now time.Duration, dst []Entry) []Entry {
+	var silent [roles]bool
+	for r := range d.views {
+		silent[r] = !d.views[r].known || now-d.views[r].heardAt >= d.cfg.DeadAfter
+	}
+	if silent[RoleOwner] && silent[RoleRelay] {
+		return dst
+	}
+	if silent == d.silent {
+		return dst
+	}
+	d.silent = silent
+	return d.mergeAll(dst)
+}
+
+func (v *view) reset(source Source) {
+	v.source = source
+	v.known = true
+	v.version = 0
+	v.entries = make(map[types.VMID]learned)
+}
+
+func (v *view) apply(now time.Duration, delta Delta) {
+	v.version = delta.Digest.Version
+	v.hash = delta.Digest.Hash
+	v.heardAt = now
+	for _, e := range delta.Entries {
+		if old, ok := v.entries[e.VM]; ok && old.entry.Version >= e.Version {
+			continue
+		}
+		v.entries[e.VM] = learned{entry: e, at: now}
+	}
+}
+
+func (v *view) sum() uint64 {
+	var sum uint64
+	for _, l := range v.entries {
+		sum += l.entry.hash()
+	}
+	return sum
+}
+
+// mergeAll recomputes the merged entries and appends the changed ones to dst.
+func (d *Directory) mergeAll(dst []Entry) []Entry {
+	for r := range d.views {
+		for vm := range d.views[r].entries {
+			e := d.mergeOne(vm)
+			if e.Status == Unknown || sameMember(d.merged[vm], e) {
+				continue
+			}
+			d.merged[vm] = e
+			dst = append(dst, e)
+		}
+	}
+	return dst
+}
+
+func (d *Directory) mergeOne(vm types.VMID) Entry {
+	var parts [roles]learned
+	for r := range d.views {
+		if !d.silent[r] {
+			parts[r] = d.views[r].entries[vm]
+		}
+	}
+	owner, relay := parts[RoleOwner], parts[RoleRelay]
+	return Merge(owner.entry, relay.entry, owner.at > relay.at)
+}
+
+func sameMember(a, b Entry) bool {
+	return a.Incarnation == b.Incarnation && a.Status == b.Status
+}
--- /dev/null
+++ b/internal/core/membership/view.go
@@ -0,0 +1,156 @@
+package membership
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Entry is a member in the view of one listener.
+type Entry struct {
+	VM          types.VMID
+	Incarnation types.Incarnation
+	// Previous is the incarnation that this one replaced; zero if none.
+	Previous types.Incarnation
+	Status   Status
+	// Version is the view's version at the entry's last change, from 1.
+	Version uint64
+}
+
+func (e Entry) hash() uint64 {
+	var d xxhash.Digest
+	var b [25]byte
+	d.Reset()
+	binary.LittleEndian.PutUint64(b[0:], uint64(e.Incarnation))
+	binary.LittleEndian.PutUint64(b[8:], uint64(e.Previous))
+	binary.LittleEndian.PutUint64(b[16:], e.Version)
+	b[24] = byte(e.Status)
+	_, _ = d.WriteString(string(e.VM))
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
+
+// Role tells which of the two listeners of a shard a source is.
+type Role uint8
+
+// Roles of sources.
+const (
+	RoleOwner Role = iota
+	RoleRelay
+	roles
+)
+
+// Source identifies the listener that a digest or delta comes from.
+type Source struct {
+	Shard       types.ShardID
+	Role        Role
+	Incarnation types.Incarnation
+	// Epoch is the owner's, for a relay that of the owner that appointed it.
+	Epoch types.Epoch
+	// Appointment counts the relays that the owner appointed in its epoch.
+	Appointment uint64
+}
+
+// after reports whether s supersedes o in its role.
+func (s Source) after(o Source) bool {
+	if s.Epoch != o.Epoch {
+		return s.Epoch > o.Epoch
+	}
+	return s.Appointment > o.Appointment
+}
+
+// Digest is the state of a view in short.
+type Digest struct {
+	Source  Source
+	Version uint64
+	// Hash is the sum of the hashes of all entries.
+	Hash uint64
+}
+
+// Delta holds the entries of a view that changed after version Since; all of
+// them if Since is 0.
+type Delta struct {
+	Digest  Digest
+	Since   uint64
+	Entries []Entry
+}
+
+// Digest returns the digest of the detector's view.
+func (d *Detector) Digest(source Source) Digest {
+	return Digest{Source: source, Version: d.version, Hash: d.hash}
+}
+
+// Delta returns the entries changed after version since.
+func (d *Detector) Delta(source Source, since uint64) Delta {
+	delta := Delta{Digest: d.Digest(source), Since: since}
+	for _, m := range d.order {
+		if m.entry.Version > since {
+			delta.Entries = append(delta.Entries, m.entry)
+		}
+	}
+	return delta
+}
+
+// ChooseRelay returns the relay of a shard: the present one while it is live
+// and not the owner, else the live member with the next rank, else none.
+func ChooseRelay(shard types.ShardID, epoch types.Epoch, owner, present types.VMID, live []types.VMID) types.VMID {
+	var best types.VMID
+	bestRank := len(live)
+	for _, vm := range live {
+		if vm == owner {
+			continue
+		}
+		if vm == present {
+			return vm
+		}
+		if rank := lease.Rank(shard, epoch, vm, live); rank < bestRank {
+			best = vm
+			bestRank = rank
+		}
+	}
+	return best
+}
+
+// Merge combines the views that owner and relay have of one VM. A member is
+// alive when either says so; leaving wins for the same incarnation. Of two
+// incarnations the one wins that replaced the other, then the one that runs,
+// then the one that the entry learned later.
+func Merge(a, b Entry, aLearnedLater bool) Entry {
+	switch {
+	case a.Status == Unknown:
+		return b
+	case b.Status == Unknown:
+		return a
+	case a.Incarnation == b.Incarnation:
+		return mergeSame(a, b)
+	case a.Previous == b.Incarnation:
+		return a
+	case b.Previous == a.Incarnation:
+		return b
+	case a.Status.Running() != b.Status.Running():
+		if a.Status.Running() {
+			return a
+		}
+		return b
+	case aLearnedLater:
+		return a
+	default:
+		return b
+	}
+}
+
+// mergeSame merges two entries of one incarnation by precedence of status.
+func mergeSame(a, b Entry) Entry {
+	for _, s := range [...]Status{Leaving, Draining, Alive} {
+		if a.Status == s {
+			return a
+		}
+		if b.Status == s {
+			return b
+		}
+	}
+	return a
+}
