Add seeded faults for the stand-in platform and a faulty network

Protocol tests need outages, slow calls, lost answers, late effects and message loss that a seed repeats. Wrappers inject them into table, object store and runtime; the HTTP stand-in sets them through /admin/faults and closes the connection for a lost answer. Faults are counted by kind.

--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"container/heap"
+	"maps"
+	"math/rand/v2"
+	"time"
+)
+
+// NetworkFaults is what a network does to messages. Probabilities are 0 to 1
+// per message.
+type NetworkFaults struct {
+	// MinDelay and MaxDelay bound the uniform delay of a message.
+	MinDelay, MaxDelay time.Duration
+	Drop               float64
+	Duplicate          float64
+	// Reorder is the probability that a message takes an extra delay of up to
+	// ReorderDelay, so that later ones overtake it.
+	Reorder      float64
+	ReorderDelay time.Duration
+}
+
+// FaultyNetwork carries messages of type T on a virtual clock, decided by a
+// seed. It is not safe for concurrent use.
+type FaultyNetwork[T any] struct {
+	// Blocked drops the messages that it reports true for, as a partition does.
+	Blocked func(T) bool
+
+	faults NetworkFaults
+	rng    *rand.Rand
+	queue  messageQueue[T]
+	sent   uint64
+	counts map[Fault]int
+}
+
+// NewFaultyNetwork returns an empty network.
+func NewFaultyNetwork[T any](seed uint64, faults NetworkFaults) *FaultyNetwork[T] {
+	return &FaultyNetwork[T]{
+		faults: faults,
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		counts: make(map[Fault]int),
+	}
+}
+
+// Set replaces the faults for messages sent from now on.
+func (n *FaultyNetwork[T]) Set(faults NetworkFaults) {
+	n.faults = faults
+}
+
+// Counts returns the number of injected faults by kind.
+func (n *FaultyNetwork[T]) Counts() map[Fault]int {
+	return maps.Clone(n.counts)
+}
+
+// Send takes a message at the given time.
+func (n *FaultyNetwork[T]) Send(now time.Duration, msg T) {
+	if n.Blocked != nil && n.Blocked(msg) {
+		n.counts[FaultBlocked]++
+		return
+	}
+	if n.draw(FaultDrop, n.faults.Drop) {
+		return
+	}
+	n.schedule(now, msg)
+	if n.draw(FaultDuplicate, n.faults.Duplicate) {
+		n.schedule(now, msg)
+	}
+}
+
+// Next returns when the next message is due.
+func (n *FaultyNetwork[T]) Next() (time.Duration, bool) {
+	if len(n.queue) == 0 {
+		return 0, false
+	}
+	return n.queue[0].due, true
+}
+
+// Deliver removes and returns the messages that are due, in order of arrival.
+func (n *FaultyNetwork[T]) Deliver(now time.Duration) []T {
+	var msgs []T
+	for len(n.queue) > 0 && n.queue[0].due <= now {
+		m := heap.Pop(&n.queue).(message[T])
+		msgs = append(msgs, m.msg)
+	}
+	return msgs
+}
+
+func (n *FaultyNetwork[T]) schedule(now time.Duration, msg T) {
+	delay := n.faults.MinDelay + n.upTo(n.faults.MaxDelay-n.faults.MinDelay)
+	if n.draw(FaultReorder, n.faults.Reorder) {
+		delay += n.upTo(n.faults.ReorderDelay)
+	}
+	n.sent++
+	heap.Push(&n.queue, message[T]{due: now + delay, seq: n.sent, msg: msg})
+}
+
+func (n *FaultyNetwork[T]) upTo(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(n.rng.Int64N(int64(d) + 1))
+}
+
+func (n *FaultyNetwork[T]) draw(kind Fault, p float64) bool {
+	if p <= 0 || n.rng.Float64() >= p {
+		return false
+	}
+	n.counts[kind]++
+	return true
+}
+
+type message[T any] struct {
+	due time.Duration
+	seq uint64
+	msg T
+}
+
+// messageQueue implements heap.Interface in order of arrival.
+type messageQueue[T any] []message[T]
+
+func (q messageQueue[T]) Len() int      { return len(q) }
+func (q messageQueue[T]) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q messageQueue[T]) Less(i, j int) bool {
+	if q[i].due != q[j].due {
+		return q[i].due < q[j].due
+	}
+	return q[i].seq < q[j].seq
+}
+
+// Push implements heap.Interface.
+func (q *messageQueue[T]) Push(x any) { *q = append(*q, x.(message[T])) }
+
+// Pop implements heap.Interface.
+func (q *messageQueue[T]) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -20,6 +20,8 @@
 	// Usage gives what an attempt uses after having run for a time; nil means
 	// its reservation.
 	Usage func(vm types.VMID, spec platform.StartSpec, ran time.Duration) types.Resources
+	// FaultSeed decides the faults that the admin interface turns on.
+	FaultSeed uint64
 }
 
 // Platform is the whole stand-in: one table, one object store and a runtime
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -20,15 +21,43 @@
 	Capacity types.Resources
 }
 
+// Names of the services in FaultsRequest.
+const (
+	ServiceTable   = "table"
+	ServiceObjects = "objects"
+	ServiceRuntime = "runtime"
+)
+
+// FaultsRequest sets the faults of one service.
+type FaultsRequest struct {
+	Service string
+	Faults  Faults
+}
+
 // NewHandler serves the platform's table, object store and runtimes under the
 // paths that the clients of package platform use, and an admin interface:
-// GET /admin/witness, POST /admin/capacity (CapacityRequest) and
-// POST /admin/reset/{vm}, which drops the tasks of a VM.
+// GET /admin/witness, POST /admin/capacity (CapacityRequest),
+// POST /admin/reset/{vm}, which drops the tasks of a VM, POST /admin/faults
+// (FaultsRequest) and GET /admin/faults, which returns the counts by service
+// and kind. A lost answer closes the connection.
 func NewHandler(p *Platform) http.Handler {
 	mux := http.NewServeMux()
-	handleTable(mux, p.Table)
-	handleObjects(mux, p.Objects)
-	handleRuntime(mux, p)
+	faults := map[string]*Injector{
+		ServiceTable:   NewInjector(p.opts.FaultSeed, nil),
+		ServiceObjects: NewInjector(p.opts.FaultSeed+1, nil),
+		ServiceRuntime: NewInjector(p.opts.FaultSeed+2, nil),
+	}
+	handleTable(mux, NewFaultyTable(p.Table, faults[ServiceTable]))
+	handleObjects(mux, NewFaultyObjects(p.Objects, faults[ServiceObjects]))
+	handleRuntime(mux, func(r *http.Request) platform.Runtime {
+		return NewFaultyRuntime(p.Runtime(types.VMID(r.PathValue("vm"))), faults[ServiceRuntime])
+	})
+	handleAdmin(mux, p)
+	handleFaults(mux, faults)
+	return mux
+}
+
+func handleAdmin(mux *http.ServeMux, p *Platform) {
 	mux.HandleFunc("GET /admin/witness", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, p.Witness())
 	})
@@ -40,7 +69,24 @@
 		p.Runtime(types.VMID(r.PathValue("vm"))).Reset()
 		writeJSON(w, struct{}{})
 	})
-	return mux
+}
+
+func handleFaults(mux *http.ServeMux, faults map[string]*Injector) {
+	handle(mux, "/admin/faults", func(_ *http.Request, in FaultsRequest) (any, error) {
+		i, ok := faults[in.Service]
+		if !ok {
+			return nil, fmt.Errorf("service %q: %w", in.Service, platform.ErrNotFound)
+		}
+		i.Set(in.Faults)
+		return struct{}{}, nil
+	})
+	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) {
+		counts := make(map[string]map[Fault]int, len(faults))
+		for name, i := range faults {
+			counts[name] = i.Counts()
+		}
+		writeJSON(w, counts)
+	})
 }
 
 func handleTable(mux *http.ServeMux, table platform.Table) {
@@ -70,17 +116,17 @@
 	})
 }
 
-func handleRuntime(mux *http.ServeMux, p *Platform) {
+func handleRuntime(mux *http.ServeMux, runtime func(*http.Request) platform.Runtime) {
 	base := platform.RuntimePath + "{vm}/"
 	handle(mux, base+platform.OpState, func(r *http.Request, _ struct{}) (any, error) {
-		return p.runtimeFor(r).State(r.Context())
+		return runtime(r).State(r.Context())
 	})
 	handle(mux, base+platform.OpStart, func(r *http.Request, in platform.StartSpec) (any, error) {
-		return struct{}{}, p.runtimeFor(r).Start(r.Context(), in)
+		return struct{}{}, runtime(r).Start(r.Context(), in)
 	})
 	attempt := func(op string, f func(context.Context, platform.Runtime, platform.AttemptRequest) error) {
 		handle(mux, base+op, func(r *http.Request, in platform.AttemptRequest) (any, error) {
-			return struct{}{}, f(r.Context(), p.runtimeFor(r), in)
+			return struct{}{}, f(r.Context(), runtime(r), in)
 		})
 	}
 	type req = platform.AttemptRequest
@@ -104,10 +150,6 @@
 	})
 }
 
-func (p *Platform) runtimeFor(r *http.Request) platform.Runtime {
-	return p.Runtime(types.VMID(r.PathValue("vm")))
-}
-
 // handle serves POST path with a JSON body of type T.
 func handle[T any](mux *http.ServeMux, path string, f func(*http.Request, T) (any, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
@@ -117,6 +159,9 @@
 			return
 		}
 		out, err := f(r, in)
+		if errors.Is(err, platform.ErrUncertain) {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
 		if err != nil {
 			http.Error(w, err.Error(), errorStatus(err))
 			return
@@ -141,7 +186,7 @@
 		return http.StatusNotFound
 	case errors.Is(err, platform.ErrUnavailable):
 		return http.StatusServiceUnavailable
-	case errors.Is(err, platform.ErrUncertain), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusConflict
