Add the operators' inventory with all faults found in one pass

Operators change the system only through these files, so a fault must be named with its file, line, key and remedy, and nothing may be applied in part. Faults that only follow from another one are not reported: work is not checked against VMs whose size could not be read.

--- a/internal/core/config/part.go
+++ b/internal/core/config/part.go
@@ -99,7 +99,8 @@
 func (s *splitter) addJobs(jobs []JobKind) {
 	sorted := slices.Clone(jobs)
 	for i := range sorted {
-		domains := slices.Clone(sorted[i].FailureDomains)
+		// A nil list for none: null and [] would hash differently.
+		domains := append([]types.FailureDomain(nil), sorted[i].FailureDomains...)
 		slices.Sort(domains)
 		sorted[i].FailureDomains = domains
 	}
--- /dev/null
+++ b/internal/inventory/fit.go
@@ -0,0 +1,211 @@
+package inventory
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// dimension is one kind of resource with the key that declares it.
+type dimension struct {
+	key    string
+	amount func(types.Resources) int64
+	text   func(int64) string
+}
+
+var dimensions = []dimension{
+	{"cores", func(r types.Resources) int64 { return r.MilliCPU }, coresText},
+	{"memory", func(r types.Resources) int64 { return r.MemoryBytes }, memoryText},
+	{"accelerators", func(r types.Resources) int64 { return r.Accelerators }, acceleratorsText},
+}
+
+func coresText(milli int64) string {
+	return fmt.Sprintf("%g cores", float64(milli)/1000)
+}
+
+func memoryText(bytes int64) string {
+	return fmt.Sprintf("%g GB memory", float64(bytes)/1e9)
+}
+
+func acceleratorsText(n int64) string {
+	return fmt.Sprintf("%d accelerators", n)
+}
+
+// checkFits reports work of which a single task fits no VM, and nightly jobs
+// that cannot end in their window.
+func (c *compiler) checkFits() {
+	for i := range c.content.Jobs {
+		c.checkNight(&c.content.Jobs[i])
+	}
+	if c.vmsUnknown || c.doc.Incomplete() {
+		return
+	}
+	if len(c.vms) == 0 && len(c.work) > 0 {
+		c.reportNoVMs()
+		return
+	}
+	for i := range c.content.Services {
+		s := &c.content.Services[i]
+		c.checkFit(string(s.Name), s.Demand, nil)
+	}
+	for i := range c.content.Jobs {
+		k := &c.content.Jobs[i]
+		c.checkFit(k.Kind, k.Demand, k.FailureDomains)
+	}
+}
+
+func (c *compiler) reportNoVMs() {
+	first := c.work[namesOf(c.work)[0]]
+	c.report.Add(first.record.Pos(), first.record.Object(), "", "the inventory has work but no VM",
+		"declare VMs with [[vm]] or add their file to the command")
+}
+
+// checkFit looks for a VM that holds one task. If there is none, the finding
+// names the one resource that no VM has enough of, or the combination.
+func (c *compiler) checkFit(name string, demand types.Resources, allowed []types.FailureDomain) {
+	e := c.work[name]
+	if e == nil || e.damaged {
+		return
+	}
+	vms := c.vmsIn(allowed)
+	if len(vms) == 0 {
+		if len(allowed) > 0 && c.allDeclared(allowed) {
+			e.record.Add(c.report, "failure_domains", "the failure domains have no VM",
+				"allow a failure domain with VMs")
+		}
+		return
+	}
+	var largest types.Resources
+	for _, vm := range vms {
+		if demand.Fits(vm.Capacity) {
+			return
+		}
+		largest = largest.Max(vm.Capacity)
+	}
+	c.reportMisfit(e, demand, largest)
+}
+
+func (c *compiler) reportMisfit(e *entry, demand, largest types.Resources) {
+	single := true
+	for _, d := range dimensions {
+		need, have := d.amount(demand), d.amount(largest)
+		if need <= have {
+			continue
+		}
+		single = false
+		e.record.Add(c.report, d.key,
+			fmt.Sprintf("fits no VM: it needs %s and the largest allowed VM has %s", d.text(need), d.text(have)),
+			"lower "+d.key+" or add a larger VM")
+	}
+	if single {
+		e.record.Add(c.report, "cores",
+			fmt.Sprintf("fits no VM: no single VM has %s and %s and %s together",
+				coresText(demand.MilliCPU), memoryText(demand.MemoryBytes), acceleratorsText(demand.Accelerators)),
+			"lower one of the amounts or add a VM that has them all")
+	}
+}
+
+func (c *compiler) vmsIn(allowed []types.FailureDomain) []types.VM {
+	var vms []types.VM
+	for _, d := range c.content.Domains {
+		if len(allowed) == 0 || slices.Contains(allowed, d.Name) {
+			vms = append(vms, d.VMs...)
+		}
+	}
+	return vms
+}
+
+func (c *compiler) allDeclared(domains []types.FailureDomain) bool {
+	for _, d := range domains {
+		if c.domains[string(d)] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// checkNight reports a nightly job of which one task outlasts the window.
+func (c *compiler) checkNight(k *config.JobKind) {
+	e := c.work[k.Kind]
+	window := c.content.Rules.Overnight.Length()
+	if !k.Nightly || !e.record.Valid("run_time") || k.RunTime <= window || window < minOvernight {
+		return
+	}
+	e.record.Add(c.report, "run_time",
+		fmt.Sprintf("a nightly task of %s cannot end in an overnight window of %s", shortText(k.RunTime), shortText(window)),
+		"split the job into more tasks or widen overnight_start to overnight_end in [rules]")
+}
+
+// shortText writes a duration without trailing zero units.
+func shortText(d time.Duration) string {
+	if d%time.Hour == 0 {
+		return fmt.Sprintf("%dh", d/time.Hour)
+	}
+	return d.String()
+}
+
+// checkQuotas reports quotas that cannot hold the services of their team, or
+// one task of one of its jobs.
+func (c *compiler) checkQuotas() {
+	for _, team := range c.content.Teams {
+		e := c.teams[string(team.ID)]
+		for _, d := range dimensions {
+			key := "quota_" + d.key
+			if !e.record.Valid(key) {
+				continue
+			}
+			quota, need := d.amount(team.Quota), c.standingNeed(team.ID, d)
+			if quota < need {
+				e.record.Add(c.report, key,
+					fmt.Sprintf("the quota of %s is below the standing need of the team's services, %s", d.text(quota), d.text(need)),
+					fmt.Sprintf("raise the quota to at least %s or lower the services' replicas or sizes", d.text(need)))
+				continue
+			}
+			c.checkJobsInQuota(team, key, d, quota-need)
+		}
+	}
+}
+
+// maxNeed bounds sums of declared sizes so that they stay within 64 bits. It is
+// above every quota that a file can declare.
+const maxNeed = 1 << 61
+
+// standingNeed is what all replicas of a team's services hold together.
+func (c *compiler) standingNeed(team types.TeamID, d dimension) int64 {
+	var sum int64
+	for i := range c.content.Services {
+		s := &c.content.Services[i]
+		if s.Team != team || c.work[string(s.Name)].damaged {
+			continue
+		}
+		sum = min(maxNeed, sum+d.amount(s.Demand)*int64(s.Replicas))
+	}
+	return sum
+}
+
+// checkJobsInQuota reports jobs that could never start beside the services:
+// one task, or for a gang all of them, needs more than the rest of the quota.
+func (c *compiler) checkJobsInQuota(team config.Team, key string, d dimension, rest int64) {
+	for i := range c.content.Jobs {
+		k := &c.content.Jobs[i]
+		e := c.work[k.Kind]
+		if k.Team != team.ID || e.damaged {
+			continue
+		}
+		need := d.amount(k.Demand)
+		what := "one task"
+		if k.Gang {
+			need *= int64(k.Tasks)
+			what = "all tasks of the gang"
+		}
+		if need > rest {
+			e.record.Add(c.report, d.key,
+				fmt.Sprintf("can never run: %s needs %s and the quota of team %q leaves %s beside its services",
+					what, d.text(need), string(team.ID), d.text(rest)),
+				"raise "+key+" of the team or lower "+d.key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/inventory/inventory.go
@@ -0,0 +1,208 @@
+// Package inventory reads the operators' inventory and rules.
+//
+// Load reads TOML files and finds all faults of form: syntax, unknown keys,
+// wrong types, values out of range. Compile resolves names, checks that the
+// work fits the VMs and the quotas, and returns a configuration. Both report
+// every fault that they find; with any finding nothing is compiled.
+package inventory
+
+import (
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/tomlcheck"
+)
+
+// Finding is one fault with file, line, key and remedy.
+type Finding = tomlcheck.Finding
+
+// Report is the list of findings of one pass.
+type Report = tomlcheck.Report
+
+// Source is a set of inventory files that were read.
+type Source struct {
+	doc    *tomlcheck.Document
+	report *Report
+}
+
+// Load reads inventory files and directories of them. The report holds faults
+// of form and, so that one pass finds everything, also those of content that
+// Compile finds. The source is never nil.
+func Load(paths ...string) (*Source, *Report) {
+	files, report := tomlcheck.ReadFiles(paths)
+	s := Parse(files)
+	report.Merge(s.report)
+	s.report = report
+	_, all := s.Compile(nil)
+	return s, all
+}
+
+// Parse reads inventory files that are already in memory.
+func Parse(files []tomlcheck.File) *Source {
+	doc, report := Schema.Decode(files)
+	return &Source{doc: doc, report: report}
+}
+
+// Compile checks the content and returns the configuration that follows
+// previous, with shards kept. previous may be nil; the first version is 1. If
+// the report is not OK the configuration is nil.
+func (s *Source) Compile(previous *config.Config) (*config.Config, *Report) {
+	c := newCompiler(s.doc)
+	c.report.Merge(s.report)
+	c.compile()
+	c.report.Sort()
+	if !c.report.OK() {
+		return nil, c.report
+	}
+	version := types.Version(1)
+	if previous != nil {
+		version = previous.Version() + 1
+	}
+	for i := range c.content.Domains {
+		config.AssignShards(&c.content.Domains[i], previous)
+	}
+	cfg, err := config.New(version, c.content, previous)
+	if err != nil {
+		c.report.Add(tomlcheck.Pos{File: "inventory"}, "", "", err.Error(), "report this as a fault of the program")
+		return nil, c.report
+	}
+	return cfg, c.report
+}
+
+// compiler turns records into content.
+type compiler struct {
+	doc     *tomlcheck.Document
+	report  *Report
+	content config.Content
+
+	domains map[string]*entry
+	racks   map[string]*entry
+	vms     map[string]*entry
+	teams   map[string]*entry
+	// work holds services and jobs, which share one space of names.
+	work map[string]*entry
+
+	rackDomain map[string]string
+	// vmsUnknown is set when a fault hides VMs or their sizes. Whether work fits
+	// is not checked then.
+	vmsUnknown bool
+}
+
+// entry is a declared object.
+type entry struct {
+	record *tomlcheck.Record
+	name   string
+	// damaged entries hold a fault; what depends on them is not checked.
+	damaged bool
+}
+
+func newCompiler(doc *tomlcheck.Document) *compiler {
+	return &compiler{
+		doc:        doc,
+		report:     &Report{},
+		domains:    make(map[string]*entry),
+		racks:      make(map[string]*entry),
+		vms:        make(map[string]*entry),
+		teams:      make(map[string]*entry),
+		work:       make(map[string]*entry),
+		rackDomain: make(map[string]string),
+	}
+}
+
+func (c *compiler) compile() {
+	c.compileDomains()
+	c.compileRacks()
+	c.compileVMs()
+	c.compileTeams()
+	c.compileServices()
+	c.compileJobs()
+	c.compileRules()
+	c.checkFits()
+	c.checkQuotas()
+}
+
+// declare adds an object under its name and reports a duplicate.
+func (c *compiler) declare(space map[string]*entry, noun, name string, r *tomlcheck.Record) bool {
+	if old, ok := space[name]; ok {
+		r.Add(c.report, "name", noun+" "+quote(name)+" is already declared at "+old.record.KeyPos("name").String(),
+			"rename one of the two or remove it")
+		return false
+	}
+	space[name] = &entry{record: r, name: name}
+	return true
+}
+
+// declareNamed declares a record under its key "name", if that is valid.
+func (c *compiler) declareNamed(space map[string]*entry, noun string, r *tomlcheck.Record) bool {
+	return r.Valid("name") && c.declare(space, noun, r.String("name"), r)
+}
+
+// refer checks that a name refers to a declared object.
+func (c *compiler) refer(space map[string]*entry, noun, table, name, key string, r *tomlcheck.Record) bool {
+	if _, ok := space[name]; ok {
+		return true
+	}
+	if c.unreadable(table) {
+		return false
+	}
+	remedy := "declare it with [[" + table + "]] or correct the name"
+	if near := tomlcheck.Nearest(name, namesOf(space)); near != "" {
+		remedy = "did you mean " + quote(near) + "?"
+	}
+	r.Add(c.report, key, noun+" "+quote(name)+" is not declared", remedy)
+	return false
+}
+
+// unreadable reports whether a fault may hide a declaration in the table. A
+// missing reference may then follow from that fault, which is reported.
+func (c *compiler) unreadable(table string) bool {
+	if c.doc.Incomplete() {
+		return true
+	}
+	for _, r := range c.doc.All(table) {
+		if !r.Valid("name") {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *compiler) compileRules() {
+	r := c.doc.One(tableRules)
+	c.content.Rules = config.Rules{
+		Weights: config.Weights{
+			TailLatency: r.Float("tail_latency_weight"),
+			Evictions:   r.Float("eviction_weight"),
+		},
+		UrgentStartLimit: r.Duration("urgent_start_limit"),
+		RequestDeadline:  r.Duration("request_deadline"),
+		RetryBudget:      r.Float("retry_budget"),
+		BatchRunRight:    r.Duration("batch_run_right"),
+		Overnight: config.Window{
+			Start: r.Duration("overnight_start"),
+			End:   r.Duration("overnight_end"),
+			Zone:  r.String("time_zone"),
+		},
+		Guards: r.Bool("guards"),
+	}
+	c.checkRules(r)
+	c.applyUrgency(r)
+	c.applyPriorities()
+	c.applyDeadlines()
+}
+
+// minOvernight is the shortest overnight window in which a batch run right can
+// expire and work still resumes.
+const minOvernight = 30 * time.Minute
+
+func (c *compiler) checkRules(r *tomlcheck.Record) {
+	rules := c.content.Rules
+	if r.Valid("overnight_start") && r.Valid("overnight_end") && rules.Overnight.Length() < minOvernight {
+		r.Add(c.report, "overnight_end", "the overnight window is "+rules.Overnight.Length().String()+" long",
+			"make it at least "+minOvernight.String())
+	}
+	if r.Valid("tail_latency_weight") && r.Valid("eviction_weight") && rules.Weights == (config.Weights{}) {
+		r.Add(c.report, "eviction_weight", "both weights are 0", "give at least one of them a weight above 0")
+	}
+}
--- /dev/null
+++ b/internal/tomlcheck/record.go
@@ -0,0 +1,183 @@
+package tomlcheck
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Record is one entry of a table with its checked values. The getters panic
+// for keys that the schema does not have, which is a mistake in the program.
+type Record struct {
+	table  *Table
+	pos    Pos
+	values map[string]located
+	// damaged records hold a syntax error; missing keys are not reported.
+	damaged bool
+}
+
+// located is a value with its line. Values that failed a check are kept out of
+// the getters but count as given.
+type located struct {
+	value Value
+	pos   Pos
+	bad   bool
+	given bool
+}
+
+// Pos returns the place of the table's header.
+func (r *Record) Pos() Pos {
+	return r.pos
+}
+
+// KeyPos returns the line of a key, or the header's line if it is not given.
+func (r *Record) KeyPos(key string) Pos {
+	r.mustHave(key)
+	if v, ok := r.values[key]; ok && v.given {
+		return v.pos
+	}
+	return r.pos
+}
+
+// Object names the record in findings.
+func (r *Record) Object() string {
+	if r.table.Label != "" {
+		if v, ok := r.values[r.table.Label]; ok && !v.bad {
+			return fmt.Sprintf("%s %q", r.table.Name, v.value.Text)
+		}
+	}
+	if r.table.Name == "" {
+		return ""
+	}
+	return r.table.header()
+}
+
+// Valid reports whether the key holds a checked value, given or by default.
+func (r *Record) Valid(key string) bool {
+	r.mustHave(key)
+	v, ok := r.values[key]
+	return ok && !v.bad
+}
+
+// Given reports whether the file sets the key, checked or not.
+func (r *Record) Given(key string) bool {
+	r.mustHave(key)
+	return r.values[key].given
+}
+
+// Damaged reports whether a syntax error hides part of the record.
+func (r *Record) Damaged() bool {
+	return r.damaged
+}
+
+func (r *Record) mustHave(key string) {
+	if r.table.field(key) == nil {
+		panic(fmt.Sprintf("table %q has no key %q", r.table.Name, key))
+	}
+}
+
+// value returns the checked value, or the zero value.
+func (r *Record) value(key string) Value {
+	r.mustHave(key)
+	v := r.values[key]
+	if v.bad {
+		return Value{}
+	}
+	return v.value
+}
+
+// String returns a text value.
+func (r *Record) String(key string) string {
+	return r.value(key).Text
+}
+
+// Strings returns a list value.
+func (r *Record) Strings(key string) []string {
+	return r.value(key).List
+}
+
+// Int returns an integer, a number of thousandths of a core or a size in bytes.
+func (r *Record) Int(key string) int64 {
+	return r.value(key).Int
+}
+
+// Float returns a number.
+func (r *Record) Float(key string) float64 {
+	return r.value(key).Float
+}
+
+// Bool returns a boolean.
+func (r *Record) Bool(key string) bool {
+	return r.value(key).Int == 1
+}
+
+// Duration returns a duration or a time of day from midnight.
+func (r *Record) Duration(key string) time.Duration {
+	return time.Duration(r.value(key).Int)
+}
+
+// Resources returns the amounts under the keys cores, memory and accelerators
+// with a prefix.
+func (r *Record) Resources(prefix string) types.Resources {
+	return types.Resources{
+		MilliCPU:     r.Int(prefix + "cores"),
+		MemoryBytes:  r.Int(prefix + "memory"),
+		Accelerators: r.Int(prefix + "accelerators"),
+	}
+}
+
+// Add records a finding about a key of the record.
+func (r *Record) Add(report *Report, key, problem, remedy string) {
+	report.Add(r.KeyPos(key), r.Object(), key, problem, remedy)
+}
+
+// Document is the content of a set of files.
+type Document struct {
+	schema  Schema
+	records map[string][]*Record
+	// incomplete is set when a fault hides a whole table.
+	incomplete bool
+}
+
+// Incomplete reports whether a fault, such as an unknown header, hides a whole
+// table. References to names that are not there may then follow from it.
+func (d *Document) Incomplete() bool {
+	return d.incomplete
+}
+
+// All returns the records of a table in order of files and lines.
+func (d *Document) All(table string) []*Record {
+	return d.records[table]
+}
+
+// One returns the record of a table that is not an array; if no file has it, a
+// record of the defaults.
+func (d *Document) One(table string) *Record {
+	if list := d.records[table]; len(list) > 0 {
+		return list[0]
+	}
+	r := newRecord(d.schema.table(table), Pos{})
+	r.setDefaults()
+	return r
+}
+
+func newRecord(t *Table, pos Pos) *Record {
+	return &Record{table: t, pos: pos, values: make(map[string]located)}
+}
+
+// setDefaults fills keys that are not given. It panics for a default that the
+// field itself would refuse, which is a mistake in the schema.
+func (r *Record) setDefaults() {
+	for i := range r.table.Fields {
+		f := &r.table.Fields[i]
+		if _, ok := r.values[f.Key]; ok || f.Default == "" {
+			continue
+		}
+		v, err := f.parse(f.Default, nil)
+		if err != nil {
+			panic(fmt.Sprintf("default of %s.%s: %v", r.table.Name, f.Key, err))
+		}
+		r.values[f.Key] = located{value: v}
+	}
+}
--- /dev/null
+++ b/internal/tomlcheck/report.go
@@ -0,0 +1,148 @@
+// Package tomlcheck reads TOML files against a schema and finds all faults in
+// one pass.
+//
+// A Schema lists tables and fields with type, default and range. Decode returns
+// records of checked values with their lines, and a Report of findings. The
+// same schema renders the reference tables of docs/CONFIG.md.
+package tomlcheck
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+)
+
+// Pos is a place in a file. Line counts from 1; 0 means the file as a whole.
+type Pos struct {
+	File string
+	Line int
+}
+
+// String returns file and line as compilers write them.
+func (p Pos) String() string {
+	if p.Line == 0 {
+		return p.File
+	}
+	return fmt.Sprintf("%s:%d", p.File, p.Line)
+}
+
+// Finding is one fault in a file.
+type Finding struct {
+	File string `json:"file"`
+	Line int    `json:"line,omitempty"`
+	// Object is the entry that the fault concerns, for example `vm "gent-01"`.
+	Object string `json:"object,omitempty"`
+	// Key is the key within the entry.
+	Key     string `json:"key,omitempty"`
+	Problem string `json:"problem"`
+	Remedy  string `json:"remedy"`
+}
+
+// String returns the finding as one line.
+func (f Finding) String() string {
+	parts := []string{Pos{f.File, f.Line}.String()}
+	if f.Object != "" {
+		parts = append(parts, f.Object)
+	}
+	if f.Key != "" {
+		parts = append(parts, f.Key)
+	}
+	return strings.Join(parts, ": ") + ": " + f.Problem + "; " + f.Remedy
+}
+
+// Report is the list of findings of one pass.
+type Report struct {
+	Findings []Finding `json:"findings"`
+}
+
+// Add records a finding. Equal findings are recorded once.
+func (r *Report) Add(pos Pos, object, key, problem, remedy string) {
+	f := Finding{File: pos.File, Line: pos.Line, Object: object, Key: key, Problem: problem, Remedy: remedy}
+	if !slices.Contains(r.Findings, f) {
+		r.Findings = append(r.Findings, f)
+	}
+}
+
+// OK reports whether nothing was found. A nil report is OK.
+func (r *Report) OK() bool {
+	return r == nil || len(r.Findings) == 0
+}
+
+// Merge adds the findings of another report.
+func (r *Report) Merge(o *Report) {
+	if o == nil {
+		return
+	}
+	for _, f := range o.Findings {
+		if !slices.Contains(r.Findings, f) {
+			r.Findings = append(r.Findings, f)
+		}
+	}
+}
+
+// Sort orders the findings by file and line.
+func (r *Report) Sort() {
+	slices.SortStableFunc(r.Findings, func(a, b Finding) int {
+		return cmp.Or(strings.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
+}
+
+// Text returns one line for each finding.
+func (r *Report) Text() string {
+	if r.OK() {
+		return ""
+	}
+	var b strings.Builder
+	for _, f := range r.Findings {
+		b.WriteString(f.String())
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// JSON returns the report as indented JSON: {"findings": [...]}.
+func (r *Report) JSON() ([]byte, error) {
+	out := Report{Findings: []Finding{}}
+	if !r.OK() {
+		out.Findings = r.Findings
+	}
+	return json.MarshalIndent(out, "", "  ")
+}
+
+// FindingsError carries a report as an error.
+type FindingsError struct {
+	Report *Report
+}
+
+// Error returns the text of the report.
+func (e *FindingsError) Error() string {
+	return strings.TrimSuffix(e.Report.Text(), "\n")
+}
+
+// Err returns nil if nothing was found, or an error of kind invalid about the
+// given object.
+func (r *Report) Err(object string) error {
+	if r.OK() {
+		return nil
+	}
+	problem := fmt.Sprintf("%d faults", len(r.Findings))
+	if len(r.Findings) == 1 {
+		problem = "1 fault"
+	}
+	return apperr.Wrap(&FindingsError{Report: r}, apperr.KindInvalid, object, problem,
+		"correct the lines named above; nothing was applied")
+}
+
+// ReportOf returns the report within an error of Err, or nil.
+func ReportOf(err error) *Report {
+	var e *FindingsError
+	if errors.As(err, &e) {
+		return e.Report
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tomlcheck/suggest.go
@@ -0,0 +1,66 @@
+package tomlcheck
+
+import "strings"
+
+func (s Schema) names() []string {
+	var names []string
+	for i := range s {
+		if s[i].Name != "" {
+			names = append(names, s[i].Name)
+		}
+	}
+	return names
+}
+
+func (t *Table) keys() []string {
+	keys := make([]string, 0, len(t.Fields))
+	for i := range t.Fields {
+		keys = append(keys, t.Fields[i].Key)
+	}
+	return keys
+}
+
+// suggest names the known word closest to an unknown one, or all known words
+// if none is close.
+func suggest(word string, known []string) string {
+	if best := Nearest(word, known); best != "" {
+		return `"` + best + `"`
+	}
+	return "one of " + strings.Join(known, ", ")
+}
+
+// Nearest returns the known word that a typing mistake may have turned into
+// word: at most a third of its letters differ. It returns "" if there is none.
+func Nearest(word string, known []string) string {
+	best := ""
+	bestDistance := len(word)/3 + 1
+	for _, k := range known {
+		if n := distance(word, k); n <= bestDistance && (best == "" || n < bestDistance) {
+			best = k
+			bestDistance = n
+		}
+	}
+	return best
+}
+
+// distance is the number of single-letter edits between a and b.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			next := min(row[j]+1, row[j+1]+1, diagonal+cost)
+			diagonal = row[j+1]
+			row[j+1] = next
+		}
+	}
+	return row[len(b)]
+}
