Add process settings for the roles entry and worker

A process learns its addresses and failure domain from its settings. Host names are refused, credentials come from a file or a variable only, and every fault is found in one pass in the same form as those of the inventory.

--- /dev/null
+++ b/internal/settings/credentials.go
@@ -0,0 +1,142 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/boragecrank/boragecrank/internal/tomlcheck"
+)
+
+// Secret is a credential. It does not show its value when printed or encoded.
+type Secret struct {
+	value string
+}
+
+// NewSecret returns a secret with the given value.
+func NewSecret(value string) Secret {
+	return Secret{value: value}
+}
+
+// Reveal returns the value.
+func (s Secret) Reveal() string {
+	return s.value
+}
+
+// String hides the value.
+func (Secret) String() string {
+	return "(hidden)"
+}
+
+// GoString hides the value.
+func (Secret) GoString() string {
+	return "(hidden)"
+}
+
+// MarshalText hides the value.
+func (Secret) MarshalText() ([]byte, error) {
+	return []byte("(hidden)"), nil
+}
+
+// Credentials are the secrets of a process.
+type Credentials struct {
+	// OperatorsToken is what operators present. Empty for a worker.
+	OperatorsToken Secret
+	// SharedKey authenticates the processes to each other.
+	SharedKey Secret
+}
+
+// Shortest credentials. A shared key of 32 characters holds 128 bits even in
+// hexadecimal digits.
+const (
+	minTokenChars = 16
+	minKeyChars   = 32
+)
+
+// maxCredentialBytes keeps a mistaken path from filling memory.
+const maxCredentialBytes = 64 << 10
+
+func (c *checker) credentials() Credentials {
+	var creds Credentials
+	creds.SharedKey = c.secret("shared_key", minKeyChars)
+	if c.role() == RoleEntry {
+		creds.OperatorsToken = c.secret("operators_token", minTokenChars)
+	}
+	return creds
+}
+
+// secret reads the credential whose place is under name_file or name_env.
+func (c *checker) secret(name string, minChars int) Secret {
+	r := c.doc.One(tableCredentials)
+	fileKey, envKey := name+"_file", name+"_env"
+	file, env := r.String(fileKey), r.String(envKey)
+	switch {
+	case r.Given(fileKey) && r.Given(envKey):
+		r.Add(c.report, envKey, "both a file and an environment variable are given", "keep one of the two")
+		return Secret{}
+	case file != "":
+		value, err := readSecret(c.resolve(file))
+		return c.checked(r, fileKey, value, err, minChars)
+	case env != "":
+		value, ok := os.LookupEnv(env)
+		var err error
+		if !ok {
+			err = fmt.Errorf("environment variable %s is not set", env)
+		}
+		return c.checked(r, envKey, value, err, minChars)
+	default:
+		c.reportNoSecret(r, fileKey, envKey)
+		return Secret{}
+	}
+}
+
+func (c *checker) reportNoSecret(r *tomlcheck.Record, fileKey, envKey string) {
+	if r.Damaged() || c.doc.Incomplete() || r.Given(fileKey) && !r.Valid(fileKey) || r.Given(envKey) && !r.Valid(envKey) {
+		return
+	}
+	pos := r.KeyPos(fileKey)
+	if pos.File == "" {
+		pos = c.filePos()
+	}
+	c.report.Add(pos, "[credentials]", fileKey, "the credential is missing", "add "+fileKey+" or "+envKey)
+}
+
+func (c *checker) checked(r *tomlcheck.Record, key, value string, err error, minChars int) Secret {
+	if err != nil {
+		r.Add(c.report, key, err.Error(), "provide the credential there")
+		return Secret{}
+	}
+	value = strings.TrimSpace(value)
+	if len(value) < minChars {
+		r.Add(c.report, key, fmt.Sprintf("the credential has %d characters, want at least %d", len(value), minChars),
+			"generate a longer one at random")
+		return Secret{}
+	}
+	return NewSecret(value)
+}
+
+// resolve takes relative paths from the directory of the settings file.
+func (c *checker) resolve(path string) string {
+	if filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(filepath.Dir(c.filePos().File), path)
+}
+
+// readSecret reads a credential file that only its owner may write and no
+// others may read.
+func readSecret(path string) (string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", err
+	}
+	if !info.Mode().IsRegular() || info.Size() > maxCredentialBytes {
+		return "", fmt.Errorf("%s is not a regular file of at most %d bytes", path, maxCredentialBytes)
+	}
+	if mode := info.Mode().Perm(); mode&0o027 != 0 {
+		return "", fmt.Errorf("%s has mode %04o, which lets other users read or change it (chmod 600)", path, mode)
+	}
+	data, err := os.ReadFile(path)
+	return string(data), err
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,191 @@
+// Package settings reads the settings of one process.
+//
+// A settings file says who the process is, where it listens, where the platform
+// is and what it may use. It never holds a credential, only where one is.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/tomlcheck"
+)
+
+// Role is the role of a process.
+type Role string
+
+// Roles that take a settings file.
+const (
+	RoleEntry  Role = "entry"
+	RoleWorker Role = "worker"
+)
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	Role          Role
+	ID            types.VMID
+	Region        types.Region
+	FailureDomain types.FailureDomain
+	// Peers are internal addresses to fetch the configuration from when the
+	// table is down.
+	Peers       []netip.AddrPort
+	Listen      Listen
+	Platform    Platform
+	Credentials Credentials
+	Limits      Limits
+	Drain       Drain
+	Log         Log
+	Trace       Trace
+	Metrics     Metrics
+}
+
+// Listen holds the addresses to listen on. Those of the other role are zero.
+type Listen struct {
+	Callers       netip.AddrPort
+	API           netip.AddrPort
+	Announcements netip.AddrPort
+	Internal      netip.AddrPort
+	Datagrams     netip.AddrPort
+}
+
+// Platform holds the URLs of the platform's services. Runtime is empty for an
+// entry.
+type Platform struct {
+	Table   string
+	Objects string
+	Runtime string
+}
+
+// Limits bound what one process accepts.
+type Limits struct {
+	BodyBytes     int64
+	ResponseBytes int64
+	HeaderBytes   int64
+	Connections   int
+	Queue         int
+}
+
+// Drain holds the times of a graceful stop.
+type Drain struct {
+	// Delay lies between failing the readiness check and refusing connections.
+	Delay time.Duration
+	// Timeout bounds the wait for requests in progress.
+	Timeout time.Duration
+}
+
+// Log holds level and format ("text" or "json") of the log.
+type Log struct {
+	Level  string
+	Format string
+}
+
+// Trace says where spans go: exporter "none", "stdout" or "file" with its path.
+type Trace struct {
+	Exporter string
+	Path     string
+	// Sample is the share of requests that are traced, 0 to 1.
+	Sample float64
+}
+
+// Metrics says where metrics are served. A zero Listen serves none.
+type Metrics struct {
+	Listen   netip.AddrPort
+	Interval time.Duration
+}
+
+// Load reads and checks a settings file and the credentials that it points to.
+// The error is of kind invalid and carries all findings (tomlcheck.ReportOf).
+func Load(path string) (*Settings, error) {
+	files, report := tomlcheck.ReadFiles([]string{path})
+	if !report.OK() {
+		return nil, report.Err("settings " + path)
+	}
+	s, report := Parse(files)
+	if !report.OK() {
+		return nil, report.Err("settings " + path)
+	}
+	return s, nil
+}
+
+// Parse checks settings that are already in memory. Relative paths of
+// credentials are taken from the directory of the settings file.
+func Parse(files []tomlcheck.File) (*Settings, *tomlcheck.Report) {
+	doc, report := Schema.Decode(files)
+	c := &checker{doc: doc, report: report}
+	s := c.read()
+	c.check()
+	s.Credentials = c.credentials()
+	report.Sort()
+	return s, report
+}
+
+type checker struct {
+	doc    *tomlcheck.Document
+	report *tomlcheck.Report
+}
+
+func (c *checker) role() Role {
+	return Role(c.doc.One(tableRoot).String("role"))
+}
+
+func (c *checker) read() *Settings {
+	root := c.doc.One(tableRoot)
+	listen := c.doc.One(tableListen)
+	platform := c.doc.One(tablePlatform)
+	drain := c.doc.One(tableDrain)
+	log := c.doc.One(tableLog)
+	trace := c.doc.One(tableTrace)
+	metrics := c.doc.One(tableMetrics)
+	return &Settings{
+		Role:          c.role(),
+		ID:            types.VMID(root.String("id")),
+		Region:        types.Region(root.String("region")),
+		FailureDomain: types.FailureDomain(root.String("failure_domain")),
+		Peers:         addresses(root.Strings("peers")),
+		Listen: Listen{
+			Callers:       address(listen.String("callers")),
+			API:           address(listen.String("api")),
+			Announcements: address(listen.String("announcements")),
+			Internal:      address(listen.String("internal")),
+			Datagrams:     address(listen.String("datagrams")),
+		},
+		Platform: Platform{
+			Table:   platform.String("table"),
+			Objects: platform.String("objects"),
+			Runtime: platform.String("runtime"),
+		},
+		Limits:  readLimits(c.doc.One(tableLimits)),
+		Drain:   Drain{Delay: drain.Duration("delay"), Timeout: drain.Duration("timeout")},
+		Log:     Log{Level: log.String("level"), Format: log.String("format")},
+		Trace:   Trace{Exporter: trace.String("exporter"), Path: trace.String("path"), Sample: trace.Float("sample")},
+		Metrics: Metrics{Listen: address(metrics.String("listen")), Interval: metrics.Duration("interval")},
+	}
+}
+
+func readLimits(r *tomlcheck.Record) Limits {
+	return Limits{
+		BodyBytes:     r.Int("body"),
+		ResponseBytes: r.Int("response"),
+		HeaderBytes:   r.Int("header"),
+		Connections:   int(r.Int("connections")),
+		Queue:         int(r.Int("queue")),
+	}
+}
+
+// address reads a checked address; the zero value stands for none.
+func address(s string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+func addresses(list []string) []netip.AddrPort {
+	all := make([]netip.AddrPort, 0, len(list))
+	for _, s := range list {
+		all = append(all, address(s))
+	}
+	return all
+}
