--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/node"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/wire/runcall"
+)
+
+const (
+	// HeaderRequestID carries the ID of a request to its caller, for support.
+	HeaderRequestID = "Boragecrank-Request-Id"
+	// HeaderIdempotencyKey names a request for repeats.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// maxKeyLength bounds an Idempotency-Key in bytes.
+	maxKeyLength = 255
+)
+
+// serveCall answers a caller: /v1/services/{service}/{path...}.
+func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
+	ctx, span := e.tel.Tracer.Start(telemetry.Extract(r.Context(), r.Header), "entry.request",
+		trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	e.metrics.requests.Inc(1)
+	started := time.Now()
+	c, err := e.readCall(w, r)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		apperr.WriteHTTP(w, err)
+		return
+	}
+	span.SetAttributes(attribute.String("request", c.id.String()), attribute.String("service", string(c.service.Name)))
+	w.Header().Set(HeaderRequestID, c.id.String())
+	if !e.node.Config.MayTakeNew() {
+		apperr.WriteHTTP(w, errUnconfirmed(c))
+		return
+	}
+	// The outcome is found out and stored even if the caller goes away.
+	res := e.perform(context.WithoutCancel(ctx), c)
+	e.metrics.outcome(res.outcome).Inc(1)
+	e.metrics.latency.Record(time.Since(started))
+	span.SetAttributes(attribute.String("outcome", string(res.outcome)), attribute.Int("attempts", res.attempts))
+	writeResult(w, c, res)
+}
+
+// readCall reads the request as a whole, before it takes any slot.
+func (e *Entry) readCall(w http.ResponseWriter, r *http.Request) (*call, error) {
+	cfg := e.node.Config.Current()
+	if cfg == nil {
+		return nil, notRun(apperr.KindUnavailable, "entry "+e.node.Name, "has no configuration yet", "repeat the request later")
+	}
+	name := types.ServiceName(r.PathValue("service"))
+	service, ok := cfg.Service(name)
+	if !ok {
+		return nil, notRun(apperr.KindNotFound, "service "+string(name), "is not in the inventory", "use the name of a service in the inventory")
+	}
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxKeyLength {
+		return nil, notRun(apperr.KindInvalid, "Idempotency-Key", "is longer than 255 bytes", "send a shorter key")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.opts.MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, notRun(apperr.KindTooLarge, "request body", "is larger than "+strconv.FormatInt(e.opts.MaxBody, 10)+" bytes", "send a smaller body")
+	}
+	if err != nil {
+		return nil, notRun(apperr.KindInvalid, "request body", "was cut before its end", "send the whole request")
+	}
+	deadline := service.Deadline
+	if deadline <= 0 {
+		deadline = cfg.Rules().RequestDeadline
+	}
+	return &call{
+		id:       node.NewRequestID(),
+		service:  service,
+		method:   r.Method,
+		path:     upstreamPath(r),
+		header:   r.Header,
+		body:     body,
+		key:      key,
+		deadline: e.node.Clock() + deadline,
+	}, nil
+}
+
+// upstreamPath is what follows the service's name, with the query.
+func upstreamPath(r *http.Request) string {
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func notRun(kind apperr.Kind, object, problem, remedy string) error {
+	return &apperr.Error{Kind: kind, Object: object, Problem: problem, Remedy: remedy, Outcome: apperr.OutcomeNotRun}
+}
+
+// perform runs the request, with a claim if the caller gave a key.
+func (e *Entry) perform(ctx context.Context, c *call) result {
+	if c.key == "" {
+		ctx, cancel := context.WithTimeout(ctx, runTimeout+outcomeTimeout)
+		defer cancel()
+		return e.dispatch(ctx, c, nil)
+	}
+	ctx, cancel := context.WithTimeout(ctx, runTimeout+outcomeTimeout)
+	defer cancel()
+	claim, answer := e.openClaim(ctx, c)
+	if answer != nil {
+		return *answer
+	}
+	res := e.dispatch(ctx, c, claim)
+	e.background(func() { claim.settle(context.WithoutCancel(ctx), res) })
+	return res
+}
+
+// writeResult answers the caller with a whole response or a typed error.
+func writeResult(w http.ResponseWriter, c *call, res result) {
+	if res.response == nil {
+		writeFailure(w, c, res)
+		return
+	}
+	h := w.Header()
+	runcall.CopyHeaders(h, res.response.Header)
+	h.Set(apperr.HeaderOutcome, string(apperr.OutcomeDone))
+	if res.response.Status != http.StatusNoContent && res.response.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(res.response.Body)))
+	}
+	w.WriteHeader(res.response.Status)
+	if c.method == http.MethodHead {
+		return
+	}
+	// If the caller has gone, a keyed request can be repeated for its answer.
+	_, _ = w.Write(res.response.Body)
+}
+
+func writeFailure(w http.ResponseWriter, c *call, res result) {
+	var e *apperr.Error
+	switch {
+	case res.outcome == apperr.OutcomeDone:
+		e = apperr.From(errResponseNotKept(c))
+	case res.outcome == apperr.OutcomeUnknown && !errors.As(res.err, &e):
+		e = apperr.From(errOutcomeUnknown(c))
+	case res.err != nil:
+		e = apperr.From(res.err)
+	default:
+		e = apperr.From(errUnreachable(c, target{}, nil))
+	}
+	answer := *e
+	answer.Outcome = res.outcome
+	if res.outcome == apperr.OutcomeUnknown && answer.Kind != apperr.KindConflict {
+		answer = *apperr.From(errOutcomeUnknown(c))
+	}
+	apperr.WriteHTTP(w, &answer)
+}
--- /dev/null
+++ b/internal/entry/claims.go
@@ -0,0 +1,252 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/claim"
+	"github.com/boragecrank/boragecrank/internal/core/request"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/worker"
+)
+
+const (
+	// claimTimeout bounds one read or write of a claim row before a request is
+	// refused as not run.
+	claimTimeout = 2 * time.Second
+	// settleTimeout bounds the attempts to store an outcome. After it the
+	// outcome is found by sealing.
+	settleTimeout = 30 * time.Second
+	// settlePause is the time between attempts to store an outcome.
+	settlePause = 500 * time.Millisecond
+	// maxStoredResponse bounds the response stored in a claim row in bytes.
+	maxStoredResponse = 64 << 10
+)
+
+// Claims reads and writes claim rows. Errors of kind uncertain mean that a
+// write may have taken effect.
+type Claims interface {
+	// Get returns the row of a key; revision 0 means that there is none.
+	Get(ctx context.Context, key string) (platform.Row, error)
+	// Put writes the row if it is at the revision, and returns the new revision.
+	// It reports false if the row was at another one.
+	Put(ctx context.Context, key string, revision uint64, value []byte) (uint64, bool, error)
+}
+
+// claimResult is what became of a claim write.
+type claimResult int
+
+const (
+	claimHeld claimResult = iota + 1
+	claimLost
+	claimNotWritten
+)
+
+// claimant is the claim of one request in progress.
+type claimant struct {
+	e           *Entry
+	key         string
+	fingerprint string
+
+	row      *claim.Row
+	revision uint64
+}
+
+// openClaim decides what a request with a key may do. A nil claimant with a
+// result answers the caller at once.
+func (e *Entry) openClaim(ctx context.Context, c *call) (*claimant, *result) {
+	cl := &claimant{
+		e:           e,
+		key:         claim.Key(string(c.service.Name), c.key),
+		fingerprint: claim.Fingerprint(c.method, c.path, c.body),
+	}
+	for ctx.Err() == nil {
+		if err := cl.load(ctx); err != nil {
+			return nil, &result{outcome: apperr.OutcomeNotRun, err: errClaimUnavailable(c)}
+		}
+		active := cl.row != nil && e.active.has(cl.row.Attempt)
+		decision := claim.Decide(cl.row, cl.fingerprint, active)
+		if decision == claim.DecideSeal {
+			resolved, ok := cl.resolve(ctx)
+			if !ok {
+				continue
+			}
+			decision = resolved
+		}
+		if decision == claim.DecideClaim || decision == claim.DecideRunAnew {
+			return cl, nil
+		}
+		return nil, cl.answer(c, decision)
+	}
+	return nil, &result{outcome: apperr.OutcomeUnknown, err: errOutcomeUnknown(c)}
+}
+
+func (cl *claimant) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	row, err := cl.e.opts.Claims.Get(ctx, cl.key)
+	if err != nil {
+		return err
+	}
+	cl.row, cl.revision = nil, row.Revision
+	if row.Revision == 0 {
+		return nil
+	}
+	decoded, err := claim.Decode(row.Value)
+	if err != nil {
+		return err
+	}
+	cl.row = &decoded
+	return nil
+}
+
+// resolve seals the attempt of the row and stores what became of it. It
+// reports false if the row has to be read again.
+func (cl *claimant) resolve(ctx context.Context) (claim.Decision, bool) {
+	sealed, err := cl.e.sealAt(ctx, cl.row.Attempt, cl.row.Target)
+	if err != nil {
+		return claim.DecideInProgress, true
+	}
+	next, decision, write := claim.Resolve(*cl.row, sealed)
+	if !write {
+		return decision, true
+	}
+	if !cl.write(ctx, next) {
+		return 0, false
+	}
+	return decision, true
+}
+
+// write replaces the row and reports whether it did.
+func (cl *claimant) write(ctx context.Context, next claim.Row) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	value, err := next.Encode()
+	if err != nil {
+		return false
+	}
+	revision, ok, err := cl.e.opts.Claims.Put(ctx, cl.key, cl.revision, value)
+	if err != nil || !ok {
+		return false
+	}
+	cl.row, cl.revision = &next, revision
+	return true
+}
+
+// answer is the result of a decision that runs nothing.
+func (cl *claimant) answer(c *call, d claim.Decision) *result {
+	switch d {
+	case claim.DecideReplay:
+		var kept worker.Kept
+		if err := json.Unmarshal(cl.row.Response, &kept); err != nil {
+			return &result{outcome: apperr.OutcomeDone, err: errResponseNotKept(c)}
+		}
+		return &result{outcome: apperr.OutcomeDone, response: &kept}
+	case claim.DecideConflict:
+		return &result{outcome: apperr.OutcomeNotRun, err: errKeyReused(c)}
+	case claim.DecideRan:
+		return &result{outcome: apperr.OutcomeDone, err: errResponseNotKept(c)}
+	case claim.DecideInProgress:
+		return &result{outcome: apperr.OutcomeUnknown, err: errClaimTaken(c)}
+	default:
+		return &result{outcome: apperr.OutcomeUnknown, err: errOutcomeUnknown(c)}
+	}
+}
+
+// take writes the attempt to the row before it is dispatched.
+func (cl *claimant) take(ctx context.Context, attempt types.RequestID, t request.Target) claimResult {
+	next := claim.New(cl.fingerprint, attempt, t)
+	var previous types.RequestID
+	if cl.row != nil {
+		previous = cl.row.Attempt
+		var err error
+		next, err = claim.Reclaim(*cl.row, previous, attempt, t)
+		if err != nil {
+			return claimLost
+		}
+	}
+	cl.e.active.add(attempt)
+	if cl.write(ctx, next) {
+		return claimHeld
+	}
+	// The write lost a race, or its answer was lost: the row tells.
+	if err := cl.load(ctx); err != nil {
+		return claimNotWritten
+	}
+	switch claim.Confirm(cl.row, attempt, previous) {
+	case claim.Held:
+		return claimHeld
+	case claim.LostTo:
+		return claimLost
+	default:
+		return claimNotWritten
+	}
+}
+
+// settle stores the outcome of the last attempt. Until it has succeeded, a
+// repeat finds the outcome by sealing.
+func (cl *claimant) settle(ctx context.Context, res result) {
+	if cl.row == nil {
+		return
+	}
+	attempt := cl.row.Attempt
+	defer cl.e.active.remove(attempt)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for {
+		next, needed := claim.Settle(*cl.row, attempt, res.outcome, storedResponse(res))
+		if !needed || cl.write(ctx, next) {
+			return
+		}
+		if err := sleep(ctx, settlePause); err != nil {
+			return
+		}
+		if err := cl.load(ctx); err == nil && cl.row == nil {
+			return
+		}
+	}
+}
+
+func storedResponse(res result) []byte {
+	if res.response == nil || len(res.response.Body) > maxStoredResponse {
+		return nil
+	}
+	b, err := json.Marshal(res.response)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// attemptSet holds the claimed attempts that are in progress at this entry.
+type attemptSet struct {
+	mu  sync.Mutex
+	ids map[types.RequestID]struct{}
+}
+
+func newAttemptSet() *attemptSet {
+	return &attemptSet{ids: make(map[types.RequestID]struct{})}
+}
+
+func (s *attemptSet) add(id types.RequestID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ids[id] = struct{}{}
+}
+
+func (s *attemptSet) remove(id types.RequestID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ids, id)
+}
+
+func (s *attemptSet) has(id types.RequestID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.ids[id]
+	return ok
+}
--- /dev/null
+++ b/internal/entry/router.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/actors"
+	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/routing"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// target is a worker chosen for one attempt.
+type target struct {
+	routing.Choice
+	address string
+}
+
+// picked is what a waiting request receives.
+type picked struct {
+	target  target
+	verdict routing.Verdict
+}
+
+// routerState is owned by one actor.
+type routerState struct {
+	router    *routing.Router
+	rng       *rand.Rand
+	addresses map[types.VMID]string
+	waiting   map[types.RequestID]chan picked
+}
+
+// router gives requests to workers, one decision at a time.
+type router struct {
+	owner *actors.Owner[*routerState]
+	now   clock.Func
+}
+
+func newRouter(system *actors.System, now clock.Func, config routing.Config) (*router, error) {
+	s := &routerState{
+		router:    routing.New(config),
+		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		addresses: make(map[types.VMID]string),
+		waiting:   make(map[types.RequestID]chan picked),
+	}
+	owner, err := actors.Spawn(system, "router", s)
+	if err != nil {
+		return nil, err
+	}
+	return &router{owner: owner, now: now}, nil
+}
+
+// pick returns a worker with a free slot, after waiting in the queue if need
+// be. The slot counts as taken until finished is called.
+func (r *router) pick(ctx context.Context, item routing.Item) (target, routing.Verdict) {
+	answer := make(chan picked, 1)
+	err := r.owner.Do(func(s *routerState) { s.pickOrQueue(r.now(), item, answer) })
+	if err != nil {
+		return target{}, routing.NoUpstream
+	}
+	select {
+	case p := <-answer:
+		return p.target, p.verdict
+	case <-ctx.Done():
+		return r.cancel(item, answer)
+	}
+}
+
+// cancel withdraws a waiting request. It may have been given a worker meanwhile.
+func (r *router) cancel(item routing.Item, answer chan picked) (target, routing.Verdict) {
+	err := r.owner.Do(func(s *routerState) {
+		s.router.Cancel(item.Service, item.ID)
+		delete(s.waiting, item.ID)
+	})
+	if err != nil {
+		return target{}, routing.NoUpstream
+	}
+	select {
+	case p := <-answer:
+		return p.target, p.verdict
+	default:
+		return target{}, routing.TooLate
+	}
+}
+
+func (s *routerState) pickOrQueue(now time.Duration, item routing.Item, answer chan picked) {
+	choice, verdict := s.router.Pick(now, item.Service, item.Deadline, s.rng)
+	if verdict == routing.Picked {
+		s.router.Started(choice)
+		answer <- picked{s.target(choice), verdict}
+		return
+	}
+	if verdict != routing.Full {
+		answer <- picked{verdict: verdict}
+		return
+	}
+	verdict = s.router.Enqueue(now, item)
+	if verdict != routing.Queued {
+		answer <- picked{verdict: verdict}
+		return
+	}
+	s.waiting[item.ID] = answer
+	s.pump(now)
+}
+
+// pump gives free slots to waiting requests and answers dropped ones.
+func (s *routerState) pump(now time.Duration) {
+	for {
+		item, choice, ok := s.router.Next(now, s.rng)
+		if !ok {
+			break
+		}
+		s.router.Started(choice)
+		s.answer(item.ID, picked{s.target(choice), routing.Picked})
+	}
+	for _, item := range s.router.Dropped() {
+		s.answer(item.ID, picked{verdict: routing.TooLate})
+	}
+}
+
+func (s *routerState) answer(id types.RequestID, p picked) {
+	if c, ok := s.waiting[id]; ok {
+		delete(s.waiting, id)
+		c <- p
+	}
+}
+
+func (s *routerState) target(c routing.Choice) target {
+	return target{Choice: c, address: s.addresses[c.VM]}
+}
+
+// finished frees the slot of an attempt and takes its result.
+func (r *router) finished(t target, result routing.Result, took time.Duration) {
+	r.owner.Tell(func(s *routerState) {
+		now := r.now()
+		s.router.Finished(now, t.Choice, result, took)
+		s.pump(now)
+	})
+}
+
+// report takes what a worker told about itself with a reply.
+func (r *router) report(vm types.VMID, inc types.Incarnation, reading time.Duration, inUse int, draining bool) {
+	r.owner.Tell(func(s *routerState) {
+		now := r.now()
+		if draining {
+			s.router.Drain(now, vm, inc)
+			return
+		}
+		s.router.Report(now, vm, inc, reading, inUse)
+	})
+}
+
+// Update takes the state of a worker from a digest.
+func (r *router) update(state routing.WorkerState, address string) {
+	r.owner.Tell(func(s *routerState) {
+		now := r.now()
+		s.addresses[state.VM] = address
+		s.router.Update(now, state)
+		s.pump(now)
+	})
+}
+
+// remove drops a worker that is dead or has left. Its address stays known for
+// sealing.
+func (r *router) remove(vm types.VMID) {
+	r.owner.Tell(func(s *routerState) { s.router.Remove(r.now(), vm) })
+}
+
+// address returns where a worker was last reached.
+func (r *router) address(vm types.VMID) string {
+	var address string
+	if err := r.owner.Do(func(s *routerState) { address = s.addresses[vm] }); err != nil {
+		return ""
+	}
+	return address
+}
+
+// probes returns the ejected workers that are due for a probe.
+func (r *router) probes() []routing.Probe {
+	var due []routing.Probe
+	if err := r.owner.Do(func(s *routerState) { due = s.router.Probes(r.now(), nil) }); err != nil {
+		return nil
+	}
+	return due
+}
+
+func (r *router) probed(p routing.Probe, ok bool) {
+	r.owner.Tell(func(s *routerState) {
+		now := r.now()
+		s.router.ProbeResult(now, p, ok)
+		s.pump(now)
+	})
+}
+
+// firstAttempt counts towards the retry budget.
+func (r *router) firstAttempt() {
+	r.owner.Tell(func(s *routerState) { s.router.FirstAttempt() })
+}
+
+// retry takes one retry from the budget.
+func (r *router) retry() bool {
+	var ok bool
+	if err := r.owner.Do(func(s *routerState) { ok = s.router.Retry() }); err != nil {
+		return false
+	}
+	return ok
+}
--- a/internal/wire/callauth/callauth.go
+++ b/internal/wire/callauth/callauth.go
@@ -83,7 +83,7 @@
 }
 
 // signedHeaders decide what a call does besides its path and body.
-var signedHeaders = []string{"Boragecrank-Offer", "Idempotency-Key"}
+var signedHeaders = []string{"Boragecrank-Offer", "Boragecrank-Method", "Boragecrank-Path", "Idempotency-Key"}
 
 func readAll(r io.ReadCloser) ([]byte, error) {
 	if r == nil {
--- a/internal/wire/runcall/runcall.go
+++ b/internal/wire/runcall/runcall.go
@@ -20,6 +20,8 @@
 	HeaderReport = "Boragecrank-Report"
 	// HeaderPath carries the path at the upstream.
 	HeaderPath = "Boragecrank-Path"
+	// HeaderMethod carries the caller's method; the call itself is a POST.
+	HeaderMethod = "Boragecrank-Method"
 	// PathPrefix starts the path of every call; the service's name follows.
 	PathPrefix = "/run/"
 )
--- a/internal/worker/requests.go
+++ b/internal/worker/requests.go
@@ -144,7 +144,7 @@
 	// A body of an unknown type without GetBody is never sent again by
 	// net/http, not even for methods or headers that it takes for idempotent.
 	body := struct{ io.Reader }{r.Body}
-	req, err := http.NewRequestWithContext(ctx, r.Header.Get(headerMethod), url, body)
+	req, err := http.NewRequestWithContext(ctx, r.Header.Get(runcall.HeaderMethod), url, body)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -154,9 +154,6 @@
 	return req, sent, nil
 }
 
-// headerMethod carries the caller's method; calls between processes are POSTs.
-const headerMethod = "Boragecrank-Method"
-
 // refusedConnection reports that no connection was made.
 func refusedConnection(err error) bool {
 	var op *net.OpError
