Add the shard owner, the worker's gate and the guards

The owner turns heartbeats, reports and table answers into batches and commands. Starts follow the commit; relocation follows proof. An attempt whose run right has ended needs a resume command, because an acknowledged heartbeat alone would let a relocated attempt run again.

--- /dev/null
+++ b/internal/core/guard/guard.go
@@ -0,0 +1,83 @@
+// Package guard holds the invariant checks that run in production.
+//
+// A check returns nil or a Violation. The caller then refuses the change that
+// would break the invariant, and the shell logs the violation as the event with
+// the rule's number. Checks allocate only when they fail.
+package guard
+
+import (
+	"fmt"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Rule is one invariant. Numbers 800 to 899 are also event numbers.
+type Rule struct {
+	Number int
+	// Message is the fixed text of the event.
+	Message string
+	// Meaning tells an operator what the reaction was.
+	Meaning string
+}
+
+// Rules checked by the shard owner.
+var (
+	OverCapacity = Rule{800, "reservations exceed the capacity of a VM",
+		"The placement was refused and the task waits. Report it with the log: the owner's accounting is wrong."}
+	SecondAttempt = Rule{801, "second live attempt of a task",
+		"The attempt outside the task's row was told to stop. Report it with the log."}
+	AttemptFell = Rule{802, "attempt number did not rise",
+		"The row change was refused. Report it with the log."}
+	EpochFell = Rule{803, "epoch fell",
+		"The row change was refused. Report it with the log."}
+	StartBeforeCommit = Rule{804, "start command for an uncommitted allocation",
+		"The command was not sent. Report it with the log."}
+)
+
+// Rules returns all rules in order of number.
+func Rules() []Rule {
+	return []Rule{OverCapacity, SecondAttempt, AttemptFell, EpochFell, StartBeforeCommit}
+}
+
+// Violation is a broken invariant of one object.
+type Violation struct {
+	Rule   Rule
+	Object string
+	Detail string
+}
+
+// Error returns number, message, object and detail in one line.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("guard %d: %s: %s: %s", v.Rule.Number, v.Rule.Message, v.Object, v.Detail)
+}
+
+// Capacity checks that the reservations of a VM fit its capacity.
+func Capacity(vm types.VMID, reserved, capacity types.Resources) *Violation {
+	if reserved.Fits(capacity) {
+		return nil
+	}
+	return &Violation{OverCapacity, string(vm), fmt.Sprintf("reserved %v of %v", reserved, capacity)}
+}
+
+// Change checks a change of a task row from one attempt and epoch to another.
+// FromLive tells whether the old attempt may still be running.
+func Change(task types.TaskID, from, to types.Attempt, fromEpoch, toEpoch types.Epoch, fromLive bool) *Violation {
+	switch {
+	case to < from:
+		return &Violation{AttemptFell, string(task), fmt.Sprintf("from %d to %d", from, to)}
+	case toEpoch < fromEpoch:
+		return &Violation{EpochFell, string(task), fmt.Sprintf("from %d to %d", fromEpoch, toEpoch)}
+	case to > from && fromLive:
+		return &Violation{SecondAttempt, string(task), fmt.Sprintf("attempt %d while %d is live", to, from)}
+	default:
+		return nil
+	}
+}
+
+// Start checks that a start command names the attempt that is committed.
+func Start(task types.TaskID, attempt, committed types.Attempt, committedLive bool) *Violation {
+	if attempt == committed && committedLive {
+		return nil
+	}
+	return &Violation{StartBeforeCommit, string(task), fmt.Sprintf("attempt %d, committed %d", attempt, committed)}
+}
--- /dev/null
+++ b/internal/core/shard/batch.go
@@ -0,0 +1,298 @@
+package shard
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/task"
+)
+
+// flight is the batch that was sent and not resolved.
+type flight struct {
+	batch     *Batch
+	tasks     []*taskState
+	jobs      []*jobState
+	uncertain bool
+	reading   bool
+}
+
+// store makes a batch or a read due.
+func (o *Owner) store(now time.Duration) {
+	if now < o.retryAt {
+		return
+	}
+	if o.flight != nil {
+		o.readFlight()
+		return
+	}
+	if len(o.dirty) == 0 && len(o.dirtyJobs) == 0 {
+		return
+	}
+	if !o.urgent && now < o.lastBatch+o.cfg.BatchInterval {
+		return
+	}
+	o.send(now)
+}
+
+// readFlight asks for the rows of an uncertain batch.
+func (o *Owner) readFlight() {
+	f := o.flight
+	if !f.uncertain || f.reading {
+		return
+	}
+	f.reading = true
+	o.out.Read = &Read{ID: f.batch.ID, Keys: f.batch.Keys()}
+}
+
+// send builds the next batch from changed rows in the order of their changes,
+// so that no placement precedes the stop that made room for it.
+func (o *Owner) send(now time.Duration) {
+	o.batchID++
+	f := &flight{batch: &Batch{
+		ID: o.batchID, FenceKey: o.FenceKey(), FenceRevision: o.cfg.FenceRevision, Urgent: o.urgent,
+	}}
+	rest := 0
+	for i, t := range o.dirty {
+		if !t.dirty {
+			rest = i + 1
+			continue
+		}
+		unit := t.unit()
+		if len(f.tasks)+len(unit) > o.cfg.BatchRows {
+			break
+		}
+		for _, member := range unit {
+			o.addTask(f, member)
+		}
+		rest = i + 1
+	}
+	o.dirty = append(o.dirty[:0], o.dirty[rest:]...)
+	o.addJobs(f)
+	if len(f.batch.Writes) == 0 {
+		return
+	}
+	o.urgent = len(o.dirty) > 0 && o.urgent
+	o.flight = f
+	o.lastBatch = now
+	o.out.Batch = f.batch
+}
+
+// unit returns the changed tasks that must be in one batch with t.
+func (t *taskState) unit() []*taskState {
+	unit := []*taskState{t}
+	for _, member := range t.gang {
+		if member != t && member.dirty {
+			unit = append(unit, member)
+		}
+	}
+	return unit
+}
+
+func (o *Owner) addTask(f *flight, t *taskState) {
+	t.dirty = false
+	t.gang = nil
+	if t.row == t.committed {
+		return
+	}
+	value, err := t.row.Encode()
+	if err != nil {
+		o.out.Problems = append(o.out.Problems, fmt.Errorf("task %q: %w", t.row.Task, err))
+		return
+	}
+	t.inFlight = true
+	t.flying = t.row
+	f.tasks = append(f.tasks, t)
+	key := task.Key(o.cfg.Shard, t.row.Task)
+	f.batch.Writes = append(f.batch.Writes, RowWrite{Key: key, Value: value, Revision: t.revision})
+}
+
+// addJobs adds final rows of jobs whose tasks' last rows are committed.
+func (o *Owner) addJobs(f *flight) {
+	kept := o.dirtyJobs[:0]
+	for _, j := range o.dirtyJobs {
+		if len(f.batch.Writes) >= o.cfg.BatchRows || !j.settled() {
+			kept = append(kept, j)
+			continue
+		}
+		value, err := j.finalRow().Encode()
+		if err != nil {
+			o.out.Problems = append(o.out.Problems, fmt.Errorf("job %q: %w", j.row.Job.ID, err))
+			continue
+		}
+		j.dirty = false
+		j.flying = true
+		f.jobs = append(f.jobs, j)
+		key := task.JobKey(o.cfg.Shard, j.row.Job.ID)
+		f.batch.Writes = append(f.batch.Writes, RowWrite{Key: key, Value: value, Revision: j.revision})
+	}
+	o.dirtyJobs = kept
+}
+
+func (j *jobState) settled() bool {
+	for _, t := range j.tasks {
+		if t.row != t.committed {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *Owner) markDirty(t *taskState) {
+	if t.job.row.Job.Urgent {
+		o.urgent = true
+	}
+	if t.dirty || t.inFlight {
+		return
+	}
+	t.dirty = true
+	o.dirty = append(o.dirty, t)
+}
+
+// BatchDone applies the answer to the batch with the ID. Revision is that of
+// the written rows; rows are those of the batch's Keys after a conflict. No
+// other batch is sent before an uncertain one is resolved.
+func (o *Owner) BatchDone(now time.Duration, id uint64, outcome BatchOutcome, revision uint64, rows []TableRow) {
+	f := o.flight
+	if f == nil || f.batch.ID != id || f.uncertain {
+		return
+	}
+	switch outcome {
+	case BatchCommitted:
+		o.landed(now, f, revision)
+	case BatchConflict:
+		o.resolve(now, f, rows)
+	case BatchUnavailable:
+		o.storeDown = true
+		o.retryAt = now + o.cfg.StoreBackoff
+		o.retry(f)
+	case BatchUncertain:
+		o.storeDown = true
+		f.uncertain = true
+	}
+}
+
+// ReadDone applies the answer to a read; ok is false if there was none.
+func (o *Owner) ReadDone(now time.Duration, id uint64, rows []TableRow, ok bool) {
+	f := o.flight
+	if f == nil || f.batch.ID != id || !f.reading {
+		return
+	}
+	f.reading = false
+	if !ok {
+		o.retryAt = now + o.cfg.StoreBackoff
+		return
+	}
+	o.resolve(now, f, rows)
+}
+
+// resolve compares the rows in the table with those of the batch.
+func (o *Owner) resolve(now time.Duration, f *flight, rows []TableRow) {
+	if len(rows) != len(f.batch.Writes)+1 {
+		o.retryAt = now + o.cfg.StoreBackoff
+		f.uncertain = true
+		return
+	}
+	if rows[0].Revision != o.cfg.FenceRevision {
+		o.lost = true
+		return
+	}
+	rows = rows[1:]
+	if revision, ok := f.batch.landedAt(rows); ok {
+		o.landed(now, f, revision)
+		return
+	}
+	o.storeDown = false
+	o.retry(f)
+	for i, r := range rows {
+		if r.Revision == f.batch.Writes[i].Revision {
+			continue
+		}
+		if i < len(f.tasks) {
+			o.adoptRow(now, f.tasks[i], r)
+		} else {
+			o.Submit(now, r)
+		}
+	}
+}
+
+// landedAt reports whether the rows are those that the batch wrote.
+func (b *Batch) landedAt(rows []TableRow) (uint64, bool) {
+	for i, w := range b.Writes {
+		if rows[i].Revision == w.Revision || !bytes.Equal(rows[i].Value, w.Value) {
+			return 0, false
+		}
+	}
+	return rows[0].Revision, true
+}
+
+// landed records that the batch is in the table.
+func (o *Owner) landed(now time.Duration, f *flight, revision uint64) {
+	o.flight = nil
+	o.storeDown = false
+	o.placeDue = true
+	for _, t := range f.tasks {
+		t.inFlight = false
+		t.committed = t.flying
+		t.revision = revision
+		if t.row != t.committed {
+			o.markDirty(t)
+		}
+		o.activate(t)
+	}
+	for _, j := range f.jobs {
+		j.flying = false
+		j.revision = revision
+		j.row.Finished = true
+		o.dropJob(j)
+	}
+}
+
+// retry puts the rows of a batch that is not in the table first in line, as
+// one unit again if they were placed as one.
+func (o *Owner) retry(f *flight) {
+	o.flight = nil
+	front := make([]*taskState, 0, len(f.tasks)+len(o.dirty))
+	for _, t := range f.tasks {
+		t.inFlight = false
+		t.dirty = true
+		t.gang = f.tasks
+		front = append(front, t)
+	}
+	o.dirty = append(front, o.dirty...)
+	for _, j := range f.jobs {
+		j.flying = false
+		o.finishJob(j)
+	}
+}
+
+// withdraw returns a task to its row in the table, but for a cancellation.
+func (o *Owner) withdraw(now time.Duration, t *taskState) {
+	o.setRow(now, t, t.committed)
+	if t.job.row.Cancel {
+		o.cancelTask(now, t)
+	}
+}
+
+// adoptRow takes over a row that differs from what the owner knew: an earlier
+// batch of its own, thought lost, has landed late. Placements that are not in
+// the table were made on the wrong assumption and are withdrawn.
+func (o *Owner) adoptRow(now time.Duration, t *taskState, r TableRow) {
+	row, err := task.Decode(r.Value)
+	if err != nil {
+		o.out.Problems = append(o.out.Problems, fmt.Errorf("row %q: %w", r.Key, err))
+		return
+	}
+	t.committed = row
+	t.revision = r.Revision
+	for _, other := range o.dirty {
+		if other != t && other.row.Attempt > other.committed.Attempt {
+			o.withdraw(now, other)
+		}
+	}
+	o.withdraw(now, t)
+	// Stops that were inferred from lapsed rights are inferred again.
+	for _, v := range o.vmOrder {
+		v.lapseApplied = false
+	}
+}
--- /dev/null
+++ b/internal/core/shard/gate.go
@@ -0,0 +1,188 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// GateVerdict tells a worker what to do with a command.
+type GateVerdict string
+
+// Verdicts on commands. All but Execute mean that nothing is done.
+const (
+	Execute          GateVerdict = "execute"
+	WrongIncarnation GateVerdict = "wrong incarnation"
+	StaleEpoch       GateVerdict = "stale epoch"
+	Expired          GateVerdict = "expired"
+	StaleAttempt     GateVerdict = "stale attempt"
+	NoRight          GateVerdict = "no run right"
+)
+
+// held is what a gate remembers of one task.
+type held struct {
+	attempt types.Attempt
+	class   types.Class
+	// confirmed attempts run under the present right. The end of the right
+	// takes the confirmation away; only a resume command gives it back, because
+	// the owner may have relocated the attempt meanwhile.
+	confirmed bool
+	stopped   bool
+	stoppedAt time.Duration
+}
+
+// Gate decides on a worker which commands are carried out and which attempts
+// may run. All times are on the worker's clock.
+type Gate struct {
+	vm          types.VMID
+	incarnation types.Incarnation
+	runRight    time.Duration
+	budget      time.Duration
+	epoch       types.Epoch
+	until       time.Duration
+	tasks       map[types.TaskID]*held
+}
+
+// NewGate returns the gate of a worker incarnation that has no run right.
+func NewGate(cfg Config, vm types.VMID, incarnation types.Incarnation) *Gate {
+	return &Gate{
+		vm: vm, incarnation: incarnation,
+		runRight: cfg.RunRight, budget: cfg.CommandBudget,
+		tasks: make(map[types.TaskID]*held),
+	}
+}
+
+// Found records an attempt that the runtime lists when the worker starts. It
+// may not run, beyond the lease that the runtime has, until it is resumed.
+func (g *Gate) Found(task types.TaskID, attempt types.Attempt, class types.Class) {
+	g.tasks[task] = &held{attempt: attempt, class: class}
+}
+
+// Until returns the end of the run right. The worker passes it to the runtime
+// as the lease of its confirmed batch attempts.
+func (g *Gate) Until() time.Duration {
+	return g.until
+}
+
+// Epoch returns the highest epoch seen.
+func (g *Gate) Epoch() types.Epoch {
+	return g.epoch
+}
+
+// Acked applies the reply to a heartbeat of this incarnation.
+func (g *Gate) Acked(now time.Duration, reply HeartbeatReply) {
+	g.Tick(now)
+	if reply.Ack.Incarnation != g.incarnation || reply.Epoch < g.epoch {
+		return
+	}
+	g.epoch = reply.Epoch
+	if reply.Right {
+		g.until = max(g.until, reply.Ack.SentAt+g.runRight)
+	}
+}
+
+// Tick takes the confirmation of all batch attempts away if the right has
+// ended, and returns whether it did. The shell suspends them. Ended attempts
+// are remembered until no command can be valid that was sent before.
+func (g *Gate) Tick(now time.Duration) bool {
+	lapsed := false
+	for id, h := range g.tasks {
+		if h.stopped && now > h.stoppedAt+g.budget {
+			delete(g.tasks, id)
+			continue
+		}
+		if now >= g.until && h.confirmed && h.class != types.ClassLatencyCritical {
+			h.confirmed = false
+			lapsed = true
+		}
+	}
+	return lapsed
+}
+
+// MayRun reports whether the attempt may run at now.
+func (g *Gate) MayRun(now time.Duration, task types.TaskID, attempt types.Attempt) bool {
+	h := g.tasks[task]
+	if h == nil || h.attempt != attempt || h.stopped || !h.confirmed {
+		return false
+	}
+	return h.class == types.ClassLatencyCritical || now < g.until
+}
+
+// Ended records that an attempt has ended by itself.
+func (g *Gate) Ended(now time.Duration, task types.TaskID, attempt types.Attempt) {
+	h := g.tasks[task]
+	if h != nil && h.attempt == attempt {
+		h.stopped = true
+		h.stoppedAt = now
+	}
+}
+
+// Command decides on a command and records its effect. A repeated start of the
+// present attempt is executed again: the runtime's start is idempotent. A start
+// of a higher attempt tells that the lower is over; the shell stops a lower one
+// that the runtime still has, suspended, before it starts the higher.
+func (g *Gate) Command(now time.Duration, c Command) GateVerdict {
+	g.Tick(now)
+	switch {
+	case c.VM != g.vm || c.Incarnation != g.incarnation:
+		return WrongIncarnation
+	case c.Epoch < g.epoch:
+		return StaleEpoch
+	case now >= c.ValidUntil:
+		return Expired
+	}
+	g.epoch = c.Epoch
+	h := g.tasks[c.Task]
+	switch c.Kind {
+	case CommandStart:
+		return g.start(now, c, h)
+	case CommandResume:
+		return g.resume(now, c, h)
+	case CommandStop:
+		return g.stop(now, c, h)
+	default:
+		if h != nil && h.attempt != c.Attempt {
+			return StaleAttempt
+		}
+		return Execute
+	}
+}
+
+func (g *Gate) start(now time.Duration, c Command, h *held) GateVerdict {
+	if h != nil && (c.Attempt < h.attempt || (c.Attempt == h.attempt && (h.stopped || !h.confirmed))) {
+		return StaleAttempt
+	}
+	if c.Class != types.ClassLatencyCritical && now >= g.until {
+		return NoRight
+	}
+	g.tasks[c.Task] = &held{attempt: c.Attempt, class: c.Class, confirmed: true}
+	return Execute
+}
+
+func (g *Gate) resume(now time.Duration, c Command, h *held) GateVerdict {
+	if h == nil || h.attempt != c.Attempt || h.stopped {
+		return StaleAttempt
+	}
+	if h.class != types.ClassLatencyCritical && now >= g.until {
+		return NoRight
+	}
+	h.confirmed = true
+	return Execute
+}
+
+// stop remembers the attempt as ended, known or not, so that a delayed start
+// of it is refused.
+func (g *Gate) stop(now time.Duration, c Command, h *held) GateVerdict {
+	if h != nil && c.Attempt < h.attempt {
+		return StaleAttempt
+	}
+	if h == nil || c.Attempt > h.attempt {
+		h = &held{attempt: c.Attempt}
+		g.tasks[c.Task] = h
+	}
+	if !h.stopped {
+		h.stopped = true
+		h.stoppedAt = now
+	}
+	return Execute
+}
--- /dev/null
+++ b/internal/core/shard/jobs.go
@@ -0,0 +1,181 @@
+package shard
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Recover loads the shard's job and task rows, read after the takeover had
+// committed. Rows that cannot be decoded are reported and left alone.
+func (o *Owner) Recover(now time.Duration, jobs, tasks []TableRow) {
+	for _, r := range jobs {
+		o.loadJob(r)
+	}
+	for _, r := range tasks {
+		o.loadTask(r)
+	}
+	for _, t := range o.sortedTasks() {
+		o.setRow(now, t, t.row)
+		if t.job.row.Cancel {
+			o.cancelTask(now, t)
+		}
+		o.finishJob(t.job)
+	}
+	o.recovered = true
+	o.placeDue = true
+}
+
+// Submit adds a job that an entry has committed, or applies a change of its
+// row. A repeat has no effect.
+func (o *Owner) Submit(now time.Duration, row TableRow) {
+	j := o.loadJob(row)
+	if j == nil {
+		return
+	}
+	for _, t := range j.tasks {
+		o.setRow(now, t, t.row)
+	}
+	if j.row.Cancel {
+		o.cancelJob(now, j)
+	}
+}
+
+// Cancel cancels jobs. Their tasks' rows go into as few batches as the bound on
+// rows allows; live attempts are stopped after the commit.
+func (o *Owner) Cancel(now time.Duration, jobs []types.JobID) {
+	for _, id := range jobs {
+		if j := o.jobs[id]; j != nil {
+			o.cancelJob(now, j)
+		}
+	}
+}
+
+func (o *Owner) cancelJob(now time.Duration, j *jobState) {
+	j.row.Cancel = true
+	for _, t := range j.tasks {
+		o.cancelTask(now, t)
+	}
+}
+
+func (o *Owner) cancelTask(now time.Duration, t *taskState) {
+	o.apply(now, t, task.Event{Kind: task.EventCancel})
+}
+
+// loadJob creates or updates a job from its row and returns it, or nil if the
+// row is older than known, finished or cannot be decoded.
+func (o *Owner) loadJob(r TableRow) *jobState {
+	row, err := task.DecodeJob(r.Value)
+	if err != nil {
+		o.out.Problems = append(o.out.Problems, fmt.Errorf("row %q: %w", r.Key, err))
+		return nil
+	}
+	j := o.jobs[row.Job.ID]
+	switch {
+	case j == nil && row.Finished:
+		return nil
+	case j == nil:
+		j = o.newJob(row, r.Revision)
+	case j.revision >= r.Revision:
+		return nil
+	default:
+		j.revision = r.Revision
+		j.row.Cancel = j.row.Cancel || row.Cancel
+		j.row.Finished = row.Finished
+	}
+	if row.Finished {
+		return nil
+	}
+	return j
+}
+
+func (o *Owner) newJob(row task.JobRow, revision uint64) *jobState {
+	j := &jobState{row: row, revision: revision}
+	o.jobs[row.Job.ID] = j
+	for i := range row.Job.Tasks {
+		o.orders++
+		t := &taskState{job: j, order: o.orders}
+		t.row = task.Row{Task: j.row.Job.TaskID(i), Job: row.Job.ID, State: task.Pending}
+		t.committed = t.row
+		o.tasks[t.row.Task] = t
+		j.tasks = append(j.tasks, t)
+	}
+	return j
+}
+
+// loadTask sets a task from its row.
+func (o *Owner) loadTask(r TableRow) {
+	row, err := task.Decode(r.Value)
+	if err != nil {
+		o.out.Problems = append(o.out.Problems, fmt.Errorf("row %q: %w", r.Key, err))
+		return
+	}
+	t := o.tasks[row.Task]
+	if t == nil {
+		return // its job has finished
+	}
+	t.committed = row
+	t.revision = r.Revision
+	t.row = row
+	if row.State.Live() {
+		o.ensureVM(row.VM).add(t, row.Reserved)
+	}
+	if row.State.Terminal() {
+		t.job.ended++
+	}
+}
+
+// finishJob makes the job's final row due when every task has ended.
+func (o *Owner) finishJob(j *jobState) {
+	if j.ended != len(j.tasks) || j.row.Finished || j.dirty {
+		return
+	}
+	j.dirty = true
+	o.dirtyJobs = append(o.dirtyJobs, j)
+}
+
+// finalRow returns the job's row with its counts.
+func (j *jobState) finalRow() task.JobRow {
+	row := j.row
+	row.Finished = true
+	row.Done, row.Failed, row.Cancelled = 0, 0, 0
+	for _, t := range j.tasks {
+		switch t.row.State {
+		case task.Done:
+			row.Done++
+		case task.Failed:
+			row.Failed++
+		case task.Cancelled:
+			row.Cancelled++
+		}
+	}
+	return row
+}
+
+// dropJob forgets a finished job. Attempts that workers still list are then
+// unknown and told to stop or be forgotten.
+func (o *Owner) dropJob(j *jobState) {
+	for _, t := range j.tasks {
+		delete(o.tasks, t.row.Task)
+	}
+	j.tasks = nil
+	delete(o.jobs, j.row.Job.ID)
+}
+
+// sortedTasks returns all tasks in order of job ID and index.
+func (o *Owner) sortedTasks() []*taskState {
+	ids := make([]string, 0, len(o.jobs))
+	for id := range o.jobs {
+		ids = append(ids, string(id))
+	}
+	sort.Slice(ids, func(a, b int) bool { return strings.Compare(ids[a], ids[b]) < 0 })
+	all := make([]*taskState, 0, len(o.tasks))
+	for _, id := range ids {
+		all = append(all, o.jobs[types.JobID(id)].tasks...)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/core/shard/owner_test.go
@@ -0,0 +1,210 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+func (s *sim) want(id types.TaskID, state task.State, attempt types.Attempt) task.Row {
+	s.t.Helper()
+	r := s.table.task(s.t, id)
+	if r.State != state || r.Attempt != attempt {
+		s.t.Fatalf("task %s is %s, attempt %d; want %s, %d", id, r.State, r.Attempt, state, attempt)
+	}
+	return r
+}
+
+// Guards against tasks that are not started, started twice or not completed.
+func TestSubmitRunFinish(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.run(2 * time.Second)
+	s.submit(job("j", 3, 2))
+	s.run(3 * time.Second)
+	s.want("j/2", task.Running, 1)
+	if s.starts != 3 {
+		t.Fatalf("%d starts", s.starts)
+	}
+	for _, w := range s.workers {
+		for _, tr := range w.tasks {
+			tr.Phase = PhaseDone
+		}
+	}
+	s.run(3 * time.Second)
+	s.want("j/0", task.Done, 1)
+	j, err := task.DecodeJob(s.table.rows[task.JobKey(testShard, "j")].Value)
+	if err != nil || !j.Finished || j.Done != 3 {
+		t.Fatalf("job row %+v, %v", j, err)
+	}
+	if n := len(s.workers[0].tasks) + len(s.workers[1].tasks); n != 0 {
+		t.Fatalf("%d attempts are not forgotten", n)
+	}
+}
+
+// Guards against preemption that loses the victim, starts over its room before
+// the stop, or misses the limit on urgent starts.
+func TestUrgentPreempts(t *testing.T) {
+	s := newSim(t, 1, 2)
+	s.submit(job("low", 1, 2))
+	s.run(6 * time.Second)
+	s.want("low/0", task.Running, 1)
+	high := job("high", 1, 2)
+	high.Urgent = true
+	s.submit(high)
+	s.run(2300 * time.Millisecond)
+	s.want("high/0", task.Running, 1)
+	if r := s.want("low/0", task.Evicted, 1); r.Checkpoint == "" {
+		t.Fatal("evicted without checkpoint")
+	}
+	s.workers[0].tasks["high/0"].Phase = PhaseDone
+	s.run(4 * time.Second)
+	s.want("low/0", task.Running, 2)
+}
+
+// Guards against a gang of which only a part is placed.
+func TestGangAllOrNone(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.submit(job("other", 1, 1))
+	s.run(6 * time.Second)
+	gang := job("gang", 2, 4)
+	gang.Gang = true
+	s.submit(gang)
+	s.run(3 * time.Second)
+	s.want("gang/0", task.Pending, 0)
+	s.want("gang/1", task.Pending, 0)
+	for _, w := range s.workers {
+		if tr := w.tasks["other/0"]; tr != nil {
+			tr.Phase = PhaseDone
+		}
+	}
+	s.run(3 * time.Second)
+	a, b := s.want("gang/0", task.Running, 1), s.want("gang/1", task.Running, 1)
+	if a.VM == b.VM {
+		t.Fatal("both on one VM")
+	}
+}
+
+// Guards against a write per task in a burst of cancellations.
+func TestCancelBurstIsBatched(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.submit(job("j", 500, 1))
+	s.run(6 * time.Second)
+	s.batches = 0
+	s.owner.Cancel(s.now, []types.JobID{"j"})
+	s.run(20 * time.Second)
+	s.want("j/0", task.Cancelled, 1)
+	s.want("j/499", task.Cancelled, 0)
+	if s.batches > 15 || s.maxRows > DefaultConfig().BatchRows {
+		t.Fatalf("%d batches, at most %d rows", s.batches, s.maxRows)
+	}
+}
+
+// Guards against relocation before the run right is over, and against a worker
+// that resumes a relocated attempt when it comes back.
+func TestRelocationWaitsForRight(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.submit(job("j", 1, 1))
+	s.run(6 * time.Second)
+	first := s.want("j/0", task.Running, 1)
+	lost := s.workers[0]
+	if lost.vm != first.VM {
+		t.Fatalf("placed on %s", first.VM)
+	}
+	s.workers = s.workers[1:]
+	s.run(DefaultConfig().RunRight)
+	s.want("j/0", task.Running, 1)
+	s.run(10 * time.Second)
+	s.want("j/0", task.Running, 2)
+	s.workers = append(s.workers, lost)
+	s.run(3 * time.Second)
+	if tr := lost.tasks["j/0"]; tr != nil && lost.runs(s.now, tr) {
+		t.Fatal("the old attempt runs again")
+	}
+}
+
+// Guards against a cold owner that is not ready in 3 s, restarts what runs, or
+// takes unreported capacity as free.
+func TestColdOwnerRecovers(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.submit(job("j", 4, 2))
+	s.run(6 * time.Second)
+	silent := s.workers[1]
+	s.workers = s.workers[:1]
+	s.owner = s.table.takeOver(s.now, DefaultConfig(), 2, vmsOf(2, 4))
+	s.submit(job("k", 1, 1))
+	s.run(3100 * time.Millisecond)
+	if !s.owner.Ready(s.now) {
+		t.Fatal("not ready")
+	}
+	s.run(2 * time.Second)
+	s.want("k/0", task.Pending, 0)
+	s.workers = append(s.workers, silent)
+	s.run(3 * time.Second)
+	s.want("j/3", task.Running, 1)
+	if s.starts != 4 {
+		t.Fatalf("%d starts", s.starts)
+	}
+}
+
+// Guards against a restarted worker whose tasks are restarted or left
+// suspended, and against a lost attempt that is not placed again.
+func TestWorkerRestartAdopts(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.submit(job("j", 2, 1))
+	s.run(6 * time.Second)
+	w := s.workers[0]
+	delete(w.tasks, "j/1")
+	w.restart(DefaultConfig(), 77)
+	s.run(3 * time.Second)
+	if r := s.want("j/0", task.Running, 1); r.Incarnation != 77 {
+		t.Fatalf("row names incarnation %d", r.Incarnation)
+	}
+	if !w.gate.MayRun(s.now, "j/0", 1) {
+		t.Fatal("the adopted attempt is not confirmed")
+	}
+	s.want("j/1", task.Running, 2)
+}
+
+// Guards against placements while the store is down, and against a lost answer
+// that starts a task twice or never.
+func TestStoreOutage(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.run(4 * time.Second)
+	s.down = true
+	s.submit(job("j", 2, 1))
+	s.run(20 * time.Second)
+	if s.starts != 0 {
+		t.Fatal("started without a commit")
+	}
+	s.down = false
+	s.run(5 * time.Second)
+	s.want("j/0", task.Running, 1)
+	s.want("j/1", task.Running, 1)
+	if s.starts != 2 {
+		t.Fatalf("%d starts", s.starts)
+	}
+}
+
+// Guards against an owner that acts after its lease or after a takeover.
+func TestOldOwnerStops(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.run(4 * time.Second)
+	old := s.owner
+	s.submit(job("j", 1, 1))
+	out := old.Poll(s.now)
+	for out.Batch == nil {
+		s.now += 100 * time.Millisecond
+		out = old.Poll(s.now)
+	}
+	s.table.takeOver(s.now, DefaultConfig(), 2, vmsOf(1, 4))
+	s.carryOut(out)
+	if !old.Lost() || s.table.task(t, "j/0").State != task.Pending {
+		t.Fatal("a batch of the old epoch was applied")
+	}
+	old.SetLease(s.now)
+	if _, ok := old.Heartbeat(s.now, s.workers[0].heartbeat(s.now)); ok {
+		t.Fatal("acknowledged without a lease")
+	}
+}
