--- a/internal/core/shard/batch.go
+++ b/internal/core/shard/batch.go
@@ -159,7 +159,7 @@
 	}
 	switch outcome {
 	case BatchCommitted:
-		o.landed(now, f, revision)
+		o.landed(f, revision)
 	case BatchConflict:
 		o.resolve(now, f, rows)
 	case BatchUnavailable:
@@ -199,7 +199,7 @@
 	}
 	rows = rows[1:]
 	if revision, ok := f.batch.landedAt(rows); ok {
-		o.landed(now, f, revision)
+		o.landed(f, revision)
 		return
 	}
 	o.storeDown = false
@@ -209,9 +209,9 @@
 			continue
 		}
 		if i < len(f.tasks) {
-			o.adoptRow(now, f.tasks[i], r)
+			o.adoptRow(f.tasks[i], r)
 		} else {
-			o.Submit(now, r)
+			o.Submit(r)
 		}
 	}
 }
@@ -227,7 +227,7 @@
 }
 
 // landed records that the batch is in the table.
-func (o *Owner) landed(now time.Duration, f *flight, revision uint64) {
+func (o *Owner) landed(f *flight, revision uint64) {
 	o.flight = nil
 	o.storeDown = false
 	o.placeDue = true
@@ -267,17 +267,17 @@
 }
 
 // withdraw returns a task to its row in the table, but for a cancellation.
-func (o *Owner) withdraw(now time.Duration, t *taskState) {
-	o.setRow(now, t, t.committed)
+func (o *Owner) withdraw(t *taskState) {
+	o.setRow(t, t.committed)
 	if t.job.row.Cancel {
-		o.cancelTask(now, t)
+		o.cancelTask(t)
 	}
 }
 
 // adoptRow takes over a row that differs from what the owner knew: an earlier
 // batch of its own, thought lost, has landed late. Placements that are not in
 // the table were made on the wrong assumption and are withdrawn.
-func (o *Owner) adoptRow(now time.Duration, t *taskState, r TableRow) {
+func (o *Owner) adoptRow(t *taskState, r TableRow) {
 	row, err := task.Decode(r.Value)
 	if err != nil {
 		o.out.Problems = append(o.out.Problems, fmt.Errorf("row %q: %w", r.Key, err))
@@ -287,10 +287,10 @@
 	t.revision = r.Revision
 	for _, other := range o.dirty {
 		if other != t && other.row.Attempt > other.committed.Attempt {
-			o.withdraw(now, other)
+			o.withdraw(other)
 		}
 	}
-	o.withdraw(now, t)
+	o.withdraw(t)
 	// Stops that were inferred from lapsed rights are inferred again.
 	for _, v := range o.vmOrder {
 		v.lapseApplied = false
--- a/internal/core/shard/jobs.go
+++ b/internal/core/shard/jobs.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/task"
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -12,7 +11,7 @@
 
 // Recover loads the shard's job and task rows, read after the takeover had
 // committed. Rows that cannot be decoded are reported and left alone.
-func (o *Owner) Recover(now time.Duration, jobs, tasks []TableRow) {
+func (o *Owner) Recover(jobs, tasks []TableRow) {
 	for _, r := range jobs {
 		o.loadJob(r)
 	}
@@ -20,9 +19,9 @@
 		o.loadTask(r)
 	}
 	for _, t := range o.sortedTasks() {
-		o.setRow(now, t, t.row)
+		o.setRow(t, t.row)
 		if t.job.row.Cancel {
-			o.cancelTask(now, t)
+			o.cancelTask(t)
 		}
 		o.finishJob(t.job)
 	}
@@ -32,38 +31,38 @@
 
 // Submit adds a job that an entry has committed, or applies a change of its
 // row. A repeat has no effect.
-func (o *Owner) Submit(now time.Duration, row TableRow) {
+func (o *Owner) Submit(row TableRow) {
 	j := o.loadJob(row)
 	if j == nil {
 		return
 	}
 	for _, t := range j.tasks {
-		o.setRow(now, t, t.row)
+		o.setRow(t, t.row)
 	}
 	if j.row.Cancel {
-		o.cancelJob(now, j)
+		o.cancelJob(j)
 	}
 }
 
 // Cancel cancels jobs. Their tasks' rows go into as few batches as the bound on
 // rows allows; live attempts are stopped after the commit.
-func (o *Owner) Cancel(now time.Duration, jobs []types.JobID) {
+func (o *Owner) Cancel(jobs []types.JobID) {
 	for _, id := range jobs {
 		if j := o.jobs[id]; j != nil {
-			o.cancelJob(now, j)
+			o.cancelJob(j)
 		}
 	}
 }
 
-func (o *Owner) cancelJob(now time.Duration, j *jobState) {
+func (o *Owner) cancelJob(j *jobState) {
 	j.row.Cancel = true
 	for _, t := range j.tasks {
-		o.cancelTask(now, t)
+		o.cancelTask(t)
 	}
 }
 
-func (o *Owner) cancelTask(now time.Duration, t *taskState) {
-	o.apply(now, t, task.Event{Kind: task.EventCancel})
+func (o *Owner) cancelTask(t *taskState) {
+	o.apply(t, task.Event{Kind: task.EventCancel})
 }
 
 // loadJob creates or updates a job from its row and returns it, or nil if the
--- a/internal/core/shard/owner.go
+++ b/internal/core/shard/owner.go
@@ -153,7 +153,7 @@
 // SetVMs sets the shard's VMs from the configuration. VMs with live attempts
 // stay, without accepting new work, until the attempts have ended. Infeasible
 // tasks are tried again.
-func (o *Owner) SetVMs(now time.Duration, vms []types.VM) {
+func (o *Owner) SetVMs(vms []types.VM) {
 	listed := make(map[types.VMID]bool, len(vms))
 	for _, vm := range vms {
 		listed[vm.ID] = true
@@ -166,7 +166,7 @@
 	}
 	for _, t := range o.sortedTasks() {
 		if t.row.State == task.Infeasible {
-			o.apply(now, t, task.Event{Kind: task.EventFeasible})
+			o.apply(t, task.Event{Kind: task.EventFeasible})
 		}
 	}
 	o.placeDue = true
@@ -240,16 +240,16 @@
 			o.evict(now, t)
 		}
 	case membership.Dead, membership.Leaving:
-		o.replaceReplicas(now, v)
+		o.replaceReplicas(v)
 	}
 }
 
 // replaceReplicas frees the service replicas of a VM whose process is gone, so
 // that they are placed again under a new attempt number.
-func (o *Owner) replaceReplicas(now time.Duration, v *vmState) {
+func (o *Owner) replaceReplicas(v *vmState) {
 	for _, t := range snapshot(v.tasks) {
 		if t.job.row.Job.Class == types.ClassLatencyCritical {
-			o.stopped(now, t, "")
+			o.stopped(t, "")
 		}
 	}
 }
@@ -268,7 +268,7 @@
 		v.foreign = nil
 		v.foreignSum = types.Resources{}
 		for _, t := range snapshot(v.tasks) {
-			o.stopped(now, t, "")
+			o.stopped(t, "")
 		}
 	}
 }
@@ -296,7 +296,7 @@
 }
 
 // apply applies an event to a task's newest row and keeps the accounts.
-func (o *Owner) apply(now time.Duration, t *taskState, ev task.Event) task.Verdict {
+func (o *Owner) apply(t *taskState, ev task.Event) task.Verdict {
 	ev.Epoch = o.cfg.Epoch
 	next, verdict := task.Apply(t.row, ev)
 	if verdict != task.Accepted {
@@ -314,13 +314,13 @@
 			return task.NotAllowed
 		}
 	}
-	o.setRow(now, t, next)
+	o.setRow(t, next)
 	o.markDirty(t)
 	return task.Accepted
 }
 
 // setRow replaces the newest row and updates reservations, lists and counts.
-func (o *Owner) setRow(now time.Duration, t *taskState, next task.Row) {
+func (o *Owner) setRow(t *taskState, next task.Row) {
 	old := t.row
 	t.row = next
 	if old.State.Live() != next.State.Live() || old.VM != next.VM || old.Reserved != next.Reserved {
--- a/internal/core/shard/owner_test.go
+++ b/internal/core/shard/owner_test.go
@@ -92,7 +92,7 @@
 	s.submit(job("j", 500, 1))
 	s.run(6 * time.Second)
 	s.batches = 0
-	s.owner.Cancel(s.now, []types.JobID{"j"})
+	s.owner.Cancel([]types.JobID{"j"})
 	s.run(20 * time.Second)
 	s.want("j/0", task.Cancelled, 1)
 	s.want("j/499", task.Cancelled, 0)
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -44,7 +44,7 @@
 	if t.job.row.Job.Gang && len(t.job.tasks) > 1 && t.job.gangWaits() {
 		return o.placeGang(now, t.job)
 	}
-	d, ok := o.decide(now, t)
+	d, ok := o.decide(t)
 	if !ok {
 		return false
 	}
@@ -52,7 +52,7 @@
 		o.promise(now, t, d)
 		return true
 	}
-	return o.bind(now, t, d)
+	return o.bind(t, d)
 }
 
 // gangWaits reports whether no task of the gang has a live attempt. Gangs start
@@ -76,14 +76,14 @@
 	}
 	if len(gang) > o.cfg.BatchRows {
 		for _, t := range gang {
-			o.apply(now, t, task.Event{Kind: task.EventInfeasible, Reason: "the gang has more tasks than one transaction can place"})
+			o.apply(t, task.Event{Kind: task.EventInfeasible, Reason: "the gang has more tasks than one transaction can place"})
 		}
 		return false
 	}
 	decisions := make([]Decision, 0, len(gang))
 	evicts := false
 	for i, t := range gang {
-		d, ok := o.decide(now, t)
+		d, ok := o.decide(t)
 		if !ok {
 			o.undo(gang[:i], decisions)
 			o.releaseGang(gang, t)
@@ -99,8 +99,8 @@
 	for i, t := range gang {
 		if evicts {
 			o.promise(now, t, decisions[i])
-		} else if !o.bind(now, t, decisions[i]) {
-			o.unbind(now, gang[:i])
+		} else if !o.bind(t, decisions[i]) {
+			o.unbind(gang[:i])
 			return false
 		}
 	}
@@ -113,9 +113,9 @@
 }
 
 // unbind withdraws placements that are not in the table.
-func (o *Owner) unbind(now time.Duration, placed []*taskState) {
+func (o *Owner) unbind(placed []*taskState) {
 	for _, t := range placed {
-		o.withdraw(now, t)
+		o.withdraw(t)
 	}
 	o.fillCandidates()
 }
@@ -165,7 +165,7 @@
 
 // decide asks the placer, after returning what was promised to the task. A
 // promise is kept while its VM accepts work and the evictions go on.
-func (o *Owner) decide(now time.Duration, t *taskState) (Decision, bool) {
+func (o *Owner) decide(t *taskState) (Decision, bool) {
 	if v := t.promisedOn; v != nil {
 		return o.redeem(t, v)
 	}
@@ -173,7 +173,7 @@
 		Task: t.row.Task, Job: &t.job.row.Job, Failures: t.row.Failures, LastVM: t.row.VM,
 	}, o.candidates)
 	if d.Infeasible != "" {
-		o.apply(now, t, task.Event{Kind: task.EventInfeasible, Reason: d.Infeasible})
+		o.apply(t, task.Event{Kind: task.EventInfeasible, Reason: d.Infeasible})
 		return d, false
 	}
 	v := o.vms[d.VM]
@@ -194,14 +194,14 @@
 }
 
 // bind makes the placement part of the next batch.
-func (o *Owner) bind(now time.Duration, t *taskState, d Decision) bool {
+func (o *Owner) bind(t *taskState, d Decision) bool {
 	entry, _ := o.detector.Lookup(d.VM)
 	v := o.vms[d.VM]
 	if !v.occupied().Add(reservation(t, d)).Fits(v.vm.Capacity) {
 		return false
 	}
 	kept := t.promisedOn != nil
-	verdict := o.apply(now, t, task.Event{
+	verdict := o.apply(t, task.Event{
 		Kind: task.EventPlace, Attempt: t.row.Attempt + 1,
 		VM: d.VM, Incarnation: entry.Incarnation, Reserved: reservation(t, d),
 	})
--- a/internal/core/shard/report.go
+++ b/internal/core/shard/report.go
@@ -37,12 +37,12 @@
 	}
 	listed := make(map[types.TaskID]bool, len(r.Tasks))
 	for _, tr := range r.Tasks {
-		if o.listed(now, v, r.Incarnation, tr) {
+		if o.listed(v, r.Incarnation, tr) {
 			listed[tr.Task] = true
 		}
 	}
 	if r.Complete {
-		o.missing(now, v, r.Incarnation, listed)
+		o.missing(v, r.Incarnation, listed)
 	}
 	if entry.Status == membership.Draining {
 		for _, t := range v.tasks {
@@ -54,78 +54,78 @@
 
 // listed applies one attempt of a report. It returns whether the attempt is
 // the present one of its task, on this VM.
-func (o *Owner) listed(now time.Duration, v *vmState, from types.Incarnation, tr TaskReport) bool {
+func (o *Owner) listed(v *vmState, from types.Incarnation, tr TaskReport) bool {
 	t := o.tasks[tr.Task]
 	if t == nil || tr.Attempt != t.row.Attempt || t.row.VM != v.vm.ID {
-		o.notPresent(now, v, from, t, tr)
+		o.notPresent(v, from, t, tr)
 		return false
 	}
 	if !t.row.State.Live() {
-		o.endedEarlier(now, v, from, t, tr)
+		o.endedEarlier(v, from, t, tr)
 		return true
 	}
 	if tr.Checkpoint != "" {
 		t.latest = tr.Checkpoint
 	}
 	if tr.Phase.over() {
-		o.ended(now, t, tr)
+		o.ended(t, tr)
 		return true
 	}
-	o.running(now, t, from, tr)
+	o.running(t, from, tr)
 	return true
 }
 
 // running applies the report of a live attempt.
-func (o *Owner) running(now time.Duration, t *taskState, from types.Incarnation, tr TaskReport) {
+func (o *Owner) running(t *taskState, from types.Incarnation, tr TaskReport) {
 	kind := task.EventStarted
 	if t.row.Incarnation != from {
 		kind = task.EventAdopted
 	}
-	o.apply(now, t, task.Event{Kind: kind, Attempt: tr.Attempt, Incarnation: from})
+	o.apply(t, task.Event{Kind: kind, Attempt: tr.Attempt, Incarnation: from})
 	t.seenBy = from
 	t.proveStop = false
 	t.resume = tr.Phase == PhaseSuspended
 	if t.evicting {
-		o.checkpointSeen(now, t, tr)
+		o.checkpointSeen(t, tr)
 	}
 	o.activate(t)
 }
 
 // checkpointSeen continues an eviction when its checkpoint is written, and
 // gives it up when that failed.
-func (o *Owner) checkpointSeen(now time.Duration, t *taskState, tr TaskReport) {
+func (o *Owner) checkpointSeen(t *taskState, tr TaskReport) {
 	switch {
 	case t.checkpointed:
 	case tr.Checkpoint == o.checkpointName(t):
 		t.checkpointed = true
 		o.urgent = true // other work waits for the stop that follows the commit
-		o.apply(now, t, task.Event{Kind: task.EventCheckpointed, Attempt: tr.Attempt, Checkpoint: tr.Checkpoint})
+		o.apply(t, task.Event{Kind: task.EventCheckpointed, Attempt: tr.Attempt, Checkpoint: tr.Checkpoint})
 	case tr.CheckpointFailed:
 		o.keep(t)
 	}
 }
 
 // ended applies the report of a present attempt that is over.
-func (o *Owner) ended(now time.Duration, t *taskState, tr TaskReport) {
+func (o *Owner) ended(t *taskState, tr TaskReport) {
 	switch tr.Phase {
 	case PhaseDone:
-		o.apply(now, t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
+		o.apply(t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
 	case PhaseFailed:
-		o.apply(now, t, task.Event{
+		o.apply(t, task.Event{
 			Kind: task.EventFailed, Attempt: tr.Attempt, Checkpoint: t.latest,
 			Blameless: tr.Blameless, Reason: tr.Error,
 		})
 	default:
-		o.stopped(now, t, tr.Checkpoint)
+		o.stopped(t, tr.Checkpoint)
 	}
 }
 
 // endedEarlier applies the report of the last attempt of a task that has no
 // live one. A completion still counts; a stop is known and may be forgotten
 // once the table has it.
-func (o *Owner) endedEarlier(now time.Duration, v *vmState, from types.Incarnation, t *taskState, tr TaskReport) {
+func (o *Owner) endedEarlier(v *vmState, from types.Incarnation, t *taskState, tr TaskReport) {
 	if tr.Phase == PhaseDone {
-		o.apply(now, t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
+		o.apply(t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
 	}
 	if tr.Phase.over() {
 		if t.row == t.committed {
@@ -138,7 +138,7 @@
 
 // notPresent handles an attempt that is not the present one of a known task
 // on this VM: an earlier one, or one of a finished job.
-func (o *Owner) notPresent(_ time.Duration, v *vmState, from types.Incarnation, t *taskState, tr TaskReport) {
+func (o *Owner) notPresent(v *vmState, from types.Incarnation, t *taskState, tr TaskReport) {
 	if t != nil && tr.Attempt > t.row.Attempt {
 		o.violated(&guard.Violation{
 			Rule: guard.SecondAttempt, Object: string(tr.Task),
@@ -174,13 +174,13 @@
 // does not list. For an attempt given to an earlier incarnation that is proof
 // that it does not run, because commands to that incarnation are refused. For
 // one of the same incarnation it is not: a start may be on its way.
-func (o *Owner) missing(now time.Duration, v *vmState, from types.Incarnation, listed map[types.TaskID]bool) {
+func (o *Owner) missing(v *vmState, from types.Incarnation, listed map[types.TaskID]bool) {
 	for _, t := range snapshot(v.tasks) {
 		if listed[t.row.Task] {
 			continue
 		}
 		if t.row.Incarnation != from {
-			o.stopped(now, t, "")
+			o.stopped(t, "")
 			continue
 		}
 		if t.seenBy == from {
@@ -191,11 +191,11 @@
 }
 
 // stopped applies the proof that the present attempt does not run any more.
-func (o *Owner) stopped(now time.Duration, t *taskState, checkpoint string) {
+func (o *Owner) stopped(t *taskState, checkpoint string) {
 	if checkpoint == "" {
 		checkpoint = t.latest
 	}
-	o.apply(now, t, task.Event{Kind: task.EventStopped, Attempt: t.row.Attempt, Checkpoint: checkpoint})
+	o.apply(t, task.Event{Kind: task.EventStopped, Attempt: t.row.Attempt, Checkpoint: checkpoint})
 }
 
 // checkpointName returns the object that the present eviction writes. Each
--- a/internal/core/shard/sim_test.go
+++ b/internal/core/shard/sim_test.go
@@ -110,8 +110,8 @@
 	cfg.FenceRevision = s.put(lease.FenceKey(testShard), []byte(fmt.Sprint(epoch))).Revision
 	o := NewOwner(cfg, membership.DefaultConfig(), firstFit{}, now)
 	o.SetLease(now + time.Hour)
-	o.SetVMs(now, vms)
-	o.Recover(now, s.scan(task.JobPrefix(testShard)), s.scan(task.Prefix(testShard)))
+	o.SetVMs(vms)
+	o.Recover(s.scan(task.JobPrefix(testShard)), s.scan(task.Prefix(testShard)))
 	return o
 }
 
@@ -145,7 +145,7 @@
 }
 
 func (w *simWorker) ids() []types.TaskID {
-	var ids []types.TaskID
+	ids := make([]types.TaskID, 0, len(w.tasks))
 	for id := range w.tasks {
 		ids = append(ids, id)
 	}
@@ -233,7 +233,7 @@
 }
 
 func vmsOf(n int, cores int64) []types.VM {
-	var vms []types.VM
+	vms := make([]types.VM, 0, n)
 	for i := range n {
 		id := types.VMID(fmt.Sprintf("vm%02d", i))
 		vms = append(vms, types.VM{ID: id, Shard: testShard, Capacity: types.Resources{MilliCPU: cores * 1000}})
@@ -255,7 +255,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.owner.Submit(s.now, s.table.put(task.JobKey(testShard, job.ID), b))
+	s.owner.Submit(s.table.put(task.JobKey(testShard, job.ID), b))
 }
 
 // run advances by d in steps of 100 ms.
