--- /dev/null
+++ b/internal/confsync/table.go
@@ -0,0 +1,184 @@
+package confsync
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+)
+
+// HeadKey is the key of the row that names the accepted configuration.
+const HeadKey = "config/head"
+
+// PartKey returns the key of the row that holds a part's content.
+func PartKey(name string) string { return "config/part/" + name }
+
+// DecodeHead reads the value of the head row.
+func DecodeHead(value []byte) (config.Head, error) {
+	var h config.Head
+	if err := json.Unmarshal(value, &h); err != nil {
+		return config.Head{}, fmt.Errorf("configuration head is malformed: %w", err)
+	}
+	return h, nil
+}
+
+// Load reads the accepted configuration from the table and puts it into effect
+// if it is newer than the held one.
+func (s *Syncer) Load(ctx context.Context, table platform.Table) error {
+	sent := s.now()
+	rows, err := table.Get(ctx, HeadKey)
+	if err != nil {
+		return err
+	}
+	s.TableReached(sent)
+	if rows[0].Revision == 0 {
+		return nil
+	}
+	head, err := DecodeHead(rows[0].Value)
+	if err != nil {
+		return err
+	}
+	if head.Version > s.Version() {
+		if err := s.loadParts(ctx, table, head); err != nil {
+			return err
+		}
+	}
+	s.Confirm(sent, head.Version)
+	return nil
+}
+
+// loadParts reads the parts that changed since the held version. Parts that a
+// later change has replaced meanwhile have another hash and are rejected; the
+// next load reads the later head.
+func (s *Syncer) loadParts(ctx context.Context, table platform.Table, head config.Head) error {
+	d := config.Delta{From: s.Version(), Head: head}
+	var keys []string
+	var refs []config.Ref
+	for _, ref := range head.Parts {
+		if ref.Version > d.From {
+			keys = append(keys, PartKey(ref.Name))
+			refs = append(refs, ref)
+		}
+	}
+	rows, err := table.Get(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	for i, row := range rows {
+		d.Parts = append(d.Parts, config.Part{Ref: refs[i], Body: row.Value})
+	}
+	return s.Apply(d)
+}
+
+// Accept commits a configuration that was edited from the version base by
+// compare-and-set. The loser of a race gets an error of kind conflict, and an
+// error of kind uncertain means that the change may have been accepted.
+func Accept(ctx context.Context, table platform.Table, base types.Version, next *config.Config) error {
+	rows, err := table.Get(ctx, HeadKey)
+	if err != nil {
+		return unavailable(err)
+	}
+	present, err := presentVersion(rows[0])
+	if err != nil {
+		return err
+	}
+	if present != base {
+		return conflict(base, present)
+	}
+	txn, err := acceptTxn(rows[0].Revision, base, next)
+	if err != nil {
+		return err
+	}
+	result, err := table.Commit(ctx, txn)
+	if err != nil {
+		return confirmAccepted(ctx, table, next, err)
+	}
+	if !result.Committed {
+		present, err := presentVersion(result.Rows[0])
+		if err != nil {
+			return err
+		}
+		return conflict(base, present)
+	}
+	return nil
+}
+
+func presentVersion(r platform.Row) (types.Version, error) {
+	if r.Revision == 0 {
+		return 0, nil
+	}
+	head, err := DecodeHead(r.Value)
+	return head.Version, err
+}
+
+func acceptTxn(revision uint64, base types.Version, next *config.Config) (platform.Txn, error) {
+	head, err := json.Marshal(next.Head())
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: HeadKey, Revision: revision}},
+		Writes:     []platform.Write{{Key: HeadKey, Value: head}},
+		Reads:      []string{HeadKey},
+	}
+	for _, p := range next.Since(base).Parts {
+		txn.Writes = append(txn.Writes, platform.Write{Key: PartKey(p.Name), Value: p.Body})
+	}
+	return txn, nil
+}
+
+// confirmAccepted reads back whether an uncertain commit took effect.
+func confirmAccepted(ctx context.Context, table platform.Table, next *config.Config, cause error) error {
+	rows, err := table.Get(ctx, HeadKey)
+	if err != nil {
+		return uncertain(cause)
+	}
+	if rows[0].Revision == 0 {
+		return uncertain(cause)
+	}
+	head, err := DecodeHead(rows[0].Value)
+	if err != nil {
+		return err
+	}
+	if head.Version < next.Version() {
+		// The commit may still arrive; the compare-and-set keeps it harmless
+		// only once the operator has applied again.
+		return uncertain(cause)
+	}
+	if head.Version == next.Version() && !sameRefs(head, next.Head()) {
+		return conflict(next.Version()-1, head.Version)
+	}
+	return nil
+}
+
+func sameRefs(a, b config.Head) bool {
+	if len(a.Parts) != len(b.Parts) {
+		return false
+	}
+	for i := range a.Parts {
+		if a.Parts[i] != b.Parts[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func unavailable(cause error) error {
+	return apperr.Wrap(cause, apperr.KindUnavailable, "configuration", "the table does not answer, so nothing can be accepted",
+		"apply again when the table answers; the present configuration stays in effect")
+}
+
+func uncertain(cause error) error {
+	return apperr.Wrap(cause, apperr.KindUncertain, "configuration", "the answer of the table was lost; the change may have been accepted",
+		"read the accepted version with `boragecrank config`, then apply again if it has not changed")
+}
+
+func conflict(base, present types.Version) error {
+	return apperr.New(apperr.KindConflict, "configuration",
+		fmt.Sprintf("it was edited from version %d, but version %d has been accepted since", base, present),
+		"read the accepted configuration with `boragecrank diff`, merge the edits, and apply again")
+}
--- a/internal/core/admission/upstreams.go
+++ b/internal/core/admission/upstreams.go
@@ -156,3 +156,12 @@
 	}
 	return found
 }
+
+// Announced returns the announcement of an upstream that takes requests.
+func (r *Requests) Announced(id UpstreamID) (Announcement, bool) {
+	u, ok := r.upstreams[id]
+	if !ok || u.gone {
+		return Announcement{}, false
+	}
+	return u.Announcement, true
+}
--- a/internal/core/lease/row.go
+++ b/internal/core/lease/row.go
@@ -43,6 +43,8 @@
 	Epoch       types.Epoch       `json:"epoch"`
 	// Renewal counts the renewals within the epoch.
 	Renewal uint64 `json:"renewal"`
+	// Address is where the owner serves calls and datagrams.
+	Address string `json:"address,omitempty"`
 }
 
 // Key returns the key of a shard's lease row.
--- /dev/null
+++ b/internal/core/membership/content_test.go
@@ -0,0 +1,36 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Guards against a digest hash that no longer matches its entries after a
+// restart, which would make every entry fetch the view for ever.
+func TestHashMatchesEntriesAfterRestartAndContentChange(t *testing.T) {
+	d := NewDetector(DefaultConfig(), 7)
+	beat := func(at time.Duration, inc types.Incarnation, seq, content uint64, echo time.Duration) Ack {
+		ack, _, _ := d.Heartbeat(at, Heartbeat{
+			VM: "gent-01", Incarnation: inc, Seq: seq, Content: content, Echo: Echo{Listener: 7, ReadAt: echo},
+		})
+		return ack
+	}
+	first := beat(1*time.Second, 1, 1, 10, 0)
+	beat(2*time.Second, 1, 2, 11, first.Echo.ReadAt)
+	challenge := beat(3*time.Second, 2, 1, 12, 0)
+	beat(4*time.Second, 2, 2, 12, challenge.Echo.ReadAt)
+	source := Source{Shard: "gent-0", Epoch: 1}
+	var sum uint64
+	for _, e := range d.Delta(source, 0).Entries {
+		sum += e.hash()
+	}
+	if got := d.Digest(source).Hash; got != sum {
+		t.Fatalf("digest hash %x, sum of entries %x", got, sum)
+	}
+	entry, _ := d.Lookup("gent-01")
+	if entry.Incarnation != 2 || entry.Content != 12 {
+		t.Fatalf("got incarnation %d with content %d", entry.Incarnation, entry.Content)
+	}
+}
--- a/internal/core/membership/detector.go
+++ b/internal/core/membership/detector.go
@@ -49,6 +49,9 @@
 	Leaving  bool
 	// Echo is from the last acknowledgement of this listener; zero if none.
 	Echo Echo
+	// Content is a hash of what the worker serves. A change of it is spread
+	// like a change of status.
+	Content uint64
 }
 
 // Ack answers a heartbeat. It is addressed to one incarnation.
@@ -100,7 +103,9 @@
 
 // member is the state of one VM.
 type member struct {
-	entry     Entry
+	entry Entry
+	// sum is the entry's hash as it is contained in the detector's.
+	sum       uint64
 	seq       uint64
 	heardAt   time.Duration
 	firstSeen time.Duration
@@ -149,7 +154,7 @@
 			ack.Challenge = true
 			return ack, Change{}, Challenged
 		}
-		return ack, d.set(m, statusOf(hb)), Changed
+		return ack, d.set(m, statusOf(hb), hb.Content), Changed
 	}
 	if hb.Seq <= m.seq {
 		return ack, Change{}, Outdated
@@ -163,10 +168,10 @@
 	if m.entry.Status == Leaving {
 		status = Leaving
 	}
-	if status == m.entry.Status && !confirmedNow {
+	if status == m.entry.Status && hb.Content == m.entry.Content && !confirmedNow {
 		return ack, Change{}, Refreshed
 	}
-	return ack, d.set(m, status), Changed
+	return ack, d.set(m, status, hb.Content), Changed
 }
 
 // Tick declares dead the members that were silent for too long, and appends
@@ -183,7 +188,7 @@
 	d.lastTick = now
 	for _, m := range d.order {
 		if m.entry.Status.Running() && now-m.heardAt >= d.cfg.DeadAfter {
-			dst = append(dst, d.set(m, Dead))
+			dst = append(dst, d.set(m, Dead, m.entry.Content))
 		}
 	}
 	return dst
@@ -245,14 +250,16 @@
 }
 
 // set changes the status and gives the entry a new version.
-func (d *Detector) set(m *member, status Status) Change {
+func (d *Detector) set(m *member, status Status, content uint64) Change {
 	if m.entry.Version != 0 {
-		d.hash -= m.entry.hash()
+		d.hash -= m.sum
 	}
 	d.version++
 	m.entry.Status = status
+	m.entry.Content = content
 	m.entry.Version = d.version
-	d.hash += m.entry.hash()
+	m.sum = m.entry.hash()
+	d.hash += m.sum
 	return Change{VM: m.entry.VM, Incarnation: m.entry.Incarnation, Status: status, Previous: m.entry.Previous}
 }
 
--- a/internal/core/membership/directory.go
+++ b/internal/core/membership/directory.go
@@ -173,5 +173,5 @@
 }
 
 func sameMember(a, b Entry) bool {
-	return a.Incarnation == b.Incarnation && a.Status == b.Status
+	return a.Incarnation == b.Incarnation && a.Status == b.Status && a.Content == b.Content
 }
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -16,18 +16,21 @@
 	// Previous is the incarnation that this one replaced; zero if none.
 	Previous types.Incarnation
 	Status   Status
+	// Content is the hash of what the member serves, from its heartbeats.
+	Content uint64
 	// Version is the view's version at the entry's last change, from 1.
 	Version uint64
 }
 
 func (e Entry) hash() uint64 {
 	var d xxhash.Digest
-	var b [25]byte
+	var b [33]byte
 	d.Reset()
 	binary.LittleEndian.PutUint64(b[0:], uint64(e.Incarnation))
 	binary.LittleEndian.PutUint64(b[8:], uint64(e.Previous))
 	binary.LittleEndian.PutUint64(b[16:], e.Version)
-	b[24] = byte(e.Status)
+	binary.LittleEndian.PutUint64(b[24:], e.Content)
+	b[32] = byte(e.Status)
 	_, _ = d.WriteString(string(e.VM))
 	_, _ = d.Write(b[:])
 	return d.Sum64()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,10 +13,12 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/membership"
 	"github.com/boragecrank/boragecrank/internal/core/routing"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/httpserve"
 	"github.com/boragecrank/boragecrank/internal/node"
+	"github.com/boragecrank/boragecrank/internal/platform"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 	"github.com/boragecrank/boragecrank/internal/wire/runcall"
 	"github.com/boragecrank/boragecrank/internal/wire/wirepb"
@@ -37,6 +39,9 @@
 	Callers   string
 	Operators string
 	Claims    Claims
+	Table     platform.Table
+	// Membership holds the times of failure detection.
+	Membership membership.Config
 	// Token authenticates operators.
 	Token []byte
 	// MaxBody bounds the body of a caller's request in bytes.
@@ -69,17 +74,20 @@
 
 // Entry is a running entry.
 type Entry struct {
-	opts    Options
-	node    *node.Node
-	tel     *telemetry.Telemetry
-	router  *router
-	active  *attemptSet
-	metrics metrics
+	opts      Options
+	node      *node.Node
+	tel       *telemetry.Telemetry
+	router    *router
+	directory *directory
+	active    *attemptSet
+	metrics   metrics
+	nextShard atomic.Uint64
 
 	callers   *httpserve.Server
 	operators *httpserve.Server
 	stopping  atomic.Bool
 	running   sync.WaitGroup
+	ctx       context.Context
 	stop      context.CancelFunc
 }
 
@@ -97,15 +105,20 @@
 		active:  newAttemptSet(),
 		metrics: newMetrics(n.Telemetry.Metrics),
 	}
+	e.directory, err = newDirectory(e, o.Membership)
+	if err != nil {
+		return nil, err
+	}
+	n.Config.Watch(e.directory.configure)
 	n.SetState(func() *wirepb.StateResponse {
 		return &wirepb.StateResponse{Draining: e.stopping.Load()}
 	})
+	e.ctx, e.stop = context.WithCancel(context.Background())
 	return e, nil
 }
 
 // Start opens the APIs.
-func (e *Entry) Start(ctx context.Context) error {
-	ctx, e.stop = context.WithCancel(context.WithoutCancel(ctx))
+func (e *Entry) Start() error {
 	var err error
 	e.callers, err = httpserve.Listen(e.opts.Callers, e.callersHandler(), e.opts.Limits)
 	if err != nil {
@@ -115,7 +128,9 @@
 	if err != nil {
 		return err
 	}
-	e.background(func() { e.probeEjected(ctx) })
+	e.background(func() { e.probeEjected(e.ctx) })
+	e.background(func() { e.presence(e.ctx) })
+	e.background(func() { e.directory.run(e.ctx) })
 	e.tel.Log.Log(eventReady, nil, telemetry.Fields{"callers": e.callers.Addr().String()})
 	return nil
 }
@@ -133,7 +148,18 @@
 	mux.HandleFunc("/v1/services/{service}/{path...}", e.serveCall)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.serveReady)
-	return mux
+	return e.closeWhenStopping(mux)
+}
+
+// closeWhenStopping asks callers of a stopping entry to connect again, which
+// takes them to another one. Their connections are not cut.
+func (e *Entry) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // serveReady fails while the entry takes no new work, so that the balancer
@@ -189,7 +215,7 @@
 	if err := sleep(ctx, e.opts.BalancerDelay); err != nil {
 		return err
 	}
-	e.callers.CloseIdle()
+	e.removeRow(ctx)
 	if err := e.callers.Shutdown(ctx); err != nil {
 		return apperr.Wrap(err, apperr.KindTimeout, "entry "+e.node.Name, "requests in progress did not end in time",
 			"allow more time to stop")
@@ -197,6 +223,7 @@
 	err := e.operators.Shutdown(ctx)
 	e.stop()
 	e.running.Wait()
+	e.directory.state.Stop()
 	e.router.owner.Stop()
 	e.tel.Log.Log(eventStopped, nil, nil)
 	return err
--- /dev/null
+++ b/internal/entry/jobs.go
@@ -0,0 +1,321 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/wire/wirepb"
+)
+
+const (
+	// notifyTimeout bounds one notification of an owner.
+	notifyTimeout = time.Second
+	// notifyTries bounds the repeats of a notification; an owner that missed
+	// all reads the row when it recovers or scans.
+	notifyTries = 20
+	notifyPause = 500 * time.Millisecond
+	// scanPage is the number of rows read at once.
+	scanPage = 500
+)
+
+// Submission asks for one run of a job declared in the inventory.
+type Submission struct {
+	// ID names the job; a repeat with the same ID has no effect.
+	ID   types.JobID `json:"id"`
+	Kind string      `json:"kind"`
+}
+
+// JobStatus is the state of a submitted job.
+type JobStatus struct {
+	ID       types.JobID   `json:"id"`
+	Kind     string        `json:"kind"`
+	Shard    types.ShardID `json:"shard"`
+	Tasks    int           `json:"tasks"`
+	Finished bool          `json:"finished"`
+	Cancel   bool          `json:"cancel"`
+	// Done, Failed and Cancelled are final counts of a finished job.
+	Done      int             `json:"done"`
+	Failed    int             `json:"failed"`
+	Cancelled int             `json:"cancelled"`
+	States    []TaskCondition `json:"states,omitempty"`
+}
+
+// TaskCondition is the state of one task.
+type TaskCondition struct {
+	Task    types.TaskID  `json:"task"`
+	State   task.State    `json:"state"`
+	Attempt types.Attempt `json:"attempt"`
+	VM      types.VMID    `json:"vm,omitempty"`
+	Reason  string        `json:"reason,omitempty"`
+}
+
+// postJob commits a job's row, then tells the owner of its shard.
+func (e *Entry) postJob(r *http.Request) (int, any, error) {
+	var sub Submission
+	if err := readJSON(r, &sub); err != nil {
+		return 0, nil, err
+	}
+	cfg := e.node.Config.Current()
+	if cfg == nil || !e.node.Config.MayTakeNew() {
+		return 0, nil, notRun(apperr.KindUnavailable, "entry "+e.node.Name, "takes no new work now", "submit again later")
+	}
+	if sub.ID == "" || strings.ContainsAny(string(sub.ID), "/ \t\n") || len(sub.ID) > 128 {
+		return 0, nil, notRun(apperr.KindInvalid, "job ID", "must have 1 to 128 characters without slash or space", "choose another ID")
+	}
+	kind, ok := cfg.JobKind(sub.Kind)
+	if !ok {
+		return 0, nil, notRun(apperr.KindNotFound, "job kind "+sub.Kind, "is not in the inventory", "add the job to the inventory and apply it")
+	}
+	job := kind.Job(sub.ID, deadlineOf(cfg, &kind, time.Now()))
+	status, err := e.submit(r.Context(), cfg, job)
+	if err != nil {
+		return 0, nil, err
+	}
+	return http.StatusAccepted, status, nil
+}
+
+// deadlineOf returns the end of the present or next overnight window for
+// nightly jobs, as time since 1970.
+func deadlineOf(cfg *config.Config, k *config.JobKind, now time.Time) time.Duration {
+	if !k.Nightly {
+		return 0
+	}
+	midnight := time.Date(now.Year(), now.Month(), now.Day(), 0, 0, 0, 0, now.Location())
+	end := midnight.Add(cfg.Rules().Overnight.End)
+	if !end.After(now) {
+		end = end.Add(24 * time.Hour)
+	}
+	return time.Duration(end.UnixNano())
+}
+
+func (e *Entry) submit(ctx context.Context, cfg *config.Config, job types.Job) (*JobStatus, error) {
+	index := jobIndexKey(job.ID)
+	rows, err := e.opts.Table.Get(ctx, index)
+	if err != nil {
+		return nil, tableDown(job.ID, err)
+	}
+	if rows[0].Revision != 0 {
+		return e.jobStatus(ctx, job.ID)
+	}
+	shard, ok := e.chooseShard(cfg, &job)
+	if !ok {
+		return nil, notRun(apperr.KindUnavailable, "job "+string(job.ID), "no shard that may run it has an owner now", "submit it again with the same ID")
+	}
+	value, err := task.JobRow{Job: job, SubmittedUnix: time.Now().Unix()}.Encode()
+	if err != nil {
+		return nil, err
+	}
+	key := task.JobKey(shard, job.ID)
+	_, err = e.opts.Table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: index}, {Key: key}},
+		Writes:     []platform.Write{{Key: index, Value: []byte(shard)}, {Key: key, Value: value}},
+	})
+	switch {
+	case errors.Is(err, platform.ErrUncertain):
+		// The index row tells whether it was committed, by this call or another.
+		if status, readErr := e.jobStatus(ctx, job.ID); readErr == nil {
+			e.notifyOwner(shard, key)
+			return status, nil
+		}
+		return nil, &apperr.Error{Kind: apperr.KindUncertain, Object: "job " + string(job.ID), Problem: "the answer of the table was lost",
+			Remedy: "submit it again with the same ID; it runs once", Outcome: apperr.OutcomeUnknown, Cause: err}
+	case err != nil:
+		return nil, tableDown(job.ID, err)
+	}
+	e.notifyOwner(shard, key)
+	return e.jobStatus(ctx, job.ID)
+}
+
+// jobIndexKey is the key of the row that names the shard of a job. It makes
+// job IDs unique over all shards.
+func jobIndexKey(id types.JobID) string { return "jobindex/" + string(id) }
+
+func tableDown(id types.JobID, cause error) error {
+	return &apperr.Error{Kind: apperr.KindUnavailable, Object: "job " + string(id), Problem: "the table does not answer",
+		Remedy: "try again when it answers", Outcome: apperr.OutcomeNotRun, RetryAfter: retryAfter, Cause: cause}
+}
+
+// chooseShard picks a shard with an owner whose VMs may run the job, by
+// rotation: shards of one size then get equal shares of jobs.
+func (e *Entry) chooseShard(cfg *config.Config, job *types.Job) (types.ShardID, bool) {
+	owners := e.directory.owners()
+	var allowed []types.ShardID
+	for id := range owners {
+		if shardAllows(cfg, id, job) {
+			allowed = append(allowed, id)
+		}
+	}
+	if len(allowed) == 0 {
+		return "", false
+	}
+	sort.Slice(allowed, func(i, j int) bool { return allowed[i] < allowed[j] })
+	return allowed[int(e.nextShard.Add(1))%len(allowed)], true
+}
+
+func shardAllows(cfg *config.Config, id types.ShardID, job *types.Job) bool {
+	for _, name := range cfg.ShardVMs(id) {
+		vm, ok := cfg.VM(name)
+		if !ok || !job.Demand.Fits(vm.Capacity) {
+			continue
+		}
+		if len(job.FailureDomains) == 0 {
+			return true
+		}
+		for _, d := range job.FailureDomains {
+			if d == vm.FailureDomain {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// notifyOwner tells the owner of a shard of a written row, until it has heard.
+func (e *Entry) notifyOwner(shard types.ShardID, key string) {
+	e.background(func() {
+		for range notifyTries {
+			if e.notifyOnce(shard, key) {
+				return
+			}
+			if sleep(e.ctx, notifyPause) != nil {
+				return
+			}
+		}
+	})
+}
+
+func (e *Entry) notifyOnce(shard types.ShardID, key string) bool {
+	address, ok := e.directory.ownerOf(shard)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, notifyTimeout)
+	defer cancel()
+	_, err := e.node.OwnerPeer(address.String()).Notify(ctx, &wirepb.NotifyRequest{Shard: string(shard), Keys: []string{key}})
+	return err == nil
+}
+
+// getJobs lists all jobs of which there are rows.
+func (e *Entry) getJobs(r *http.Request) (int, any, error) {
+	list := []JobStatus{}
+	after := ""
+	for {
+		rows, err := e.opts.Table.Scan(r.Context(), "jobs/", after, scanPage)
+		if err != nil {
+			return 0, nil, tableDown("list", err)
+		}
+		for _, row := range rows {
+			if status, ok := decodeStatus(row); ok {
+				list = append(list, status)
+			}
+		}
+		if len(rows) < scanPage {
+			return http.StatusOK, list, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// decodeStatus reads a job row; its key is jobs/SHARD/ID.
+func decodeStatus(row platform.Row) (JobStatus, bool) {
+	j, err := task.DecodeJob(row.Value)
+	if err != nil {
+		return JobStatus{}, false
+	}
+	shard := strings.TrimSuffix(strings.TrimPrefix(row.Key, "jobs/"), "/"+string(j.Job.ID))
+	return JobStatus{
+		ID: j.Job.ID, Kind: j.Job.Kind, Shard: types.ShardID(shard), Tasks: j.Job.Tasks,
+		Finished: j.Finished, Cancel: j.Cancel, Done: j.Done, Failed: j.Failed, Cancelled: j.Cancelled,
+	}, true
+}
+
+func (e *Entry) getJob(r *http.Request) (int, any, error) {
+	status, err := e.jobStatus(r.Context(), types.JobID(r.PathValue("id")))
+	return http.StatusOK, status, err
+}
+
+func (e *Entry) jobStatus(ctx context.Context, id types.JobID) (*JobStatus, error) {
+	row, _, err := e.jobRow(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	status, ok := decodeStatus(row)
+	if !ok {
+		return nil, apperr.New(apperr.KindInternal, "job "+string(id), "its row cannot be read", "repair or delete the row "+row.Key)
+	}
+	rows, err := e.opts.Table.Scan(ctx, task.Prefix(status.Shard)+string(id)+"/", "", scanPage)
+	if err != nil {
+		return nil, tableDown(id, err)
+	}
+	for _, r := range rows {
+		if t, err := task.Decode(r.Value); err == nil {
+			status.States = append(status.States, TaskCondition{Task: t.Task, State: t.State, Attempt: t.Attempt, VM: t.VM, Reason: t.Reason})
+		}
+	}
+	return &status, nil
+}
+
+// jobRow reads a job's row through the index.
+func (e *Entry) jobRow(ctx context.Context, id types.JobID) (platform.Row, types.ShardID, error) {
+	rows, err := e.opts.Table.Get(ctx, jobIndexKey(id))
+	if err != nil {
+		return platform.Row{}, "", tableDown(id, err)
+	}
+	if rows[0].Revision == 0 {
+		return platform.Row{}, "", apperr.New(apperr.KindNotFound, "job "+string(id), "does not exist", "list jobs with `boragecrank jobs`")
+	}
+	shard := types.ShardID(rows[0].Value)
+	rows, err = e.opts.Table.Get(ctx, task.JobKey(shard, id))
+	if err != nil {
+		return platform.Row{}, "", tableDown(id, err)
+	}
+	if rows[0].Revision == 0 {
+		return platform.Row{}, "", apperr.New(apperr.KindNotFound, "job "+string(id), "has ended and its row was deleted", "list jobs with `boragecrank jobs`")
+	}
+	return rows[0], shard, nil
+}
+
+// deleteJob asks for the cancellation of a job by its row.
+func (e *Entry) deleteJob(r *http.Request) (int, any, error) {
+	id := types.JobID(r.PathValue("id"))
+	ctx := r.Context()
+	for ctx.Err() == nil {
+		row, shard, err := e.jobRow(ctx, id)
+		if err != nil {
+			return 0, nil, err
+		}
+		j, err := task.DecodeJob(row.Value)
+		if err != nil {
+			return 0, nil, err
+		}
+		if j.Finished || j.Cancel {
+			e.notifyOwner(shard, row.Key)
+			status, _ := decodeStatus(row)
+			return http.StatusOK, status, nil
+		}
+		j.Cancel = true
+		value, err := j.Encode()
+		if err != nil {
+			return 0, nil, err
+		}
+		_, err = e.opts.Table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
+			Writes:     []platform.Write{{Key: row.Key, Value: value}},
+		})
+		// Whether it committed, lost a race or has an unknown outcome, the row
+		// is read again and tells.
+		if err != nil && !errors.Is(err, platform.ErrUncertain) {
+			return 0, nil, tableDown(id, err)
+		}
+	}
+	return 0, nil, tableDown(id, ctx.Err())
+}
--- /dev/null
+++ b/internal/entry/presence.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/owner"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/wire/datagram"
+)
+
+const (
+	// headInterval is how often the accepted version is read.
+	headInterval = time.Second
+	// tableTimeout bounds one call to the table.
+	tableTimeout = 2 * time.Second
+)
+
+func (e *Entry) entryKey() string { return owner.EntryPrefix + e.node.Name }
+
+// presence writes this entry's row, so that shard owners send it digests, and
+// reads the accepted configuration.
+func (e *Entry) presence(ctx context.Context) {
+	var beat uint64
+	var renewAt time.Duration
+	for {
+		if e.node.Clock() >= renewAt {
+			beat++
+			if e.writeRow(ctx, beat) {
+				renewAt = e.node.Clock() + owner.EntryRenewal
+			}
+		}
+		e.loadConfig(ctx)
+		if sleep(ctx, headInterval) != nil {
+			return
+		}
+	}
+}
+
+func (e *Entry) writeRow(ctx context.Context, beat uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	value, err := json.Marshal(owner.EntryRow{
+		Name: e.node.Name, Region: e.node.Region, Address: e.node.Address().String(), Beat: beat,
+	})
+	if err != nil {
+		return false
+	}
+	// The row has one writer; a late copy of an earlier beat does no harm.
+	_, err = e.opts.Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: e.entryKey(), Value: value}}})
+	return err == nil
+}
+
+// removeRow tells shard owners that this entry has ended.
+func (e *Entry) removeRow(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	// If this fails, owners stop after the row has not changed for a while.
+	_, _ = e.opts.Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: e.entryKey(), Delete: true}}})
+}
+
+func (e *Entry) loadConfig(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	before := e.node.Config.Version()
+	if err := e.node.Config.Load(ctx, e.opts.Table); err != nil {
+		return
+	}
+	if e.node.Config.Version() > before {
+		e.announceVersion()
+	}
+}
+
+// entryRows reads the rows of all entries.
+func (e *Entry) entryRows(ctx context.Context) ([]owner.EntryRow, error) {
+	rows, err := e.opts.Table.Scan(ctx, owner.EntryPrefix, "", scanPage)
+	if err != nil {
+		return nil, err
+	}
+	var out []owner.EntryRow
+	for _, r := range rows {
+		var row owner.EntryRow
+		if json.Unmarshal(r.Value, &row) == nil {
+			out = append(out, row)
+		}
+	}
+	return out, nil
+}
+
+// Datagram takes a message from the socket.
+func (e *Entry) Datagram(m datagram.Message, from netip.AddrPort) {
+	e.node.Heard(m.Head(), from)
+	if d, ok := m.(*datagram.Digest); ok {
+		e.directory.digest(d, from)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,11 +10,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/actors"
 	"github.com/boragecrank/boragecrank/internal/clock"
 	"github.com/boragecrank/boragecrank/internal/confsync"
+	"github.com/boragecrank/boragecrank/internal/core/config"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/httpserve"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
@@ -30,6 +32,8 @@
 	MaxCallBody = 9 << 20
 	// callTimeout bounds calls that carry no request of a caller.
 	callTimeout = 3 * time.Second
+	// neverConfirmed is the age of a version that was never confirmed.
+	neverConfirmed = 1<<32 - 1
 )
 
 // Options describe a process.
@@ -62,6 +66,9 @@
 	Mux    *http.ServeMux
 	server *httpserve.Server
 	state  func() *wirepb.StateResponse
+	// names maps the hashes of VM names to failure domains.
+	names   atomic.Pointer[map[uint64]types.FailureDomain]
+	pulling atomic.Bool
 }
 
 // New binds the datagram socket and prepares the rest. Serve starts it.
@@ -80,6 +87,7 @@
 		Mux:         http.NewServeMux(),
 		Calls:       newCallClient(o.Key),
 	}
+	n.Config.Watch(n.learnNames)
 	service := wirepb.NewConfigServiceServer(configService{n})
 	n.Mux.Handle(service.PathPrefix(), service)
 	return n, nil
@@ -124,8 +132,8 @@
 
 // Header returns the header of an outgoing datagram.
 func (n *Node) Header() datagram.Header {
-	age := uint32(1<<32 - 1)
-	if ms := n.Config.AgeMS(); ms >= 0 && ms < 1<<32-1 {
+	age := uint32(neverConfirmed)
+	if ms := n.Config.AgeMS(); ms >= 0 && ms < neverConfirmed {
 		age = uint32(ms)
 	}
 	return datagram.Header{
@@ -158,6 +166,50 @@
 	return n.Config.Pull(ctx, n.ConfigPeer(address))
 }
 
+// Heard takes the header of a datagram: who lives, and which configuration is
+// in effect there. A newer one is fetched from the sender.
+func (n *Node) Heard(h *datagram.Header, from netip.AddrPort) {
+	age := time.Duration(h.ConfigAgeMS) * time.Millisecond
+	known := h.ConfigAgeMS != neverConfirmed
+	newer := n.Config.Heard(n.domainOf(h.Sender), types.Version(h.ConfigVersion), age, known)
+	if newer {
+		n.pullSoon(from.String())
+	}
+}
+
+// pullSoon fetches the configuration from a peer, one fetch at a time.
+func (n *Node) pullSoon(address string) {
+	if !n.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.pulling.Store(false)
+		// A failed fetch is repeated with the next message of a newer version.
+		_ = n.PullFrom(context.Background(), address)
+	}()
+}
+
+// domainOf returns the failure domain of a VM by the hash of its name, empty if
+// the VM is not in the inventory.
+func (n *Node) domainOf(hash uint64) types.FailureDomain {
+	names := n.names.Load()
+	if names == nil {
+		return ""
+	}
+	return (*names)[hash]
+}
+
+// learnNames indexes the VMs of the configuration by hash.
+func (n *Node) learnNames(c *config.Config) {
+	names := make(map[uint64]types.FailureDomain)
+	for _, d := range c.Content().Domains {
+		for _, vm := range d.VMs {
+			names[datagram.NameHash(string(vm.ID))] = vm.FailureDomain
+		}
+	}
+	n.names.Store(&names)
+}
+
 // Shutdown ends the call server gracefully, then everything else.
 func (n *Node) Shutdown(ctx context.Context) error {
 	var err error
--- /dev/null
+++ b/internal/owner/exchange.go
@@ -0,0 +1,127 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/shard"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/wire/convert"
+	"github.com/boragecrank/boragecrank/internal/wire/wirepb"
+)
+
+// exchange sends queued commands to a worker, or else fetches its report.
+func (s *hostState) exchange(vm types.VMID, l *link) {
+	c := s.contents[vm]
+	if l.busy || c == nil {
+		return
+	}
+	switch {
+	case len(l.queue) > 0:
+		commands := l.queue
+		l.queue = nil
+		l.busy = true
+		s.sendCommands(l, c.address.String(), commands)
+	case l.wantReport:
+		l.wantReport = false
+		l.busy = true
+		s.fetchReport(vm, l, c.address.String())
+	}
+}
+
+// sendCommands sends commands in one call. Lost ones are repeated by the state
+// machine until a report shows their effect.
+func (s *hostState) sendCommands(l *link, address string, commands []shard.Command) {
+	h, t := s.h, s.term
+	first := commands[0]
+	req := &wirepb.CommandRequest{
+		Shard:         string(h.opts.Shard),
+		Epoch:         uint64(first.Epoch),
+		Incarnation:   uint64(first.Incarnation),
+		ConfigVersion: uint64(h.node.Config.Version()),
+	}
+	for _, c := range commands {
+		if c.Incarnation == first.Incarnation {
+			req.Commands = append(req.Commands, toWire(c))
+		}
+	}
+	h.async(commandTimeout, func(ctx context.Context) func(*hostState) {
+		_, err := h.node.WorkerPeer(address).Command(ctx, req)
+		return func(s *hostState) {
+			l.busy = false
+			if s.term == t && err == nil {
+				// The report shows what became of the commands.
+				l.wantReport = true
+			}
+		}
+	})
+}
+
+var commandKinds = map[shard.CommandKind]wirepb.CommandKind{
+	shard.CommandStart:      wirepb.CommandKind_COMMAND_KIND_START,
+	shard.CommandResume:     wirepb.CommandKind_COMMAND_KIND_RESUME,
+	shard.CommandCheckpoint: wirepb.CommandKind_COMMAND_KIND_CHECKPOINT,
+	shard.CommandStop:       wirepb.CommandKind_COMMAND_KIND_STOP,
+	shard.CommandForget:     wirepb.CommandKind_COMMAND_KIND_FORGET,
+}
+
+func toWire(c shard.Command) *wirepb.TaskCommand {
+	return &wirepb.TaskCommand{
+		Kind:         commandKinds[c.Kind],
+		Task:         string(c.Task),
+		Attempt:      uint32(c.Attempt),
+		Class:        uint32(c.Class),
+		Reserved:     convert.ToWire(c.Reserved),
+		JobKind:      c.WorkKind,
+		RunTimeMs:    c.RunTime.Milliseconds(),
+		Checkpoint:   c.Checkpoint,
+		ValidUntilNs: int64(c.ValidUntil),
+	}
+}
+
+// fetchReport reads a worker's complete list of attempts.
+func (s *hostState) fetchReport(vm types.VMID, l *link, address string) {
+	h, t := s.h, s.term
+	h.async(commandTimeout, func(ctx context.Context) func(*hostState) {
+		resp, err := h.node.WorkerPeer(address).Tasks(ctx, &wirepb.TasksRequest{})
+		return func(s *hostState) {
+			l.busy = false
+			if s.term != t || err != nil {
+				return
+			}
+			if t.machine.Report(h.node.Clock(), fromReport(vm, resp)) {
+				l.reported = resp.GetHash()
+				l.reportedBy = types.Incarnation(resp.GetIncarnation())
+			}
+		}
+	})
+}
+
+func fromReport(vm types.VMID, resp *wirepb.TasksResponse) shard.Report {
+	r := shard.Report{
+		VM:          vm,
+		Incarnation: types.Incarnation(resp.GetIncarnation()),
+		Seq:         resp.GetSeq(),
+		Complete:    true,
+	}
+	for _, t := range resp.GetTasks() {
+		r.Tasks = append(r.Tasks, shard.TaskReport{
+			Task:             types.TaskID(t.GetTask()),
+			Attempt:          types.Attempt(t.GetAttempt()),
+			Class:            types.Class(t.GetClass()),
+			Phase:            shard.Phase(t.GetPhase()),
+			Reserved:         convert.FromWire(t.GetReserved()),
+			Checkpoint:       t.GetCheckpoint(),
+			CheckpointFailed: t.GetCheckpointFailed(),
+			Blameless:        t.GetBlameless(),
+			Error:            t.GetError(),
+		})
+	}
+	return r
+}
+
+// extrapolated returns the worker's clock as it must have reached by now. The
+// true reading is later by the time that the heartbeat took to arrive.
+func (c *content) extrapolated(now time.Duration) time.Duration {
+	return c.clock + now - c.at
+}
--- /dev/null
+++ b/internal/owner/heartbeat.go
@@ -0,0 +1,192 @@
+package owner
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragecrank/boragecrank/internal/core/membership"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/wire/datagram"
+)
+
+// relay is the state of a worker that listens beside the owner.
+type relay struct {
+	epoch       types.Epoch
+	appointment uint64
+	detector    *membership.Detector
+}
+
+// tick declares silent members dead and tells the entries.
+func (r *relay) tick(s *hostState, now time.Duration) {
+	if changes := r.detector.Tick(now, nil); len(changes) > 0 {
+		s.sendDigests(now)
+	}
+}
+
+// Heartbeat takes a heartbeat from the socket. The message is copied.
+func (h *Host) Heartbeat(m *datagram.Heartbeat, from netip.AddrPort) {
+	copied := *m
+	copied.Upstreams = slices.Clone(m.Upstreams)
+	h.state.Tell(func(s *hostState) { s.heartbeat(&copied, from) })
+}
+
+func (s *hostState) heartbeat(m *datagram.Heartbeat, from netip.AddrPort) {
+	vm, known := s.byHash[m.Sender]
+	if !known || m.Shard != datagram.NameHash(string(s.h.opts.Shard)) {
+		return
+	}
+	now := s.h.node.Clock()
+	hb := membership.Heartbeat{
+		VM:          vm,
+		Incarnation: types.Incarnation(m.Incarnation),
+		Seq:         m.Seq,
+		SentAt:      time.Duration(m.Clock),
+		Draining:    m.Draining,
+		Leaving:     m.Leaving,
+		Echo: membership.Echo{
+			Listener: types.Incarnation(m.EchoListener),
+			ReadAt:   time.Duration(m.EchoReadAt),
+		},
+		Content: contentHash(m.Upstreams, from),
+	}
+	switch {
+	case s.term != nil:
+		s.ownerBeat(now, hb, m, from)
+	case s.relay != nil:
+		ack, _, verdict := s.relay.detector.Heartbeat(now, hb)
+		s.learn(now, hb, m, from, verdict)
+		s.acknowledge(ack, from, func(a *datagram.HeartbeatAck) { a.Epoch = uint64(s.relay.epoch) })
+	}
+}
+
+func (s *hostState) ownerBeat(now time.Duration, hb membership.Heartbeat, m *datagram.Heartbeat, from netip.AddrPort) {
+	t := s.term
+	reply, ok := t.machine.Heartbeat(now, hb)
+	if !ok {
+		return
+	}
+	entry, confirmed := t.machine.Detector().Lookup(hb.VM)
+	if entry.Incarnation == hb.Incarnation {
+		s.contents[hb.VM] = newContent(now, hb, m, from)
+	}
+	l := t.link(hb.VM)
+	if confirmed && (reply.NeedReport || l.reportedBy != hb.Incarnation || l.reported != m.TasksHash) {
+		l.wantReport = true
+	}
+	s.acknowledge(reply.Ack, from, func(a *datagram.HeartbeatAck) {
+		a.Owner = true
+		a.Right = reply.Right
+		a.Epoch = uint64(reply.Epoch)
+		a.Appointment = t.appointment
+		if c := s.contents[t.relay]; c != nil {
+			a.Relay = datagram.NameHash(string(t.relay))
+			a.RelayAddress = c.address
+		}
+	})
+}
+
+// learn remembers what a member serves if its heartbeat was accepted.
+func (s *hostState) learn(now time.Duration, hb membership.Heartbeat, m *datagram.Heartbeat, from netip.AddrPort, v membership.Verdict) {
+	if v == membership.Refreshed || v == membership.Changed {
+		s.contents[hb.VM] = newContent(now, hb, m, from)
+	}
+	if v == membership.Changed {
+		s.sendDigests(now)
+	}
+}
+
+func newContent(now time.Duration, hb membership.Heartbeat, m *datagram.Heartbeat, from netip.AddrPort) *content {
+	return &content{
+		incarnation: hb.Incarnation,
+		address:     from,
+		clock:       hb.SentAt,
+		at:          now,
+		tasksHash:   m.TasksHash,
+		upstreams:   m.Upstreams,
+	}
+}
+
+// contentHash changes when an upstream comes, goes or changes its limits, but
+// not with the load, which entries learn from replies.
+func contentHash(ups []datagram.Upstream, from netip.AddrPort) uint64 {
+	h := xxhash.New()
+	var b [17]byte
+	for _, u := range ups {
+		binary.LittleEndian.PutUint64(b[0:], u.Service)
+		binary.LittleEndian.PutUint32(b[8:], u.Slots)
+		binary.LittleEndian.PutUint32(b[12:], u.Connections)
+		b[16] = 0
+		if u.Leaving {
+			b[16] = 1
+		}
+		// Writing to a hash never fails.
+		_, _ = h.Write(b[:])
+	}
+	_, _ = h.WriteString(from.String())
+	return h.Sum64()
+}
+
+func (s *hostState) acknowledge(a membership.Ack, to netip.AddrPort, fill func(*datagram.HeartbeatAck)) {
+	m := &datagram.HeartbeatAck{
+		Header:     s.h.node.Header(),
+		Shard:      datagram.NameHash(string(s.h.opts.Shard)),
+		To:         uint64(a.Incarnation),
+		Echo:       int64(a.SentAt),
+		ReadAt:     int64(a.Echo.ReadAt),
+		Challenge:  a.Challenge,
+		Superseded: a.Superseded,
+	}
+	fill(m)
+	s.h.node.Socket.Send(m, to)
+}
+
+// chooseRelay appoints another relay when the present one is gone.
+func (s *hostState) chooseRelay() {
+	t := s.term
+	self := types.VMID(s.h.node.Name)
+	live := t.machine.Detector().Live(nil)
+	chosen := membership.ChooseRelay(s.h.opts.Shard, t.epoch, self, t.relay, live)
+	if chosen == t.relay {
+		return
+	}
+	t.relay = chosen
+	t.appointment++
+}
+
+// Acked takes an owner's acknowledgement that this worker has received: it
+// tells whether this worker is the relay.
+func (h *Host) Acked(m *datagram.HeartbeatAck) {
+	if !m.Owner {
+		return
+	}
+	epoch, appointment := types.Epoch(m.Epoch), m.Appointment
+	appointed := m.Relay == h.node.Hash()
+	h.state.Tell(func(s *hostState) {
+		s.ownerHeard = h.node.Clock()
+		s.appoint(appointed, epoch, appointment)
+	})
+}
+
+func (s *hostState) appoint(appointed bool, epoch types.Epoch, appointment uint64) {
+	if s.term != nil {
+		return
+	}
+	if !appointed {
+		s.relay = nil
+		return
+	}
+	if s.relay != nil && s.relay.epoch == epoch && s.relay.appointment == appointment {
+		return
+	}
+	if s.relay == nil {
+		s.relay = &relay{detector: membership.NewDetector(MembershipConfig(), s.h.node.Incarnation)}
+		s.scanDue, s.nextObserve = 0, 0
+	}
+	s.relay.epoch, s.relay.appointment = epoch, appointment
+	s.h.tel.Log.Log(eventRelay, nil, telemetry.Fields{"epoch": uint64(epoch)})
+}
--- /dev/null
+++ b/internal/owner/lease.go
@@ -0,0 +1,268 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/confsync"
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// tickLease observes, takes over or renews the lease.
+func (s *hostState) tickLease(now time.Duration) {
+	if s.leaseBusy {
+		return
+	}
+	if s.term != nil {
+		s.renew(now)
+		return
+	}
+	if s.relay == nil && now-s.ownerHeard < ownerSilence {
+		return
+	}
+	if t, ok := s.observer.TryTakeover(now, s.live()); ok {
+		s.takeOver(t)
+		return
+	}
+	if now >= s.nextObserve {
+		// Jitter keeps candidates from reading in step after an owner's death.
+		s.nextObserve = now + observeInterval + time.Duration(s.rng.Int64N(int64(observeInterval)/3))
+		s.observe()
+	}
+}
+
+// observe reads the lease row.
+func (s *hostState) observe() {
+	h := s.h
+	s.leaseBusy = true
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		rows, err := h.opts.Table.Get(ctx, lease.Key(h.opts.Shard))
+		at := h.node.Clock()
+		return func(s *hostState) {
+			s.leaseBusy = false
+			if err != nil {
+				return
+			}
+			h.node.Config.TableReached(at)
+			row, exists := decodeLease(rows[0])
+			s.observer.Observe(row, rows[0].Revision, exists, at, s.rng)
+			s.ownerKnown(row)
+		}
+	})
+}
+
+func (s *hostState) ownerKnown(row lease.Row) {
+	if row.Owner == "" || row.Owner == types.VMID(s.h.node.Name) {
+		return
+	}
+	if address, err := netip.ParseAddrPort(row.Address); err == nil {
+		s.h.opts.OwnerKnown(address)
+	}
+}
+
+func decodeLease(r platform.Row) (lease.Row, bool) {
+	if r.Revision == 0 {
+		return lease.Row{}, false
+	}
+	row, err := lease.Decode(r.Value)
+	if err != nil {
+		// A row that cannot be read is waited out and replaced like a stale one.
+		return lease.Row{}, true
+	}
+	return row, true
+}
+
+// takeOver sends the compare-and-set that makes this worker the owner.
+func (s *hostState) takeOver(t lease.Takeover) {
+	h := s.h
+	s.leaseBusy = true
+	row := t.Row
+	row.Address = h.node.Address().String()
+	value, err := row.Encode()
+	if err != nil {
+		return
+	}
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: lease.Key(h.opts.Shard), Revision: t.Revision}},
+		Writes: []platform.Write{
+			{Key: lease.Key(h.opts.Shard), Value: value},
+			{Key: lease.FenceKey(h.opts.Shard), Value: value},
+		},
+	}
+	sentAt := h.node.Clock()
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		result, err := h.opts.Table.Commit(ctx, txn)
+		revision := result.Revision
+		committed := err == nil && result.Committed
+		if errors.Is(err, platform.ErrUncertain) {
+			committed, revision = h.tookOver(row)
+		}
+		return func(s *hostState) {
+			s.leaseBusy = false
+			s.nextObserve = 0
+			if committed {
+				s.begin(row, revision, sentAt)
+			}
+		}
+	})
+}
+
+// tookOver reads whether an uncertain takeover has committed. A takeover that
+// commits after this read is waited out by all candidates, this one included.
+func (h *Host) tookOver(want lease.Row) (bool, uint64) {
+	ctx, cancel := context.WithTimeout(h.ctx, tableTimeout)
+	defer cancel()
+	rows, err := h.opts.Table.Get(ctx, lease.Key(h.opts.Shard), lease.FenceKey(h.opts.Shard))
+	if err != nil {
+		return false, 0
+	}
+	row, exists := decodeLease(rows[0])
+	same := exists && row == want && rows[0].Revision == rows[1].Revision
+	return same, rows[1].Revision
+}
+
+// renew extends the lease and learns the accepted configuration's version.
+func (s *hostState) renew(now time.Duration) {
+	t := s.term
+	if t.holder.Lost() || t.machine.Lost() {
+		s.end()
+		return
+	}
+	if t.holder.NeedsRead() {
+		s.readLease()
+		return
+	}
+	r, due := t.holder.BeginRenewal(now)
+	if !due {
+		return
+	}
+	h := s.h
+	s.leaseBusy = true
+	value, err := r.Row.Encode()
+	if err != nil {
+		return
+	}
+	key := lease.Key(h.opts.Shard)
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Revision: r.Revision}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+		Reads:      []string{key, confsync.HeadKey},
+	}
+	sentAt := h.node.Clock()
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		result, err := h.opts.Table.Commit(ctx, txn)
+		return func(s *hostState) { s.renewed(t, result, err, sentAt) }
+	})
+}
+
+func (s *hostState) renewed(t *term, result platform.TxnResult, err error, sentAt time.Duration) {
+	s.leaseBusy = false
+	if s.term != t {
+		return
+	}
+	switch {
+	case errors.Is(err, platform.ErrUncertain):
+		t.holder.Uncertain()
+	case err != nil:
+		t.holder.Unavailable()
+	case result.Committed:
+		t.holder.Committed(result.Revision)
+	default:
+		row, exists := decodeLease(result.Rows[0])
+		t.holder.Observed(row, result.Rows[0].Revision, exists)
+	}
+	if err == nil {
+		s.h.node.Config.TableReached(sentAt)
+		s.confirmHead(result.Rows[1], sentAt)
+	}
+	s.leaseChanged(t)
+}
+
+// confirmHead compares the accepted version with the held one.
+func (s *hostState) confirmHead(r platform.Row, sentAt time.Duration) {
+	if r.Revision == 0 {
+		return
+	}
+	head, err := confsync.DecodeHead(r.Value)
+	if err != nil {
+		s.h.tel.Log.Log(eventRowProblem, err, telemetry.Fields{"key": confsync.HeadKey})
+		return
+	}
+	s.h.node.Config.Confirm(sentAt, head.Version)
+	if head.Version > s.h.node.Config.Version() {
+		s.h.running.Add(1)
+		go func() {
+			defer s.h.running.Done()
+			ctx, cancel := context.WithTimeout(s.h.ctx, tableTimeout)
+			defer cancel()
+			// A failed load is repeated with the next renewal.
+			_ = s.h.node.Config.Load(ctx, s.h.opts.Table)
+		}()
+	}
+}
+
+// readLease resolves an uncertain renewal.
+func (s *hostState) readLease() {
+	h, t := s.h, s.term
+	s.leaseBusy = true
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		rows, err := h.opts.Table.Get(ctx, lease.Key(h.opts.Shard))
+		return func(s *hostState) {
+			s.leaseBusy = false
+			if s.term != t || err != nil {
+				return
+			}
+			row, exists := decodeLease(rows[0])
+			t.holder.Observed(row, rows[0].Revision, exists)
+			s.leaseChanged(t)
+		}
+	})
+}
+
+// leaseChanged passes the validity on and logs when it has ended.
+func (s *hostState) leaseChanged(t *term) {
+	t.machine.SetLease(t.holder.Until())
+	if t.holder.Lost() {
+		s.end()
+		return
+	}
+	valid := t.holder.MayAct(s.h.node.Clock())
+	if !valid && t.valid {
+		s.h.tel.Log.Log(eventLeaseUnconfirmed, nil, nil)
+	}
+	t.valid = valid
+}
+
+// release gives the lease up for a planned stop.
+func (s *hostState) release(ctx context.Context, done chan struct{}) {
+	if s.term == nil {
+		close(done)
+		return
+	}
+	h := s.h
+	r, ok := s.term.holder.Release()
+	s.end()
+	if !ok {
+		close(done)
+		return
+	}
+	go func() {
+		defer close(done)
+		value, err := r.Row.Encode()
+		if err != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+		defer cancel()
+		// If this fails, the lease runs out instead.
+		_, _ = h.opts.Table.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: lease.Key(h.opts.Shard), Revision: r.Revision}},
+			Writes:     []platform.Write{{Key: lease.Key(h.opts.Shard), Value: value}},
+		})
+	}()
+}
--- /dev/null
+++ b/internal/owner/term.go
@@ -0,0 +1,243 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/membership"
+	"github.com/boragecrank/boragecrank/internal/core/shard"
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+const (
+	// scanPage is the number of rows read at once during recovery.
+	scanPage = 500
+	// recoverTimeout bounds one attempt to read the shard's rows.
+	recoverTimeout = 5 * time.Second
+)
+
+// term is one ownership term of this worker.
+type term struct {
+	epoch       types.Epoch
+	holder      *lease.Holder
+	machine     *shard.Owner
+	valid       bool
+	recovering  bool
+	recovered   bool
+	appointment uint64
+	relay       types.VMID
+	links       map[types.VMID]*link
+}
+
+// link is the exchange with one worker. Commands and reports take turns, so
+// that a report never misses an attempt whose start was answered before.
+type link struct {
+	busy       bool
+	queue      []shard.Command
+	wantReport bool
+	reported   uint64
+	reportedBy types.Incarnation
+}
+
+// begin starts a term after a committed takeover.
+func (s *hostState) begin(row lease.Row, revision uint64, sentAt time.Duration) {
+	cfg := shard.DefaultConfig()
+	cfg.Shard = s.h.opts.Shard
+	cfg.Incarnation = s.h.node.Incarnation
+	cfg.Epoch = row.Epoch
+	cfg.FenceRevision = revision
+	if c := s.h.node.Config.Current(); c != nil && c.Rules().BatchRunRight > 0 {
+		cfg.RunRight = c.Rules().BatchRunRight
+	}
+	t := &term{
+		epoch:   row.Epoch,
+		holder:  lease.NewHolder(lease.DefaultConfig(), row, revision, sentAt),
+		machine: shard.NewOwner(cfg, MembershipConfig(), s.h.opts.Placer, sentAt),
+		valid:   true,
+		links:   make(map[types.VMID]*link),
+	}
+	t.machine.SetLease(t.holder.Until())
+	s.term, s.relay = t, nil
+	s.h.tel.Log.Log(eventTakenOver, nil, telemetry.Fields{"shard": string(cfg.Shard), "epoch": uint64(row.Epoch)})
+	s.h.opts.OwnerKnown(s.h.node.Address())
+	if c := s.h.node.Config.Current(); c != nil {
+		s.configure(c)
+	}
+	s.scanDue = 0
+}
+
+// end stops acting as owner.
+func (s *hostState) end() {
+	if s.term == nil {
+		return
+	}
+	s.h.tel.Log.Log(eventOwnershipLost, nil, telemetry.Fields{"epoch": uint64(s.term.epoch)})
+	s.term = nil
+	s.nextObserve = 0
+	s.ownerHeard = s.h.node.Clock()
+}
+
+// recover reads the shard's rows after the takeover.
+func (s *hostState) recover() {
+	t, h := s.term, s.h
+	if t.recovered || t.recovering {
+		return
+	}
+	t.recovering = true
+	h.async(recoverTimeout, func(ctx context.Context) func(*hostState) {
+		jobs, err := h.scan(ctx, task.JobPrefix(h.opts.Shard))
+		var tasks []shard.TableRow
+		if err == nil {
+			tasks, err = h.scan(ctx, task.Prefix(h.opts.Shard))
+		}
+		return func(s *hostState) {
+			t.recovering = false
+			if s.term != t || err != nil {
+				return
+			}
+			t.recovered = true
+			t.machine.Recover(jobs, tasks)
+			h.tel.Log.Log(eventRecovered, nil, telemetry.Fields{"jobs": len(jobs), "tasks": len(tasks)})
+		}
+	})
+}
+
+// scan reads all rows with a prefix.
+func (h *Host) scan(ctx context.Context, prefix string) ([]shard.TableRow, error) {
+	var all []shard.TableRow
+	after := ""
+	for {
+		rows, err := h.opts.Table.Scan(ctx, prefix, after, scanPage)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, tableRows(rows)...)
+		if len(rows) < scanPage {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func tableRows(rows []platform.Row) []shard.TableRow {
+	out := make([]shard.TableRow, len(rows))
+	for i, r := range rows {
+		out[i] = shard.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision}
+	}
+	return out
+}
+
+// poll advances the state machine and carries out what it asks for.
+func (s *hostState) poll(now time.Duration) {
+	t := s.term
+	s.recover()
+	out := t.machine.Poll(now)
+	for _, v := range out.Violations {
+		s.h.tel.Log.Log(eventGuard, v, nil)
+	}
+	for _, p := range out.Problems {
+		s.h.tel.Log.Log(eventRowProblem, p, nil)
+	}
+	for _, c := range out.Changes {
+		s.memberChanged(c)
+	}
+	if len(out.Changes) > 0 {
+		s.chooseRelay()
+		s.sendDigests(now)
+	}
+	if out.Batch != nil {
+		s.commit(out.Batch)
+	}
+	if out.Read != nil {
+		s.read(out.Read)
+	}
+	for _, c := range out.Commands {
+		l := t.link(c.VM)
+		l.queue = append(l.queue, c)
+	}
+	for vm, l := range t.links {
+		s.exchange(vm, l)
+	}
+}
+
+func (s *hostState) memberChanged(c membership.Change) {
+	s.h.tel.Log.Log(eventMemberChanged, nil, telemetry.Fields{
+		"vm": string(c.VM), "incarnation": uint64(c.Incarnation), "status": c.Status.String(),
+	})
+}
+
+func (t *term) link(vm types.VMID) *link {
+	l := t.links[vm]
+	if l == nil {
+		l = &link{}
+		t.links[vm] = l
+	}
+	return l
+}
+
+// commit sends a batch to the table.
+func (s *hostState) commit(b *shard.Batch) {
+	h, t := s.h, s.term
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: b.FenceKey, Revision: b.FenceRevision}},
+		Reads:      b.Keys(),
+	}
+	for _, w := range b.Writes {
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: w.Key, Revision: w.Revision})
+		txn.Writes = append(txn.Writes, platform.Write{Key: w.Key, Value: w.Value})
+	}
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		result, err := h.opts.Table.Commit(ctx, txn)
+		return func(s *hostState) {
+			if s.term == t {
+				t.machine.BatchDone(h.node.Clock(), b.ID, batchOutcome(result, err), result.Revision, tableRows(result.Rows))
+			}
+		}
+	})
+}
+
+func batchOutcome(r platform.TxnResult, err error) shard.BatchOutcome {
+	switch {
+	case errors.Is(err, platform.ErrUncertain):
+		return shard.BatchUncertain
+	case err != nil:
+		return shard.BatchUnavailable
+	case r.Committed:
+		return shard.BatchCommitted
+	default:
+		return shard.BatchConflict
+	}
+}
+
+// read resolves an uncertain batch.
+func (s *hostState) read(r *shard.Read) {
+	h, t := s.h, s.term
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		rows, err := h.opts.Table.Get(ctx, r.Keys...)
+		return func(s *hostState) {
+			if s.term == t {
+				t.machine.ReadDone(h.node.Clock(), r.ID, tableRows(rows), err == nil)
+			}
+		}
+	})
+}
+
+// scanEntries reads which entries there are and drops those that stopped
+// renewing their row.
+func (s *hostState) scanEntries(now time.Duration) {
+	h := s.h
+	s.scanDue = now + entryScanInterval
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		rows, err := h.opts.Table.Scan(ctx, EntryPrefix, "", scanPage)
+		return func(s *hostState) {
+			if err == nil {
+				s.entries = liveEntries(rows, h.node.Region, s.entryRows, h.node.Clock())
+			}
+		}
+	})
+}
--- a/internal/wire/datagram/codec.go
+++ b/internal/wire/datagram/codec.go
@@ -16,12 +16,10 @@
 
 // inbox holds one message of each type, so that decoding does not allocate.
 type inbox struct {
-	heartbeat     Heartbeat
-	ack           HeartbeatAck
-	digest        Digest
-	digestRequest DigestRequest
-	probe         Probe
-	notice        VersionNotice
+	heartbeat Heartbeat
+	ack       HeartbeatAck
+	digest    Digest
+	notice    VersionNotice
 }
 
 // NewCodec returns a codec for the key that the system's processes share.
@@ -103,10 +101,6 @@
 		return &in.ack
 	case TypeDigest:
 		return &in.digest
-	case TypeDigestRequest:
-		return &in.digestRequest
-	case TypeProbe:
-		return &in.probe
 	case TypeVersionNotice:
 		return &in.notice
 	default:
--- a/internal/wire/datagram/decode.go
+++ b/internal/wire/datagram/decode.go
@@ -75,10 +75,14 @@
 		m.Epoch = f.value
 	case fieldDraining:
 		m.Draining = f.value != 0
+	case fieldLeaving:
+		m.Leaving = f.value != 0
+	case fieldEchoListener:
+		m.EchoListener = f.value
+	case fieldEchoReadAt:
+		m.EchoReadAt = int64(f.value)
 	case fieldTasksHash:
 		m.TasksHash = f.value
-	case fieldAddress:
-		return setAddr(&m.Address, f.bytes)
 	case fieldUpstream:
 		return addUpstream(&m.Upstreams, f.bytes)
 	}
@@ -93,112 +97,63 @@
 		m.Shard = f.value
 	case fieldEpoch:
 		m.Epoch = f.value
+	case fieldTo:
+		m.To = f.value
 	case fieldEcho:
 		m.Echo = int64(f.value)
-	case fieldOwner:
-		m.Owner = f.value != 0
+	case fieldReadAt:
+		m.ReadAt = int64(f.value)
 	case fieldRelay:
 		m.Relay = f.value
 	case fieldRelayAddress:
 		return setAddr(&m.RelayAddress, f.bytes)
+	case fieldAppointment:
+		m.Appointment = f.value
+	default:
+		m.setFlag(f)
 	}
 	return true
 }
 
-func (m *Digest) reset() {
-	*m = Digest{Members: m.Members[:0]}
+func (m *HeartbeatAck) setFlag(f field) {
+	switch f.num {
+	case fieldChallenge:
+		m.Challenge = f.value != 0
+	case fieldSuperseded:
+		m.Superseded = f.value != 0
+	case fieldOwner:
+		m.Owner = f.value != 0
+	case fieldRight:
+		m.Right = f.value != 0
+	}
 }
 
+func (m *Digest) reset() { *m = Digest{} }
+
 func (m *Digest) setField(f field) bool {
 	switch f.num {
 	case fieldShard:
 		m.Shard = f.value
 	case fieldEpoch:
 		m.Epoch = f.value
+	case fieldRelay:
+		m.Relay = f.value != 0
+	case fieldAppointment:
+		m.Appointment = f.value
 	case fieldVersion:
 		m.Version = f.value
 	case fieldHash:
 		m.Hash = f.value
-	case fieldOwner:
-		m.Owner = f.value != 0
-	case fieldMember:
-		return m.addMember(f.bytes)
-	}
-	return true
-}
-
-// addMember decodes a member into the next element, whose list of upstreams is
-// reused when the digest has held as many members before.
-func (m *Digest) addMember(b []byte) bool {
-	n := len(m.Members)
-	if n >= maxMembers {
-		return false
-	}
-	if n < cap(m.Members) {
-		m.Members = m.Members[:n+1]
-	} else {
-		m.Members = append(m.Members, Member{})
-	}
-	member := &m.Members[n]
-	*member = Member{Upstreams: member.Upstreams[:0]}
-	for len(b) > 0 {
-		f, rest, ok := next(b)
-		if !ok || !member.setField(f) {
-			return false
-		}
-		b = rest
-	}
-	return true
-}
-
-func (m *Member) setField(f field) bool {
-	switch f.num {
-	case memVM:
-		m.VM = f.value
-	case memIncarnation:
-		m.Incarnation = f.value
-	case memChanged:
-		m.Changed = f.value
-	case memAlive:
-		m.Alive = f.value != 0
-	case memDraining:
-		m.Draining = f.value != 0
-	case memClock:
-		m.Clock = int64(f.value)
-	case memAddress:
-		return setAddr(&m.Address, f.bytes)
-	case memUpstream:
-		return addUpstream(&m.Upstreams, f.bytes)
-	}
-	return true
-}
-
-func (m *DigestRequest) reset() { *m = DigestRequest{} }
-
-func (m *DigestRequest) setField(f field) bool {
-	switch f.num {
-	case fieldShard:
-		m.Shard = f.value
-	case fieldHave:
-		m.Have = f.value
-	}
-	return true
-}
-
-func (m *Probe) reset() { *m = Probe{} }
-
-func (m *Probe) setField(f field) bool {
-	if f.num == fieldShard {
-		m.Shard = f.value
+	case fieldFreeMilliCPU:
+		m.FreeMilliCPU = f.value
+	case fieldFreeMemory:
+		m.FreeMemoryBytes = f.value
+	case fieldFreeAccelerators:
+		m.FreeAccelerators = f.value
 	}
 	return true
 }
 
 func (m *VersionNotice) reset() { *m = VersionNotice{} }
 
-func (m *VersionNotice) setField(f field) bool {
-	if f.num == fieldAddress {
-		return setAddr(&m.Address, f.bytes)
-	}
-	return true
-}
+func (m *VersionNotice) setField(field) bool { return true }
--- a/internal/wire/datagram/encode.go
+++ b/internal/wire/datagram/encode.go
@@ -18,16 +18,25 @@
 	fieldEpoch
 	fieldDraining
 	fieldTasksHash
-	fieldAddress
 	fieldUpstream
 	fieldEcho
 	fieldOwner
 	fieldRelay
 	fieldVersion
 	fieldHash
-	fieldMember
-	fieldHave
 	fieldRelayAddress
+	fieldLeaving
+	fieldEchoListener
+	fieldEchoReadAt
+	fieldTo
+	fieldReadAt
+	fieldChallenge
+	fieldSuperseded
+	fieldRight
+	fieldAppointment
+	fieldFreeMilliCPU
+	fieldFreeMemory
+	fieldFreeAccelerators
 )
 
 // Field numbers within an upstream.
@@ -39,18 +48,6 @@
 	upLeaving
 )
 
-// Field numbers within a member.
-const (
-	memVM = iota + 1
-	memIncarnation
-	memChanged
-	memAlive
-	memDraining
-	memClock
-	memAddress
-	memUpstream
-)
-
 // Message is a payload that can be encoded and decoded.
 type Message interface {
 	// Type returns the type byte of the message.
@@ -97,8 +94,10 @@
 	b = appendUint(b, fieldClock, uint64(m.Clock))
 	b = appendUint(b, fieldEpoch, m.Epoch)
 	b = appendBool(b, fieldDraining, m.Draining)
+	b = appendBool(b, fieldLeaving, m.Leaving)
+	b = appendFixed(b, fieldEchoListener, m.EchoListener)
+	b = appendUint(b, fieldEchoReadAt, uint64(m.EchoReadAt))
 	b = appendFixed(b, fieldTasksHash, m.TasksHash)
-	b = appendAddr(b, fieldAddress, m.Address)
 	return appendUpstreams(b, fieldUpstream, m.Upstreams)
 }
 
@@ -109,10 +108,16 @@
 	b = m.appendHeader(b)
 	b = appendFixed(b, fieldShard, m.Shard)
 	b = appendUint(b, fieldEpoch, m.Epoch)
+	b = appendFixed(b, fieldTo, m.To)
 	b = appendUint(b, fieldEcho, uint64(m.Echo))
+	b = appendUint(b, fieldReadAt, uint64(m.ReadAt))
+	b = appendBool(b, fieldChallenge, m.Challenge)
+	b = appendBool(b, fieldSuperseded, m.Superseded)
 	b = appendBool(b, fieldOwner, m.Owner)
+	b = appendBool(b, fieldRight, m.Right)
 	b = appendFixed(b, fieldRelay, m.Relay)
-	return appendAddr(b, fieldRelayAddress, m.RelayAddress)
+	b = appendAddr(b, fieldRelayAddress, m.RelayAddress)
+	return appendUint(b, fieldAppointment, m.Appointment)
 }
 
 // Type implements Message.
@@ -122,47 +127,18 @@
 	b = m.appendHeader(b)
 	b = appendFixed(b, fieldShard, m.Shard)
 	b = appendUint(b, fieldEpoch, m.Epoch)
+	b = appendBool(b, fieldRelay, m.Relay)
+	b = appendUint(b, fieldAppointment, m.Appointment)
 	b = appendUint(b, fieldVersion, m.Version)
 	b = appendFixed(b, fieldHash, m.Hash)
-	b = appendBool(b, fieldOwner, m.Owner)
-	for i := range m.Members {
-		b = appendMessage(b, fieldMember, m.Members[i].appendMember)
-	}
-	return b
-}
-
-func (m *Member) appendMember(b []byte) []byte {
-	b = appendFixed(b, memVM, m.VM)
-	b = appendFixed(b, memIncarnation, m.Incarnation)
-	b = appendUint(b, memChanged, m.Changed)
-	b = appendBool(b, memAlive, m.Alive)
-	b = appendBool(b, memDraining, m.Draining)
-	b = appendUint(b, memClock, uint64(m.Clock))
-	b = appendAddr(b, memAddress, m.Address)
-	return appendUpstreams(b, memUpstream, m.Upstreams)
-}
-
-// Type implements Message.
-func (m *DigestRequest) Type() Type { return TypeDigestRequest }
-
-func (m *DigestRequest) appendBody(b []byte) []byte {
-	b = m.appendHeader(b)
-	b = appendFixed(b, fieldShard, m.Shard)
-	return appendUint(b, fieldHave, m.Have)
-}
-
-// Type implements Message.
-func (m *Probe) Type() Type { return TypeProbe }
-
-func (m *Probe) appendBody(b []byte) []byte {
-	b = m.appendHeader(b)
-	return appendFixed(b, fieldShard, m.Shard)
+	b = appendUint(b, fieldFreeMilliCPU, m.FreeMilliCPU)
+	b = appendUint(b, fieldFreeMemory, m.FreeMemoryBytes)
+	return appendUint(b, fieldFreeAccelerators, m.FreeAccelerators)
 }
 
 // Type implements Message.
 func (m *VersionNotice) Type() Type { return TypeVersionNotice }
 
 func (m *VersionNotice) appendBody(b []byte) []byte {
-	b = m.appendHeader(b)
-	return appendAddr(b, fieldAddress, m.Address)
+	return m.appendHeader(b)
 }
--- a/internal/wire/datagram/message.go
+++ b/internal/wire/datagram/message.go
@@ -25,8 +25,6 @@
 	headerSize  = 2 + macSize
 	// maxUpstreams bounds the upstreams of one VM in a message.
 	maxUpstreams = 16
-	// maxMembers bounds the members of one digest.
-	maxMembers = 32
 )
 
 // Reasons why a datagram is rejected.
@@ -47,8 +45,6 @@
 	TypeHeartbeat Type = iota + 1
 	TypeHeartbeatAck
 	TypeDigest
-	TypeDigestRequest
-	TypeProbe
 	TypeVersionNotice
 )
 
@@ -82,7 +78,8 @@
 	Leaving     bool
 }
 
-// Heartbeat is what a worker reports of itself.
+// Heartbeat is what a worker reports of itself to the owner and the relay of
+// its shard.
 type Heartbeat struct {
 	Header
 	// Shard is the hash of the worker's shard.
@@ -92,69 +89,57 @@
 	// Epoch is the highest ownership term of the shard that the sender has seen.
 	Epoch    uint64
 	Draining bool
+	Leaving  bool
+	// EchoListener and EchoReadAt return the reading of the listener's last
+	// acknowledgement; zero if there was none.
+	EchoListener uint64
+	EchoReadAt   int64
 	// TasksHash changes whenever the list of attempts in the runtime changes.
 	TasksHash uint64
-	// Address is where the worker serves calls and requests.
-	Address   netip.AddrPort
 	Upstreams []Upstream
 }
 
-// HeartbeatAck answers a heartbeat.
+// HeartbeatAck answers a heartbeat. The header's incarnation is the listener's.
 type HeartbeatAck struct {
 	Header
 	Shard uint64
 	Epoch uint64
-	// Echo is the clock of the acknowledged heartbeat.
+	// To is the incarnation that is answered, and Echo its heartbeat's clock.
+	To   uint64
 	Echo int64
-	// Owner tells that the sender holds a valid lease on the shard, so that the
-	// run right counts from Echo.
+	// ReadAt is the listener's clock, to be returned in the next heartbeat.
+	ReadAt int64
+	// Challenge asks for a heartbeat at once.
+	Challenge bool
+	// Superseded tells the worker that another incarnation has replaced it.
+	Superseded bool
+	// Owner tells that the sender is the shard's owner, and Right that it holds
+	// a valid lease, so that the run right counts from Echo.
 	Owner bool
+	Right bool
 	// Relay is the hash of the member that should get heartbeats besides the owner.
 	Relay        uint64
 	RelayAddress netip.AddrPort
+	// Appointment counts the relays of the epoch.
+	Appointment uint64
 }
 
-// Member is one worker in a digest.
-type Member struct {
-	VM          uint64
-	Incarnation uint64
-	// Changed is the digest version in which the member last changed.
-	Changed   uint64
-	Alive     bool
-	Draining  bool
-	Clock     int64
-	Address   netip.AddrPort
-	Upstreams []Upstream
-}
-
-// Digest tells entries about the members of a shard. Without members it is a
-// periodic summary: a receiver whose hash differs asks with a DigestRequest.
+// Digest sums up what the owner or relay of a shard knows about its members. An
+// entry whose own view has another hash fetches the difference.
 type Digest struct {
-	Header
-	Shard   uint64
-	Epoch   uint64
-	Version uint64
-	Hash    uint64
-	Owner   bool
-	Members []Member
-}
-
-// DigestRequest asks for the members changed after a version.
-type DigestRequest struct {
-	Header
-	Shard uint64
-	Have  uint64
-}
-
-// Probe asks a worker that has not been heard for a heartbeat at once.
-type Probe struct {
 	Header
 	Shard uint64
+	Epoch uint64
+	// Relay tells that the sender is the relay, and Appointment which one.
+	Relay       bool
+	Appointment uint64
+	Version     uint64
+	Hash        uint64
+	// Free is what an owner could still place.
+	FreeMilliCPU, FreeMemoryBytes, FreeAccelerators uint64
 }
 
 // VersionNotice tells that the sender's configuration version has risen.
 type VersionNotice struct {
 	Header
-	// Address is where the sender serves the configuration.
-	Address netip.AddrPort
 }
--- /dev/null
+++ b/internal/worker/heartbeat.go
@@ -0,0 +1,191 @@
+package worker
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/boragecrank/boragecrank/internal/core/membership"
+	"github.com/boragecrank/boragecrank/internal/core/shard"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/wire/datagram"
+)
+
+var eventSuperseded = telemetry.Define(411, logrus.ErrorLevel, "worker superseded",
+	"Another process has taken this worker's place on the VM. This one stops. If two were started by mistake, keep one.")
+
+// minBeatGap bounds the rate of heartbeats to one listener.
+const minBeatGap = 50 * time.Millisecond
+
+// listener is the owner or the relay of the shard.
+type listener struct {
+	address     netip.AddrPort
+	sender      *membership.Sender
+	incarnation uint64
+	readAt      int64
+}
+
+// beater sends heartbeats to the owner and the relay.
+type beater struct {
+	w   *Worker
+	cfg membership.Config
+
+	mu         sync.Mutex
+	owner      *listener
+	relay      *listener
+	epoch      uint64
+	superseded chan struct{}
+	once       sync.Once
+	wake       chan struct{}
+}
+
+func newBeater(w *Worker, cfg membership.Config) *beater {
+	return &beater{w: w, cfg: cfg, superseded: make(chan struct{}), wake: make(chan struct{}, 1)}
+}
+
+// SetOwner tells where the shard's owner is.
+func (w *Worker) SetOwner(address netip.AddrPort) {
+	b := w.beater
+	b.mu.Lock()
+	b.setListener(&b.owner, address)
+	b.mu.Unlock()
+	b.signal()
+}
+
+// Superseded is closed when another process has replaced this worker.
+func (w *Worker) Superseded() <-chan struct{} { return w.beater.superseded }
+
+func (b *beater) signal() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// setListener replaces a listener whose address has changed.
+func (b *beater) setListener(l **listener, address netip.AddrPort) {
+	if !address.IsValid() {
+		*l = nil
+		return
+	}
+	if *l == nil || (*l).address != address {
+		*l = &listener{address: address, sender: membership.NewSender(b.cfg)}
+	}
+}
+
+// run sends heartbeats when they are due or their content has changed.
+func (b *beater) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		urgent := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-b.wake:
+		case <-b.w.changed:
+			urgent = true
+		}
+		timer.Reset(max(b.send(urgent), minBeatGap))
+	}
+}
+
+// send sends what is due and returns the time until the next heartbeat.
+func (b *beater) send(urgent bool) time.Duration {
+	m := b.w.heartbeat()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m.Epoch = b.epoch
+	now := b.w.node.Clock()
+	next := b.cfg.Interval
+	for _, l := range []*listener{b.owner, b.relay} {
+		if l == nil {
+			continue
+		}
+		if urgent || now >= l.sender.NextAt() {
+			now = b.w.node.Clock()
+			m.Clock = int64(now)
+			m.EchoListener, m.EchoReadAt = l.incarnation, l.readAt
+			b.w.node.Socket.Send(m, l.address)
+			l.sender.Sent(now)
+		}
+		next = min(next, l.sender.NextAt()-now)
+	}
+	return next
+}
+
+// heartbeat describes the worker as of now.
+func (w *Worker) heartbeat() *datagram.Heartbeat {
+	m := &datagram.Heartbeat{
+		Header:    w.node.Header(),
+		Shard:     datagram.NameHash(string(w.shard)),
+		Draining:  w.draining.Load(),
+		Leaving:   w.leaving.Load(),
+		TasksHash: w.tasks.hash.Load(),
+	}
+	// A stopping worker has no state to ask; it sends its end without upstreams.
+	_ = w.state.Do(func(s *state) {
+		for id, u := range s.upstreams {
+			if a, ok := s.requests.Announced(id); ok {
+				m.Upstreams = append(m.Upstreams, datagram.Upstream{
+					Service:     datagram.NameHash(string(u.service)),
+					Slots:       uint32(a.Slots),
+					Connections: uint32(a.Connections),
+				})
+			}
+		}
+	})
+	sortUpstreams(m.Upstreams)
+	return m
+}
+
+// Ack takes the answer of the owner or the relay to a heartbeat.
+func (w *Worker) Ack(m *datagram.HeartbeatAck, from netip.AddrPort) {
+	if types.Incarnation(m.To) != w.node.Incarnation {
+		return
+	}
+	if m.Superseded {
+		w.beater.once.Do(func() {
+			w.tel.Log.Log(eventSuperseded, nil, nil)
+			close(w.beater.superseded)
+		})
+		return
+	}
+	w.beater.acked(m, from)
+	if m.Owner {
+		w.Acked(shard.HeartbeatReply{
+			Ack:   membership.Ack{Incarnation: types.Incarnation(m.To), SentAt: time.Duration(m.Echo)},
+			Epoch: types.Epoch(m.Epoch),
+			Right: m.Right,
+		})
+	}
+	if m.Challenge {
+		w.signalChange()
+	}
+}
+
+func (b *beater) acked(m *datagram.HeartbeatAck, from netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.epoch = max(b.epoch, m.Epoch)
+	if m.Owner && m.Epoch == b.epoch {
+		b.setListener(&b.owner, from)
+		relay := m.RelayAddress
+		if m.Relay == b.w.node.Hash() {
+			// A worker does not report to itself as relay; the owner knows it.
+			relay = netip.AddrPort{}
+		}
+		b.setListener(&b.relay, relay)
+	}
+	for _, l := range []*listener{b.owner, b.relay} {
+		if l != nil && l.address == from {
+			l.incarnation, l.readAt = m.Incarnation, m.ReadAt
+			l.sender.Acked(time.Duration(m.Echo))
+		}
+	}
+}
--- a/internal/worker/requests.go
+++ b/internal/worker/requests.go
@@ -80,13 +80,17 @@
 			Budget:  o.Budget,
 		})
 		base = s.upstreams[decision.Upstream].url
+		if decision.Admitted() {
+			// Counted here, so that a worker that drains sees every admitted request.
+			w.inFlight.Add(1)
+		}
 	})
 	if err != nil {
 		// The worker has stopped; its incarnation admits nothing any more.
 		return admission.Decision{Reason: admission.ReasonDraining, Proven: true}, ""
 	}
-	if decision.Admitted() {
-		w.inFlight.Add(1)
+	if decision.CloseIdle != "" {
+		w.upstreamClient.CloseIdleConnections()
 	}
 	return decision, base
 }
--- a/internal/worker/upstreams.go
+++ b/internal/worker/upstreams.go
@@ -1,16 +1,19 @@
 package worker
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
 	"github.com/boragecrank/boragecrank/internal/core/admission"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/wire/datagram"
 )
 
 const (
@@ -134,6 +137,13 @@
 	w.signalChange()
 }
 
+// sortUpstreams gives heartbeats with the same content the same form.
+func sortUpstreams(ups []datagram.Upstream) {
+	slices.SortFunc(ups, func(a, b datagram.Upstream) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Slots, b.Slots), cmp.Compare(a.Connections, b.Connections))
+	})
+}
+
 // expireUpstreams withdraws upstreams that stopped renewing, and lets the
 // admission forget old request IDs.
 func (w *Worker) expireUpstreams(ctx context.Context) {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -18,6 +18,8 @@
 	"github.com/boragecrank/boragecrank/internal/apperr"
 	"github.com/boragecrank/boragecrank/internal/core/admission"
 	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/membership"
+	"github.com/boragecrank/boragecrank/internal/core/shard"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/httpserve"
 	"github.com/boragecrank/boragecrank/internal/node"
@@ -49,6 +51,8 @@
 	// DrainDelay is how long a stopping worker waits after it has told that it
 	// leaves, so that requests under way still arrive.
 	DrainDelay time.Duration
+	// Membership holds the times of heartbeats.
+	Membership membership.Config
 }
 
 // upstreamInfo is where an announced upstream is reached.
@@ -61,6 +65,7 @@
 type state struct {
 	requests  *admission.Requests
 	tasks     *admission.Tasks
+	gate      *shard.Gate
 	upstreams map[admission.UpstreamID]upstreamInfo
 }
 
@@ -75,13 +80,16 @@
 	tel  *telemetry.Telemetry
 
 	state          *actors.Owner[*state]
+	shard          types.ShardID
 	upstreamClient *http.Client
 	local          *httpserve.Server
 	metrics        metrics
 	tasks          *driver
+	beater         *beater
 
 	inFlight atomic.Int64
 	draining atomic.Bool
+	leaving  atomic.Bool
 	// changed is signalled when heartbeats should go out at once.
 	changed chan struct{}
 	stop    context.CancelFunc
@@ -113,6 +121,7 @@
 		},
 	}
 	w.tasks = newDriver(w)
+	w.beater = newBeater(w, o.Membership)
 	n.Mux.HandleFunc("POST "+runcall.PathPrefix+"{service}", w.serveRun)
 	service := wirepb.NewWorkerServiceServer(rpc{w})
 	n.Mux.Handle(service.PathPrefix(), service)
@@ -128,8 +137,10 @@
 	s := &state{
 		requests:  admission.NewRequests(w.node.Incarnation, limits),
 		tasks:     admission.NewTasks(w.node.Incarnation, vm.Capacity, limits.MaxBudget),
+		gate:      shard.NewGate(w.shardConfig(), vm.ID, w.node.Incarnation),
 		upstreams: make(map[admission.UpstreamID]upstreamInfo),
 	}
+	w.shard = vm.Shard
 	owner, err := actors.Spawn(w.node.Actors, "worker", s)
 	if err != nil {
 		return err
@@ -148,10 +159,20 @@
 	ctx, w.stop = context.WithCancel(context.WithoutCancel(ctx))
 	w.background(func() { w.expireUpstreams(ctx) })
 	w.background(func() { w.tasks.run(ctx) })
+	w.background(func() { w.beater.run(ctx) })
 	w.tel.Log.Log(eventReady, nil, telemetry.Fields{"address": w.node.Address().String()})
 	return nil
 }
 
+// shardConfig returns the times of the shard protocol under the operators' rules.
+func (w *Worker) shardConfig() shard.Config {
+	cfg := shard.DefaultConfig()
+	if right := w.node.Config.Current().Rules().BatchRunRight; right > 0 {
+		cfg.RunRight = right
+	}
+	return cfg
+}
+
 func (w *Worker) background(f func()) {
 	w.running.Add(1)
 	go func() {
@@ -160,9 +181,7 @@
 	}()
 }
 
-// Changed is signalled when the worker's heartbeat has new content.
-func (w *Worker) Changed() <-chan struct{} { return w.changed }
-
+// signalChange makes a heartbeat go out at once.
 func (w *Worker) signalChange() {
 	select {
 	case w.changed <- struct{}{}:
@@ -196,6 +215,8 @@
 				"allow more time to stop")
 		}
 	}
+	w.leaving.Store(true)
+	w.beater.send(true)
 	w.stop()
 	w.running.Wait()
 	err := w.local.Shutdown(ctx)
