--- a/internal/inventory/schema.go
+++ b/internal/inventory/schema.go
@@ -26,7 +26,7 @@
 	},
 	{
 		Name: tableRack, Array: true, Label: "name",
-		Doc: "A rack. Replicas of a service are spread over racks as well.",
+		Doc: "A rack within a failure domain.",
 		Fields: []tomlcheck.Field{
 			{Key: "name", Type: tomlcheck.Name, Required: true, Doc: "Name of the rack, unique in the whole inventory."},
 			{Key: "failure_domain", Type: tomlcheck.Name, Required: true, Doc: "Failure domain that the rack stands in."},
@@ -92,7 +92,7 @@
 		Doc:  "Rules for the whole system. At most once in all files.",
 		Fields: []tomlcheck.Field{
 			{Key: "urgent", Type: tomlcheck.Names, Doc: "Services and jobs that go before others."},
-			{Key: "may_wait", Type: tomlcheck.Names, Doc: "Jobs that may wait: they get priority 0 and are the first to be evicted."},
+			{Key: "may_wait", Type: tomlcheck.Names, Doc: "Jobs that may wait for all other work: they get priority 0."},
 			{Key: "tail_latency_weight", Type: tomlcheck.Number, Default: "1", Min: "0", Max: "1000", Doc: "Weight of tail latency. Only its ratio to `eviction_weight` matters."},
 			{Key: "eviction_weight", Type: tomlcheck.Number, Default: "1", Min: "0", Max: "1000", Doc: "Weight of evictions."},
 			{Key: "urgent_start_limit", Type: tomlcheck.Duration, Default: "2.3s", Min: "100ms", Max: "10m", Doc: "Bound of the time from submission to start of urgent work."},
--- /dev/null
+++ b/internal/settings/docs_test.go
@@ -0,0 +1,44 @@
+package settings
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/boragecrank/boragecrank/internal/inventory"
+	"github.com/boragecrank/boragecrank/internal/tomlcheck"
+)
+
+var update = flag.Bool("update", false, "rewrite the key tables of docs/CONFIG.md")
+
+const page = "../../docs/CONFIG.md"
+
+// Guards against keys, types, defaults and ranges that the page leaves out or
+// states wrongly. After a change of a schema run: go test ./internal/settings -update
+func TestPageListsEveryKey(t *testing.T) {
+	data, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(data)
+	for name, schema := range map[string]tomlcheck.Schema{"inventory": inventory.Schema, "settings": Schema} {
+		begin := "<!-- " + name + " keys: begin -->\n"
+		end := "<!-- " + name + " keys: end -->"
+		head, rest, ok := strings.Cut(text, begin)
+		old, tail, ok2 := strings.Cut(rest, end)
+		if !ok || !ok2 {
+			t.Fatalf("%s lacks the marks of the %s keys", page, name)
+		}
+		want := "\n" + schema.Markdown()
+		if old != want && !*update {
+			t.Errorf("the %s keys in %s differ from the schema; run with -update", name, page)
+		}
+		text = head + begin + want + end + tail
+	}
+	if *update {
+		if err := os.WriteFile(page, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
