Test that late contacts do not age a domain and that domain lists are sorted

Two changes to the code passed the tests: a late report that lowered the time of a contact, and failure domains of a job kept in the order of the file.

--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -137,6 +137,8 @@
 	b.Teams[0], b.Teams[1] = b.Teams[1], b.Teams[0]
 	b.Jobs[0], b.Jobs[1] = b.Jobs[1], b.Jobs[0]
 	b.Domains[0], b.Domains[2] = b.Domains[2], b.Domains[0]
+	a.Jobs[0].FailureDomains = []types.FailureDomain{"x", "y"}
+	b.Jobs[1].FailureDomains = []types.FailureDomain{"y", "x"}
 	first, _ := New(1, a, nil)
 	second, _ := New(2, b, first)
 	if !first.SameContent(second) {
@@ -214,8 +216,8 @@
 		{"the same domain again", func(c *Confirmer) { c.PeerReached(13*s, "d0") }, 13 * s, BasisNone},
 		{"a domain elsewhere", func(c *Confirmer) { c.PeerReached(13*s, "far") }, 13 * s, BasisNone},
 		{"two of three", func(c *Confirmer) { c.PeerReached(14*s, "d2") }, 18 * s, BasisMajority},
+		{"a late report of an old contact", func(c *Confirmer) { c.PeerReached(1*s, "d2") }, 18 * s, BasisMajority},
 		{"contacts age", func(*Confirmer) {}, 18*s + 1, BasisNone},
-		{"a late report of an old contact", func(c *Confirmer) { c.PeerReached(1*s, "d2") }, 18*s + 1, BasisNone},
 	}
 	c := NewConfirmer()
 	for _, step := range steps {
