Add table store with read-back, group commit, budgets and pacing

Callers must not repeat a table write whose answer was lost, nor flood the table after an outage. Each transaction also writes a lane row of its own store, so that an uncertain write is resolved even after others overwrote its rows.

--- /dev/null
+++ b/internal/store/batch.go
@@ -0,0 +1,323 @@
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// errLaneUnknown is the cause of an uncertain error that reading cannot solve.
+var errLaneUnknown = errors.New("the lane was taken over more than once")
+
+// run sends the batch until every operation has an outcome or all callers have
+// gone. An abandoned batch leaves its mark behind; the next one in the lane
+// finds out by its own condition.
+func (b *batch) run() {
+	b.mark = b.lane.newMark()
+	for len(b.ops) > 0 {
+		if b.ctx.Err() != nil {
+			return
+		}
+		if wait := b.lane.store.gate.down(); b.lane.class == Claim && wait > 0 {
+			b.turnAway(wait)
+		}
+		if len(b.ops) == 0 {
+			return
+		}
+		if b.lane.known && !b.readBack {
+			b.attempt()
+			continue
+		}
+		b.resolve()
+	}
+}
+
+// resolve reads the lane, and with it what became of an uncertain transaction.
+func (b *batch) resolve() {
+	st, rows, err := b.lane.read(b.ctx, merge(b.lane.key, b.ops).Reads[1:])
+	switch {
+	case err != nil && transient(err):
+		b.note(err)
+	case err != nil:
+		b.fail(err)
+	case !b.uncertain:
+		b.lane.adopt(st)
+	default:
+		b.lane.count(resultReadBack)
+		b.readBack = false
+		b.judge(st, rowsByKey(rows))
+	}
+}
+
+// judge acts on the lane as it was read while the batch is uncertain.
+func (b *batch) judge(st laneState, rows map[string]platform.Row) {
+	v, revision := classify(b.mark, b.lane.state.revision, st)
+	b.lane.adopt(st)
+	switch v {
+	case verdictPending:
+	case verdictCommitted:
+		b.finishCommitted(revision, rows)
+	case verdictVoid:
+		b.settled()
+	case verdictUnknown:
+		b.lane.store.log.Log(eventUnresolved, nil, telemetry.Fields{"lane": b.lane.key})
+		b.finishUncertain(errLaneUnknown)
+	}
+}
+
+// attempt sends the batch once.
+func (b *batch) attempt() {
+	l := b.lane
+	t, err := l.store.gate.enter(b.ctx, accessWrite, l.class)
+	if err != nil || !b.open() {
+		l.store.gate.released(t)
+		return
+	}
+	txn, err := b.transaction(b.mark, b.ops)
+	if err != nil {
+		l.store.gate.released(t)
+		b.fail(err)
+		return
+	}
+	res, err := l.send(t, txn)
+	switch {
+	case err == nil && res.Committed:
+		l.state = laneState{revision: res.Revision, value: l.state.next(b.mark)}
+		b.finishCommitted(res.Revision, rowsByKey(res.Rows))
+	case err == nil:
+		b.refused(res)
+	case errors.Is(err, platform.ErrUnavailable):
+		b.note(err)
+	case transient(err):
+		b.uncertain = true
+		b.readBack = !l.store.opts.noReadBack
+		b.note(err)
+		if l.store.opts.noReadBack {
+			b.assumeFailed()
+		}
+	case b.uncertain:
+		if b.seal() {
+			b.finishError(err)
+		}
+	default:
+		b.finishError(err)
+	}
+}
+
+// transaction returns the operations as one transaction on the lane.
+func (b *batch) transaction(m mark, ops []*operation) (platform.Txn, error) {
+	l := b.lane
+	value, err := json.Marshal(l.state.next(m))
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	txn := merge(l.key, ops)
+	txn.Conditions = append(txn.Conditions, platform.Condition{Key: l.key, Revision: l.state.revision})
+	txn.Writes = append(txn.Writes, platform.Write{Key: l.key, Value: value})
+	return txn, nil
+}
+
+// refused acts on a transaction whose conditions did not all hold.
+func (b *batch) refused(res platform.TxnResult) {
+	rows := rowsByKey(res.Rows)
+	st, err := parseLane(rows[b.lane.key])
+	if err != nil {
+		b.fail(err)
+		return
+	}
+	if st.revision != b.lane.state.revision {
+		if b.uncertain {
+			b.judge(st, rows)
+		} else {
+			b.lane.adopt(st)
+		}
+		return
+	}
+	if b.uncertain && !b.seal() {
+		return
+	}
+	losers, rest := split(b.ops, rows)
+	if len(losers) == 0 {
+		b.finishError(fmt.Errorf("table refused a transaction whose conditions hold"))
+		return
+	}
+	for _, o := range losers {
+		b.finish(o, outcome{res: platform.TxnResult{Rows: readsOf(o, rows)}}, resultConflict)
+	}
+	b.ops = rest
+	b.mark = b.lane.newMark()
+}
+
+// seal makes sure that no copy of an uncertain transaction can commit any
+// more. It returns false if the batch got its outcome or its callers are gone.
+func (b *batch) seal() bool {
+	l := b.lane
+	m := l.newMark()
+	for b.uncertain {
+		t, err := l.store.gate.enter(b.ctx, accessWrite, l.class)
+		if err != nil {
+			return false
+		}
+		txn, err := b.transaction(m, nil)
+		if err != nil {
+			l.store.gate.released(t)
+			b.finishUncertain(err)
+			return false
+		}
+		res, err := l.send(t, txn)
+		switch {
+		case err != nil && transient(err):
+			b.note(err)
+		case err != nil:
+			b.finishUncertain(err)
+			return false
+		case res.Committed:
+			l.count(resultSealed)
+			l.state = laneState{revision: res.Revision, value: l.state.next(m)}
+			b.settled()
+		default:
+			b.judgeRefusedSeal(res)
+		}
+	}
+	return len(b.ops) > 0
+}
+
+func (b *batch) judgeRefusedSeal(res platform.TxnResult) {
+	rows := rowsByKey(res.Rows)
+	st, err := parseLane(rows[b.lane.key])
+	if err != nil {
+		b.finishUncertain(err)
+		b.uncertain = false
+		return
+	}
+	b.judge(st, rows)
+	if len(b.ops) == 0 {
+		b.uncertain = false
+	}
+}
+
+// open marks the operations as sent, after dropping those whose callers have
+// gone. The set is fixed while the batch is uncertain. It returns false if
+// nothing is left to send.
+func (b *batch) open() bool {
+	b.lane.mu.Lock()
+	defer b.lane.mu.Unlock()
+	if !b.uncertain {
+		var kept []*operation
+		for _, o := range b.ops {
+			if !o.gone {
+				kept = append(kept, o)
+			}
+		}
+		b.ops = kept
+	}
+	for _, o := range b.ops {
+		o.open = true
+	}
+	return len(b.ops) > 0
+}
+
+// note records the failure of an attempt for callers that give up. Unless the
+// batch is uncertain, nothing of it can commit.
+func (b *batch) note(err error) {
+	b.lane.count(resultRetried)
+	b.lane.mu.Lock()
+	defer b.lane.mu.Unlock()
+	for _, o := range b.ops {
+		o.last = err
+		o.open = b.uncertain
+	}
+}
+
+// settled records that no copy of the batch can commit.
+func (b *batch) settled() {
+	b.uncertain = false
+	b.lane.mu.Lock()
+	defer b.lane.mu.Unlock()
+	for _, o := range b.ops {
+		o.open = false
+	}
+}
+
+// assumeFailed takes a lost answer for a failure, as a client without
+// read-back does. Only the test of the mutant uses it.
+func (b *batch) assumeFailed() {
+	b.lane.known = false
+	for _, o := range b.ops {
+		b.finish(o, outcome{}, resultConflict)
+	}
+	b.ops = nil
+}
+
+func (b *batch) finishCommitted(revision uint64, rows map[string]platform.Row) {
+	for _, o := range b.ops {
+		res := platform.TxnResult{Committed: true, Rows: readsOf(o, rows)}
+		if len(o.txn.Writes) > 0 {
+			res.Revision = revision
+		}
+		b.finish(o, outcome{res: res}, resultDone)
+	}
+	b.ops = nil
+}
+
+func (b *batch) finishError(err error) {
+	for _, o := range b.ops {
+		b.finish(o, outcome{err: errRefused(err)}, resultRefused)
+	}
+	b.ops = nil
+}
+
+// turnAway refuses the claims that wait in an outage. A batch that may have
+// been committed is not refused.
+func (b *batch) turnAway(wait time.Duration) {
+	l := b.lane
+	l.mu.Lock()
+	queue := l.queue
+	l.queue = nil
+	l.mu.Unlock()
+	for _, o := range queue {
+		b.finish(o, outcome{err: errDown(wait)}, resultUnavailable)
+	}
+	if b.uncertain {
+		return
+	}
+	for _, o := range b.ops {
+		b.finish(o, outcome{err: errDown(wait)}, resultUnavailable)
+	}
+	b.ops = nil
+}
+
+// fail ends the batch with an error that no repeat can solve.
+func (b *batch) fail(err error) {
+	if b.uncertain {
+		b.finishUncertain(err)
+		return
+	}
+	b.finishError(err)
+}
+
+func (b *batch) finishUncertain(err error) {
+	for _, o := range b.ops {
+		b.finish(o, outcome{err: errUncertain(err)}, resultUncertain)
+	}
+	b.ops = nil
+}
+
+// finish gives an operation its outcome. A caller that has gone does not get it.
+func (b *batch) finish(o *operation, out outcome, r result) {
+	b.lane.mu.Lock()
+	defer b.lane.mu.Unlock()
+	if o.gone {
+		return
+	}
+	b.lane.count(r)
+	if o.batch != nil {
+		o.batch.live--
+		o.batch = nil
+	}
+	o.done <- out
+}
--- /dev/null
+++ b/internal/store/class.go
@@ -0,0 +1,40 @@
+package store
+
+import "fmt"
+
+// Class orders the use of the table. Lower values go first.
+type Class int
+
+// Classes of table use in order of precedence.
+const (
+	Lease Class = iota
+	Claim
+	Placement
+	Report
+	classes // number of classes
+)
+
+// String returns the class as used in lane keys and metrics.
+func (c Class) String() string {
+	switch c {
+	case Lease:
+		return "lease"
+	case Claim:
+		return "claim"
+	case Placement:
+		return "placement"
+	case Report:
+		return "report"
+	default:
+		return fmt.Sprintf("class(%d)", int(c))
+	}
+}
+
+// access separates the budgets for reads and writes.
+type access int
+
+const (
+	accessRead access = iota
+	accessWrite
+	accesses // number of kinds of access
+)
--- /dev/null
+++ b/internal/store/lane.go
@@ -0,0 +1,193 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// lane carries the transactions of one class, one at a time.
+type lane struct {
+	store *Store
+	class Class
+	key   string
+
+	mu      sync.Mutex
+	queue   []*operation
+	running bool
+
+	// Only the running goroutine uses these.
+	known bool // state has been read
+	state laneState
+	seq   uint64
+}
+
+// operation is one caller's transaction.
+type operation struct {
+	txn  platform.Txn
+	done chan outcome // receives once
+
+	// The lane's mutex guards these.
+	batch *batch
+	// open tells that the transaction may be committed without an answer.
+	open bool
+	last error
+	gone bool
+}
+
+type outcome struct {
+	res platform.TxnResult
+	err error
+}
+
+// batch is a group of operations sent as one transaction.
+type batch struct {
+	lane *lane
+	ops  []*operation
+	ctx  context.Context // ends when all callers have gone
+	stop context.CancelFunc
+	live int // callers that wait; the lane's mutex guards it
+
+	mark mark
+	// uncertain tells that a copy of the transaction may commit.
+	uncertain bool
+	// readBack tells that the lane is read before the next attempt.
+	readBack bool
+}
+
+func newLane(s *Store, class Class) *lane {
+	return &lane{store: s, class: class, key: "store/" + s.opts.Name + "/" + class.String()}
+}
+
+// commit queues the transaction and waits for its outcome.
+func (l *lane) commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	o := &operation{txn: txn, done: make(chan outcome, 1)}
+	l.mu.Lock()
+	l.queue = append(l.queue, o)
+	if !l.running {
+		l.running = true
+		go l.run()
+	}
+	l.mu.Unlock()
+	select {
+	case out := <-o.done:
+		return out.res, out.err
+	case <-ctx.Done():
+		return l.leave(ctx, o)
+	}
+}
+
+// leave ends the wait of a caller whose context ended.
+func (l *lane) leave(ctx context.Context, o *operation) (platform.TxnResult, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case out := <-o.done:
+		return out.res, out.err
+	default:
+	}
+	o.gone = true
+	if o.batch != nil {
+		o.batch.live--
+		if o.batch.live == 0 {
+			o.batch.stop()
+		}
+	}
+	if o.open {
+		l.count(resultUncertain)
+		return platform.TxnResult{}, errUncertain(errors.Join(ctx.Err(), o.last))
+	}
+	return platform.TxnResult{}, l.store.givenUp(accessWrite, l.class, ctx.Err(), o.last)
+}
+
+// run sends batches until the queue is empty.
+func (l *lane) run() {
+	for {
+		b := l.next()
+		if b == nil {
+			return
+		}
+		b.run()
+		b.stop()
+	}
+}
+
+// next takes a batch from the queue, or ends the lane's run.
+func (l *lane) next() *batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := 1
+	if l.class == Claim || l.class == Report {
+		limit = l.store.opts.GroupSize
+	}
+	g := newGroup()
+	// Operations that conflict with the group wait for the next one. Callers in
+	// the queue are concurrent, so their order does not matter.
+	var kept []*operation
+	for _, o := range l.queue {
+		if !o.gone && (len(g.ops) == limit || !g.add(o)) {
+			kept = append(kept, o)
+		}
+	}
+	l.queue = kept
+	if len(g.ops) == 0 {
+		l.running = false
+		return nil
+	}
+	b := &batch{lane: l, ops: g.ops, live: len(g.ops)}
+	b.ctx, b.stop = context.WithCancel(context.Background())
+	for _, o := range g.ops {
+		o.batch = b
+	}
+	return b
+}
+
+func (l *lane) count(r result) {
+	l.store.metrics.count(accessWrite, l.class, r)
+}
+
+// newMark returns the mark of the next transaction.
+func (l *lane) newMark() mark {
+	l.seq++
+	return mark{Incarnation: l.store.opts.Incarnation, Sequence: l.seq}
+}
+
+// adopt takes over the lane's state as it was read.
+func (l *lane) adopt(st laneState) {
+	other := st.value.Mark.Incarnation
+	if st.revision != 0 && other != l.store.opts.Incarnation {
+		l.store.log.Log(eventLaneTaken, nil, telemetry.Fields{"lane": l.key, "incarnation": uint64(other)})
+	}
+	l.known = true
+	l.state = st
+}
+
+// send makes one admitted attempt on the table.
+func (l *lane) send(t ticket, txn platform.Txn) (platform.TxnResult, error) {
+	// The attempt does not end with its callers: an attempt that is cut short
+	// would have to be resolved.
+	ctx, cancel := context.WithTimeout(context.Background(), l.store.opts.AttemptTimeout)
+	defer cancel()
+	res, err := l.store.table.Commit(ctx, txn)
+	l.store.report(t, err)
+	return res, err
+}
+
+// read makes one admitted read of the lane and other rows.
+func (l *lane) read(ctx context.Context, others []string) (laneState, []platform.Row, error) {
+	t, err := l.store.gate.enter(ctx, accessRead, l.class)
+	if err != nil {
+		return laneState{}, nil, err
+	}
+	rows, err := l.store.try(ctx, t, func(ctx context.Context) ([]platform.Row, error) {
+		return l.store.table.Get(ctx, append([]string{l.key}, others...)...)
+	})
+	if err != nil {
+		return laneState{}, nil, err
+	}
+	st, err := parseLane(rows[0])
+	return st, rows, err
+}
--- /dev/null
+++ b/internal/store/mark.go
@@ -0,0 +1,91 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+)
+
+// mark identifies one transaction of one process.
+type mark struct {
+	Incarnation types.Incarnation `json:"incarnation"`
+	Sequence    uint64            `json:"sequence"`
+}
+
+// laneValue is the content of a lane row.
+type laneValue struct {
+	Mark mark `json:"mark"`
+	// Replaced is the last mark of the incarnation before this one, and
+	// ReplacedRevision the lane's revision with it.
+	Replaced         mark   `json:"replaced"`
+	ReplacedRevision uint64 `json:"replaced_revision"`
+}
+
+// laneState is a lane row as it was read; revision 0 means no row.
+type laneState struct {
+	revision uint64
+	value    laneValue
+}
+
+func parseLane(row platform.Row) (laneState, error) {
+	st := laneState{revision: row.Revision}
+	if row.Revision == 0 {
+		return st, nil
+	}
+	if err := json.Unmarshal(row.Value, &st.value); err != nil {
+		return st, fmt.Errorf("lane row %q: %w", row.Key, err)
+	}
+	return st, nil
+}
+
+// next returns the value that a transaction with mark m gives to the lane.
+func (st laneState) next(m mark) laneValue {
+	v := laneValue{Mark: m, Replaced: st.value.Replaced, ReplacedRevision: st.value.ReplacedRevision}
+	if st.revision != 0 && st.value.Mark.Incarnation != m.Incarnation {
+		v.Replaced = st.value.Mark
+		v.ReplacedRevision = st.revision
+	}
+	return v
+}
+
+// verdict tells what became of a transaction whose answer was lost.
+type verdict int
+
+const (
+	// verdictPending: not committed; a copy on its way may still commit.
+	verdictPending verdict = iota
+	// verdictCommitted: committed.
+	verdictCommitted
+	// verdictVoid: not committed, and no copy can commit any more.
+	verdictVoid
+	// verdictUnknown: the lane does not tell.
+	verdictUnknown
+)
+
+// classify decides what became of the transaction with mark m, sent under the
+// condition that the lane is at revision expected, from the lane as it is now.
+// For a committed transaction it returns the revision.
+func classify(m mark, expected uint64, now laneState) (verdict, uint64) {
+	if now.revision == expected {
+		return verdictPending, 0
+	}
+	v := now.value
+	switch {
+	case now.revision == 0:
+		return verdictUnknown, 0
+	case v.Mark == m:
+		return verdictCommitted, now.revision
+	case v.Mark.Incarnation == m.Incarnation:
+		// An earlier transaction landed late, or a seal was written: both
+		// replaced the revision that this one requires.
+		return verdictVoid, 0
+	case v.Replaced == m:
+		return verdictCommitted, v.ReplacedRevision
+	case v.Replaced.Incarnation == m.Incarnation, v.ReplacedRevision == expected:
+		return verdictVoid, 0
+	default:
+		return verdictUnknown, 0
+	}
+}
--- /dev/null
+++ b/internal/store/metrics.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// Events of the store.
+var (
+	eventOutageStarted = telemetry.Define(301, logrus.WarnLevel, "table outage started",
+		"Three attempts in a row failed. Requests with a key are refused and nothing is placed until the table answers.")
+	eventOutageEnded = telemetry.Define(302, logrus.InfoLevel, "table outage ended",
+		"The table answers again. Traffic is paced until the backlog is gone.")
+	eventUnresolved = telemetry.Define(303, logrus.WarnLevel, "outcome of a table write cannot be known",
+		"Another process took this store's lane over twice while a write had no answer. Check that no two processes run under one name.")
+	eventLaneTaken = telemetry.Define(304, logrus.InfoLevel, "lane taken over from another incarnation",
+		"Expected once after a restart. Repeated lines mean that two processes run under one name.")
+)
+
+// result names the outcome of a call in the counters.
+type result int
+
+const (
+	resultDone result = iota
+	resultConflict
+	resultUnavailable
+	resultLimited
+	resultUncertain
+	resultRefused
+	resultRetried
+	resultReadBack
+	resultSealed
+	results // number of results
+)
+
+func (r result) String() string {
+	return [results]string{"done", "conflict", "unavailable", "limited", "uncertain",
+		"refused", "retried", "read_back", "sealed"}[r]
+}
+
+// metrics holds the counters store_calls, tagged with access, class and result.
+type metrics struct {
+	calls [accesses][classes][results]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	m := &metrics{}
+	for a, access := range [accesses]string{"read", "write"} {
+		for c := range classes {
+			for r := range results {
+				m.calls[a][c][r] = scope.Tagged(map[string]string{
+					"access": access, "class": c.String(), "result": r.String(),
+				}).Counter("store_calls")
+			}
+		}
+	}
+	return m
+}
+
+func (m *metrics) count(a access, c Class, r result) {
+	m.calls[a][c][r].Inc(1)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,250 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// Limits is the share of the table that one store may use.
+type Limits struct {
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// LeaseShare is the part of both rates, 0 to 1, that only leases use.
+	LeaseShare float64
+}
+
+// OwnerLimits is the share of a shard owner. With 36 owners and four entries
+// the table sees at most 296 writes and 1,480 reads a second.
+func OwnerLimits() Limits {
+	return Limits{WritesPerSecond: 6, ReadsPerSecond: 30, LeaseShare: 1.0 / 6}
+}
+
+// EntryLimits is the share of an entry. It has few leases and many claims.
+func EntryLimits() Limits {
+	return Limits{WritesPerSecond: 20, ReadsPerSecond: 100, LeaseShare: 0.05}
+}
+
+// Defaults of Options.
+const (
+	DefaultAttemptTimeout = 2 * time.Second
+	DefaultGroupSize      = 256
+)
+
+// Options configures a Store.
+type Options struct {
+	// Name names the lanes. It must be unique among running processes; a
+	// restarted process should use its old name, so that lanes do not pile up.
+	Name string
+	// Incarnation is that of the process, never zero.
+	Incarnation types.Incarnation
+	// Limits defaults to OwnerLimits.
+	Limits Limits
+	// AttemptTimeout bounds one call to the table. It defaults to 2 s, a third
+	// of the TTL of a shard lease.
+	AttemptTimeout time.Duration
+	// GroupSize is the number of claims or reports merged at most.
+	GroupSize int
+	// Clock defaults to the system's monotonic clock.
+	Clock Clock
+	// Rand decides the jitter. It defaults to a random seed.
+	Rand *rand.Rand
+	// Scope receives the counters; nil counts nothing.
+	Scope tally.Scope
+	// Logger receives events; nil logs nothing.
+	Logger *telemetry.Logger
+
+	noReadBack bool // only for the test of the mutant
+	noPacing   bool // only for the test of the mutant
+}
+
+// Store is the client of the table. It is safe for concurrent use.
+type Store struct {
+	table   platform.Table
+	opts    Options
+	gate    *gate
+	lanes   [classes]*lane
+	metrics *metrics
+	log     *telemetry.Logger
+}
+
+// New returns a store. It starts no goroutine before it is used.
+func New(table platform.Table, opts Options) *Store {
+	opts = withDefaults(opts)
+	s := &Store{
+		table: table, opts: opts, log: opts.Logger,
+		metrics: newMetrics(opts.Scope),
+		gate: &gate{
+			clock: opts.Clock, rng: opts.Rand,
+			adm:     newAdmission(opts.Limits, opts.Clock.Now()),
+			changed: make(chan struct{}),
+		},
+	}
+	for _, b := range s.gate.adm.budgets {
+		b.pacing = !opts.noPacing
+	}
+	for c := range s.lanes {
+		s.lanes[c] = newLane(s, Class(c))
+	}
+	return s
+}
+
+func withDefaults(o Options) Options {
+	if o.Limits == (Limits{}) {
+		o.Limits = OwnerLimits()
+	}
+	if o.AttemptTimeout <= 0 {
+		o.AttemptTimeout = DefaultAttemptTimeout
+	}
+	if o.GroupSize <= 0 {
+		o.GroupSize = DefaultGroupSize
+	}
+	if o.Clock == nil {
+		o.Clock = systemClock{start: time.Now()}
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Logger == nil {
+		o.Logger = telemetry.Discard()
+	}
+	return o
+}
+
+// Commit applies the transaction, repeating it as needed until the context
+// ends. Result.Committed is false if a condition failed; nothing was changed
+// then and nothing will be. If the answer was lost and read back, the rows of
+// Txn.Reads are as of the read-back. Errors, by kind:
+//
+//   - unavailable: nothing was changed. Claims get it at once in an outage.
+//   - limited: nothing was changed; the budget allowed no attempt in time.
+//   - uncertain: the transaction may have been committed or may still be.
+//   - refused: the table rejected the transaction; nothing was changed.
+func (s *Store) Commit(ctx context.Context, class Class, txn platform.Txn) (platform.TxnResult, error) {
+	if wait := s.gate.down(); class == Claim && wait > 0 {
+		s.metrics.count(accessWrite, class, resultUnavailable)
+		return platform.TxnResult{}, errDown(wait)
+	}
+	return s.lanes[class].commit(ctx, txn)
+}
+
+// Get returns the rows of the keys in order. It repeats the read until the
+// context ends. Errors are of kind unavailable, limited or refused.
+func (s *Store) Get(ctx context.Context, class Class, keys ...string) ([]platform.Row, error) {
+	return s.read(ctx, class, func(ctx context.Context) ([]platform.Row, error) {
+		return s.table.Get(ctx, keys...)
+	})
+}
+
+// Scan returns up to limit rows with the prefix and a key after the given one,
+// with the errors of Get.
+func (s *Store) Scan(ctx context.Context, class Class, prefix, after string, limit int) ([]platform.Row, error) {
+	return s.read(ctx, class, func(ctx context.Context) ([]platform.Row, error) {
+		return s.table.Scan(ctx, prefix, after, limit)
+	})
+}
+
+func (s *Store) read(ctx context.Context, class Class, do func(context.Context) ([]platform.Row, error)) ([]platform.Row, error) {
+	var last error
+	for {
+		if wait := s.gate.down(); class == Claim && wait > 0 {
+			s.metrics.count(accessRead, class, resultUnavailable)
+			return nil, errDown(wait)
+		}
+		t, err := s.gate.enter(ctx, accessRead, class)
+		if err != nil {
+			return nil, s.givenUp(accessRead, class, err, last)
+		}
+		rows, err := s.try(ctx, t, do)
+		if err == nil {
+			s.metrics.count(accessRead, class, resultDone)
+			return rows, nil
+		}
+		if !transient(err) {
+			s.metrics.count(accessRead, class, resultRefused)
+			return nil, errRefused(err)
+		}
+		s.metrics.count(accessRead, class, resultRetried)
+		last = err
+	}
+}
+
+// try makes one admitted read and reports its result to the gate.
+func (s *Store) try(ctx context.Context, t ticket, do func(context.Context) ([]platform.Row, error)) ([]platform.Row, error) {
+	attempt, cancel := context.WithTimeout(ctx, s.opts.AttemptTimeout)
+	defer cancel()
+	rows, err := do(attempt)
+	if err != nil && ctx.Err() != nil {
+		// The caller gave up; that says nothing about the table.
+		s.gate.released(t)
+		return nil, err
+	}
+	s.report(t, err)
+	return rows, err
+}
+
+// report tells the gate about the result of an attempt.
+func (s *Store) report(t ticket, err error) {
+	if err == nil || !transient(err) {
+		if s.gate.succeeded(t) {
+			s.log.Log(eventOutageEnded, nil, nil)
+		}
+		return
+	}
+	if s.gate.failed(t) {
+		s.log.Log(eventOutageStarted, err, nil)
+	}
+}
+
+// transient reports whether the error is a failure to get an answer.
+func transient(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain) ||
+		errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
+
+// givenUp returns the error for a caller whose context ended before anything
+// was changed. Last is the failure of the last attempt, nil if there was none.
+func (s *Store) givenUp(acc access, class Class, ctxErr, last error) error {
+	if last == nil && s.gate.down() == 0 {
+		s.metrics.count(acc, class, resultLimited)
+		return apperr.Wrap(ctxErr, apperr.KindLimited, "table",
+			"the store's budget allowed no attempt in time", "repeat later")
+	}
+	if last == nil {
+		last = ctxErr
+	}
+	s.metrics.count(acc, class, resultUnavailable)
+	return apperr.Wrap(last, apperr.KindUnavailable, "table",
+		"the table did not answer in time; nothing was changed", "repeat when the table is back")
+}
+
+func errDown(wait time.Duration) error {
+	return trace.Wrap(&apperr.Error{
+		Kind: apperr.KindUnavailable, Object: "table",
+		Problem: "the table is in an outage; nothing was changed",
+		Remedy:  "repeat later", RetryAfter: wait, Cause: platform.ErrUnavailable,
+	})
+}
+
+func errRefused(cause error) error {
+	return apperr.Wrap(cause, apperr.KindRefused, "table",
+		"the table rejected the call; nothing was changed", "correct the call")
+}
+
+func errUncertain(cause error) error {
+	return apperr.Wrap(cause, apperr.KindUncertain, "table",
+		"it is not known whether the transaction was committed",
+		"read the rows that it writes and void it by changing a row that it is conditional on")
+}
