--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -20,6 +20,7 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands:       append(roleCommands(), devCommand()),
 	}
 	if err := cmd.Run(ctx, args); err != nil {
 		fmt.Fprintln(stderr, "boragecrank:", err)
--- /dev/null
+++ b/internal/cli/roles.go
@@ -0,0 +1,262 @@
+package cli
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/entry"
+	"github.com/boragecrank/boragecrank/internal/httpserve"
+	"github.com/boragecrank/boragecrank/internal/node"
+	"github.com/boragecrank/boragecrank/internal/owner"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/settings"
+	"github.com/boragecrank/boragecrank/internal/store"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/wire/datagram"
+	"github.com/boragecrank/boragecrank/internal/worker"
+)
+
+var (
+	eventWaiting = telemetry.Define(130, logrus.InfoLevel, "waiting for a configuration that names this VM",
+		"The worker has no configuration yet, or its VM is not in the inventory. Apply an inventory with the VM, or correct the name in the settings.")
+	eventStopFailed = telemetry.Define(131, logrus.ErrorLevel, "stop was not graceful",
+		"Requests in progress did not end in the time allowed by the settings. Allow more with drain.timeout.")
+)
+
+// configPause is the time between attempts to get a first configuration.
+const configPause = 500 * time.Millisecond
+
+// roleCommands are the long-running roles.
+func roleCommands() []*cli.Command {
+	return []*cli.Command{
+		{
+			Name:     "entry",
+			Category: "Roles",
+			Usage:    "serve callers and operators",
+			Flags:    []cli.Flag{settingsFlag()},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return withSettings(ctx, c.String("settings"), settings.RoleEntry, runEntry)
+			},
+		},
+		{
+			Name:     "worker",
+			Category: "Roles",
+			Usage:    "serve the upstreams and tasks of this VM",
+			Flags:    []cli.Flag{settingsFlag()},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return withSettings(ctx, c.String("settings"), settings.RoleWorker, runWorker)
+			},
+		},
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "TOML file with the settings of the process", Required: true}
+}
+
+// process is what both roles are built from.
+type process struct {
+	settings *settings.Settings
+	node     *node.Node
+	store    *store.Store
+}
+
+// withSettings loads the settings, builds the common part and runs the role
+// until the context ends.
+func withSettings(ctx context.Context, path string, role settings.Role, run func(context.Context, *process) error) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	if s.Role != role {
+		return apperr.New(apperr.KindInvalid, "settings "+path, "are for the role "+string(s.Role),
+			"start `boragecrank "+string(s.Role)+"` or change the key role")
+	}
+	tel, err := telemetry.Setup(telemetry.Options{
+		Process: string(s.ID), Role: string(s.Role),
+		LogLevel: s.Log.Level, LogFormat: s.Log.Format,
+		TraceExporter: s.Trace.Exporter, TraceFile: s.Trace.Path, TraceSample: s.Trace.Sample,
+	})
+	if err != nil {
+		return apperr.Wrap(err, apperr.KindInvalid, "settings "+path, "telemetry cannot be set up", "correct the tables log and trace")
+	}
+	n, err := node.New(node.Options{
+		Name: string(s.ID), Role: string(s.Role), Region: s.Region, FailureDomain: s.FailureDomain,
+		Internal: s.Listen.Internal.String(), Key: []byte(s.Credentials.SharedKey.Reveal()),
+		Peers: addresses(s.Peers), Telemetry: tel,
+	})
+	if err != nil {
+		return err
+	}
+	limits := store.OwnerLimits()
+	if role == settings.RoleEntry {
+		limits = store.EntryLimits()
+	}
+	table := platform.NewHTTPTable(s.Platform.Table, platformClient())
+	p := &process{settings: s, node: n, store: store.New(table, store.Options{
+		Name: string(s.ID), Incarnation: n.Incarnation, Limits: limits, Scope: tel.Metrics, Logger: tel.Log,
+	})}
+	if err := run(ctx, p); err != nil {
+		return err
+	}
+	closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
+	defer cancel()
+	return tel.Close(closeCtx)
+}
+
+func platformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 60 * time.Second}}
+}
+
+func addresses(list []netip.AddrPort) []string {
+	out := make([]string, len(list))
+	for i, a := range list {
+		out[i] = a.String()
+	}
+	return out
+}
+
+func runEntry(ctx context.Context, p *process) error {
+	s := p.settings
+	limits := httpserve.DefaultLimits()
+	limits.HeaderBytes, limits.Connections = int(s.Limits.HeaderBytes), s.Limits.Connections
+	e, err := entry.New(p.node, entry.Options{
+		Callers:       s.Listen.Callers.String(),
+		Operators:     s.Listen.API.String(),
+		Claims:        entry.TableClaims{Table: p.store.View(store.Claim)},
+		Table:         p.store.View(store.Placement),
+		Membership:    owner.MembershipConfig(),
+		Token:         []byte(s.Credentials.OperatorsToken.Reveal()),
+		MaxBody:       s.Limits.BodyBytes,
+		Limits:        limits,
+		BalancerDelay: s.Drain.Delay,
+	})
+	if err != nil {
+		return err
+	}
+	if err := p.node.Serve(e.Datagram); err != nil {
+		return err
+	}
+	p.pullFromPeers(ctx)
+	if err := e.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return p.stop(ctx, s.Drain.Delay+s.Drain.Timeout, e.Shutdown)
+}
+
+func runWorker(ctx context.Context, p *process) error {
+	s := p.settings
+	vm, err := p.awaitVM(ctx, s.ID)
+	if err != nil {
+		return err
+	}
+	client := platformClient()
+	w := worker.New(p.node, worker.Options{
+		Local:      s.Listen.Announcements.String(),
+		Runtime:    platform.NewHTTPRuntime(s.Platform.Runtime, s.ID, client),
+		Objects:    platform.NewHTTPObjects(s.Platform.Objects, client),
+		DrainDelay: s.Drain.Delay,
+		Membership: owner.MembershipConfig(),
+	})
+	host, err := owner.NewHost(p.node, owner.Options{
+		Shard:      vm.Shard,
+		Lease:      p.store.View(store.Lease),
+		Table:      p.store.View(store.Placement),
+		Placer:     owner.WorstFit{},
+		OwnerKnown: w.SetOwner,
+	})
+	if err != nil {
+		return err
+	}
+	if err := w.Start(ctx, vm); err != nil {
+		return err
+	}
+	if err := p.node.Serve(workerDatagrams(p.node, w, host)); err != nil {
+		return err
+	}
+	host.Start(ctx)
+	select {
+	case <-ctx.Done():
+	case <-w.Superseded():
+	}
+	return p.stop(ctx, s.Drain.Delay+s.Drain.Timeout, func(ctx context.Context) error {
+		host.Shutdown(ctx)
+		return w.Shutdown(ctx)
+	})
+}
+
+// workerDatagrams hands messages to the parts of a worker.
+func workerDatagrams(n *node.Node, w *worker.Worker, host *owner.Host) func(datagram.Message, netip.AddrPort) {
+	return func(m datagram.Message, from netip.AddrPort) {
+		n.Heard(m.Head(), from)
+		switch m := m.(type) {
+		case *datagram.Heartbeat:
+			host.Heartbeat(m, from)
+		case *datagram.HeartbeatAck:
+			w.Ack(m, from)
+			host.Acked(m)
+		}
+	}
+}
+
+// awaitVM gets a configuration that names the VM, from peers or the table.
+func (p *process) awaitVM(ctx context.Context, id types.VMID) (types.VM, error) {
+	for tries := 0; ; tries++ {
+		p.pullFromPeers(ctx)
+		if p.node.Config.Current() == nil {
+			p.loadFromTable(ctx)
+		}
+		if c := p.node.Config.Current(); c != nil {
+			if vm, ok := c.VM(id); ok {
+				return vm, nil
+			}
+			p.loadFromTable(ctx)
+		}
+		if tries%20 == 0 {
+			p.node.Telemetry.Log.Log(eventWaiting, nil, telemetry.Fields{"vm": string(id)})
+		}
+		select {
+		case <-time.After(configPause):
+		case <-ctx.Done():
+			return types.VM{}, apperr.Wrap(ctx.Err(), apperr.KindUnavailable, "VM "+string(id), "stopped before it was configured", "")
+		}
+	}
+}
+
+// pullFromPeers fetches the configuration from the first peer that answers.
+func (p *process) pullFromPeers(ctx context.Context) {
+	for _, peer := range p.node.Peers {
+		if p.node.PullFrom(ctx, peer) == nil {
+			return
+		}
+	}
+}
+
+func (p *process) loadFromTable(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	// The caller repeats it.
+	_ = p.node.Config.Load(ctx, p.store.View(store.Placement))
+}
+
+// stop ends a role gracefully within the time allowed.
+func (p *process) stop(ctx context.Context, allowed time.Duration, shutdown func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), allowed+5*time.Second)
+	defer cancel()
+	err := shutdown(ctx)
+	if err != nil {
+		p.node.Telemetry.Log.Log(eventStopFailed, err, nil)
+	}
+	if nodeErr := p.node.Shutdown(ctx); err == nil {
+		err = nodeErr
+	}
+	return err
+}
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -72,7 +72,9 @@
 
 // Options describe a host.
 type Options struct {
-	Shard  types.ShardID
+	Shard types.ShardID
+	// Lease is the table as used for leases, Table for everything else.
+	Lease  platform.Table
 	Table  platform.Table
 	Placer shard.Placer
 	// OwnerKnown is called with the call address of the shard's owner when it
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -41,7 +41,7 @@
 	h := s.h
 	s.leaseBusy = true
 	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
-		rows, err := h.opts.Table.Get(ctx, lease.Key(h.opts.Shard))
+		rows, err := h.opts.Lease.Get(ctx, lease.Key(h.opts.Shard))
 		at := h.node.Clock()
 		return func(s *hostState) {
 			s.leaseBusy = false
@@ -96,7 +96,7 @@
 	}
 	sentAt := h.node.Clock()
 	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
-		result, err := h.opts.Table.Commit(ctx, txn)
+		result, err := h.opts.Lease.Commit(ctx, txn)
 		revision := result.Revision
 		committed := err == nil && result.Committed
 		if errors.Is(err, platform.ErrUncertain) {
@@ -117,7 +117,7 @@
 func (h *Host) tookOver(want lease.Row) (bool, uint64) {
 	ctx, cancel := context.WithTimeout(h.ctx, tableTimeout)
 	defer cancel()
-	rows, err := h.opts.Table.Get(ctx, lease.Key(h.opts.Shard), lease.FenceKey(h.opts.Shard))
+	rows, err := h.opts.Lease.Get(ctx, lease.Key(h.opts.Shard), lease.FenceKey(h.opts.Shard))
 	if err != nil {
 		return false, 0
 	}
@@ -155,7 +155,7 @@
 	}
 	sentAt := h.node.Clock()
 	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
-		result, err := h.opts.Table.Commit(ctx, txn)
+		result, err := h.opts.Lease.Commit(ctx, txn)
 		return func(s *hostState) { s.renewed(t, result, err, sentAt) }
 	})
 }
@@ -211,7 +211,7 @@
 	h, t := s.h, s.term
 	s.leaseBusy = true
 	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
-		rows, err := h.opts.Table.Get(ctx, lease.Key(h.opts.Shard))
+		rows, err := h.opts.Lease.Get(ctx, lease.Key(h.opts.Shard))
 		return func(s *hostState) {
 			s.leaseBusy = false
 			if s.term != t || err != nil {
@@ -260,7 +260,7 @@
 		ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 		defer cancel()
 		// If this fails, the lease runs out instead.
-		_, _ = h.opts.Table.Commit(ctx, platform.Txn{
+		_, _ = h.opts.Lease.Commit(ctx, platform.Txn{
 			Conditions: []platform.Condition{{Key: lease.Key(h.opts.Shard), Revision: r.Revision}},
 			Writes:     []platform.Write{{Key: lease.Key(h.opts.Shard), Value: value}},
 		})
--- a/internal/telemetry/setup.go
+++ b/internal/telemetry/setup.go
@@ -39,6 +39,8 @@
 	TraceExporter string
 	// TraceFile receives spans, one JSON object each, if the exporter is "file".
 	TraceFile string
+	// TraceSample is the share of requests that are traced, 0 to 1.
+	TraceSample float64
 }
 
 // Telemetry bundles the logger, metrics scope and tracer of a process.
@@ -148,6 +150,8 @@
 	}
 	provider := sdktrace.NewTracerProvider(
 		sdktrace.WithBatcher(exporter, sdktrace.WithBatchTimeout(time.Second)),
+		// The first hop decides for all.
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(o.TraceSample))),
 	)
 	t.Tracer = provider.Tracer("boragecrank", trace.WithInstrumentationAttributes(
 		attribute.String("process", o.Process),
