--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,15 @@
 TOOLS ?= $(CURDIR)/.tools
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test lint fmt generate check-examples clean
+.PHONY: build run test lint fmt generate clean
 
 build:
 	go build -o $(BIN) ./cmd/boragecrank
 
+# KEEP=1 leaves the deployment up.
+run: build
+	KEEP=$(KEEP) scripts/run.sh
+
 # -count=1 runs tests that start processes every time.
 test:
 	go test -race -count=1 -timeout 10m ./...
--- /dev/null
+++ b/internal/localrun/localrun.go
@@ -0,0 +1,376 @@
+// Package localrun starts deployments of real processes on the loopback
+// interface, for failure tests and measurements. It is not part of the shipped
+// binary.
+package localrun
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Credentials of local deployments.
+const (
+	SharedKey = "local-shared-key-not-for-production-0000"
+	Token     = "local-operators-token-not-for-production"
+)
+
+const (
+	// startTimeout bounds the wait for a process to answer.
+	startTimeout = 20 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// Options describe a deployment.
+type Options struct {
+	// Binary is the built command.
+	Binary string
+	// Dir receives settings and logs.
+	Dir string
+	// Octet is the second number of all addresses (127.Octet.x.y), so that
+	// deployments on one machine stay apart.
+	Octet   int
+	Entries int
+	// Domains is the number of failure domains and Workers that of workers in
+	// each.
+	Domains, Workers int
+	// Upstreams starts an upstream beside each worker.
+	Upstreams bool
+	// ServiceTime is how long a booking takes.
+	ServiceTime time.Duration
+	// Rules replaces the default rules file.
+	Rules string
+	// Work replaces the default services and jobs.
+	Work string
+	// Trace makes every process append its spans to a file of its own.
+	Trace bool
+}
+
+// Process is one started process.
+type Process struct {
+	Name string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Pid returns the process ID.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Deployment is a running set of processes.
+type Deployment struct {
+	opts Options
+	http *http.Client
+
+	mu    sync.Mutex
+	procs map[string]*Process
+}
+
+// New prepares a deployment; nothing is started yet.
+func New(o Options) (*Deployment, error) {
+	d := &Deployment{opts: o, procs: make(map[string]*Process), http: &http.Client{Timeout: 10 * time.Second}}
+	if err := d.writeInventory(o.Workers); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Addresses of the deployment's processes.
+
+// Platform returns the address of the stand-in platform.
+func (d *Deployment) Platform() string { return fmt.Sprintf("127.%d.0.100:9000", d.opts.Octet) }
+
+// Callers returns the callers' address of an entry, counted from 1.
+func (d *Deployment) Callers(entry int) string {
+	return fmt.Sprintf("127.%d.0.%d:8080", d.opts.Octet, entry)
+}
+
+// Operators returns the operators' address of an entry, counted from 1.
+func (d *Deployment) Operators(entry int) string {
+	return fmt.Sprintf("127.%d.0.%d:8081", d.opts.Octet, entry)
+}
+
+// Upstream returns the address of the upstream beside a worker. Domains and
+// workers are counted from 1.
+func (d *Deployment) Upstream(domain, worker int) string {
+	return fmt.Sprintf("127.%d.%d.%d:8000", d.opts.Octet, domain, worker)
+}
+
+func (d *Deployment) announcements(domain, worker int) string {
+	return fmt.Sprintf("127.%d.%d.%d:7002", d.opts.Octet, domain, worker)
+}
+
+// EntryName returns the name of an entry.
+func EntryName(entry int) string { return fmt.Sprintf("entry-%d", entry) }
+
+// WorkerName returns the name of a worker's VM.
+func WorkerName(domain, worker int) string { return fmt.Sprintf("d%d-%03d", domain, worker) }
+
+// UpstreamName returns the name of the upstream beside a worker.
+func UpstreamName(domain, worker int) string { return "upstream-" + WorkerName(domain, worker) }
+
+// StartAll starts the platform, the entries, applies the inventory, and starts
+// workers and upstreams. It returns when every process answers.
+func (d *Deployment) StartAll(ctx context.Context) error {
+	if err := d.StartPlatform(ctx); err != nil {
+		return err
+	}
+	for i := 1; i <= d.opts.Entries; i++ {
+		if err := d.StartEntry(ctx, i); err != nil {
+			return err
+		}
+	}
+	if out, err := d.Command(ctx, "apply", d.inventoryDir()); err != nil {
+		return fmt.Errorf("apply: %w: %s", err, out)
+	}
+	return d.each(func(domain, worker int) error {
+		if err := d.StartWorker(ctx, domain, worker); err != nil {
+			return err
+		}
+		if !d.opts.Upstreams {
+			return nil
+		}
+		return d.StartUpstream(ctx, domain, worker)
+	})
+}
+
+// each calls f for all workers, several at a time.
+func (d *Deployment) each(f func(domain, worker int) error) error {
+	const atOnce = 8
+	slots := make(chan struct{}, atOnce)
+	errs := make(chan error, d.opts.Domains*d.opts.Workers)
+	for domain := 1; domain <= d.opts.Domains; domain++ {
+		for worker := 1; worker <= d.opts.Workers; worker++ {
+			slots <- struct{}{}
+			go func() {
+				defer func() { <-slots }()
+				errs <- f(domain, worker)
+			}()
+		}
+	}
+	var all error
+	for range d.opts.Domains * d.opts.Workers {
+		all = errors.Join(all, <-errs)
+	}
+	return all
+}
+
+// StartPlatform starts the stand-in platform.
+func (d *Deployment) StartPlatform(ctx context.Context) error {
+	if _, err := d.start("platform", "dev", "platform", "--listen", d.Platform()); err != nil {
+		return err
+	}
+	return d.await(ctx, "http://"+d.Platform()+"/admin/witness")
+}
+
+// StartEntry starts an entry and waits until it answers.
+func (d *Deployment) StartEntry(ctx context.Context, entry int) error {
+	file, err := d.writeEntrySettings(entry)
+	if err != nil {
+		return err
+	}
+	if _, err := d.start(EntryName(entry), "entry", "--settings", file); err != nil {
+		return err
+	}
+	return d.await(ctx, "http://"+d.Operators(entry)+"/healthz")
+}
+
+// StartWorker starts a worker and waits until it answers.
+func (d *Deployment) StartWorker(ctx context.Context, domain, worker int) error {
+	file, err := d.writeWorkerSettings(domain, worker)
+	if err != nil {
+		return err
+	}
+	if _, err := d.start(WorkerName(domain, worker), "worker", "--settings", file); err != nil {
+		return err
+	}
+	return d.await(ctx, "http://"+d.announcements(domain, worker)+"/healthz")
+}
+
+// StartUpstream starts the upstream beside a worker.
+func (d *Deployment) StartUpstream(ctx context.Context, domain, worker int) error {
+	_, err := d.start(UpstreamName(domain, worker), "dev", "upstream", "--listen", d.Upstream(domain, worker),
+		"--worker", d.announcements(domain, worker), "--service", "berth-check",
+		"--service-time", d.opts.ServiceTime.String())
+	if err != nil {
+		return err
+	}
+	return d.await(ctx, "http://"+d.Upstream(domain, worker)+"/record")
+}
+
+// start starts a process of the built binary and logs to a file.
+func (d *Deployment) start(name string, args ...string) (*Process, error) {
+	p := &Process{Name: name, args: args, log: filepath.Join(d.opts.Dir, name+".log"), done: make(chan struct{})}
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p.cmd = exec.Command(d.opts.Binary, args...)
+	p.cmd.Env = d.env()
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// A deployment must not outlive the test that started it.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	d.mu.Lock()
+	d.procs[name] = p
+	d.mu.Unlock()
+	return p, nil
+}
+
+func (d *Deployment) env() []string {
+	urls := make([]string, d.opts.Entries)
+	for i := range urls {
+		urls[i] = "http://" + d.Operators(i+1)
+	}
+	return append(os.Environ(),
+		"BORAGECRANK_SHARED_KEY="+SharedKey,
+		"BORAGECRANK_OPERATORS_TOKEN="+Token,
+		"BORAGECRANK_ENTRY="+strings.Join(urls, ","),
+	)
+}
+
+// Command runs an operator's command and returns what it printed.
+func (d *Deployment) Command(ctx context.Context, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, d.opts.Binary, args...)
+	cmd.Env = d.env()
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+// await polls a URL until it answers with success.
+func (d *Deployment) await(ctx context.Context, url string) error {
+	deadline := time.Now().Add(startTimeout)
+	for time.Now().Before(deadline) {
+		if _, err := d.Get(ctx, url); err == nil {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+	return fmt.Errorf("%s does not answer after %v", url, startTimeout)
+}
+
+// Get reads a URL.
+func (d *Deployment) Get(ctx context.Context, url string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+Token)
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return body, err
+}
+
+// Post sends a JSON body to a URL.
+func (d *Deployment) Post(ctx context.Context, url string, body any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return nil
+}
+
+// Process returns a started process by name, or nil.
+func (d *Deployment) Process(name string) *Process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.procs[name]
+}
+
+// Signal sends a signal to a process.
+func (d *Deployment) Signal(name string, s syscall.Signal) error {
+	p := d.Process(name)
+	if p == nil {
+		return fmt.Errorf("process %q was not started", name)
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// Kill ends a process with SIGKILL and waits for its end.
+func (d *Deployment) Kill(name string) error {
+	if err := d.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-d.Process(name).done
+	return nil
+}
+
+// Stop ends a process gracefully and fails if it does not exit with 0.
+func (d *Deployment) Stop(name string, timeout time.Duration) error {
+	if err := d.Signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	p := d.Process(name)
+	select {
+	case <-p.done:
+		if p.err != nil {
+			return fmt.Errorf("process %q: %w", name, p.err)
+		}
+		return nil
+	case <-time.After(timeout):
+		return fmt.Errorf("process %q did not stop within %v", name, timeout)
+	}
+}
+
+// Close kills all processes that still run.
+func (d *Deployment) Close() {
+	d.mu.Lock()
+	procs := make([]*Process, 0, len(d.procs))
+	for _, p := range d.procs {
+		procs = append(procs, p)
+	}
+	d.mu.Unlock()
+	for _, p := range procs {
+		// A process that has ended already gives an error, which is fine.
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		<-p.done
+	}
+}
+
+// Log returns the log of a process.
+func (d *Deployment) Log(name string) string {
+	b, err := os.ReadFile(filepath.Join(d.opts.Dir, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
