Add the operators' API client and the commands apply, submit, jobs, status and config

The client sends each write at most once: another entry is tried only when no connection to the first was made.

--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,180 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/inventory"
+	"github.com/boragecrank/boragecrank/internal/operatorapi"
+)
+
+const (
+	// readBackTries and readBackPause bound the reading after an uncertain
+	// apply. An entry reads the accepted version every second, and a call to an
+	// entry under load takes a few.
+	readBackTries = 5
+	readBackPause = time.Second
+)
+
+// applied is the JSON output of apply.
+type applied struct {
+	// Version is in effect after the command.
+	Version types.Version `json:"version"`
+	// Changed is false if nothing was sent.
+	Changed bool               `json:"changed"`
+	DryRun  bool               `json:"dry_run"`
+	Changes []inventory.Change `json:"changes"`
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Category:  categoryChange,
+		Usage:     "make an inventory take effect",
+		ArgsUsage: "PATH...",
+		Description: `Reads all inventory files, compares them with the accepted configuration, shows
+the difference and sends the result. A PATH is a file or a directory; all files
+of the inventory are given every time, since what they leave out is removed.
+
+The result is accepted only if the configuration is still the one that the
+difference was made from. If another operator was faster, the command ends with
+exit code 5 and nothing is changed: merge the files of the other change, look at
+` + "`boragecrank diff`" + ` and apply again.
+
+Examples:
+   boragecrank apply inventory/
+   boragecrank apply --dry-run inventory/ rules.toml
+   boragecrank apply --base 41 inventory/    only if version 41 is still in effect`,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "base", Usage: "`VERSION` that the files were edited from; another accepted version is a conflict"},
+			&cli.BoolFlag{Name: "dry-run", Usage: "show the difference and send nothing"},
+			jsonFlag(),
+		},
+		Action: runApply,
+	}
+}
+
+func runApply(ctx context.Context, cmd *cli.Command) error {
+	source, err := loadInventory(cmd)
+	if err != nil {
+		return err
+	}
+	client, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	current, next, err := compare(ctx, cmd, client, source)
+	if err != nil {
+		return err
+	}
+	if base := types.Version(cmd.Uint64("base")); cmd.IsSet("base") && base != versionOf(current) {
+		return apperr.New(apperr.KindConflict, "configuration",
+			fmt.Sprintf("version %d is in effect, not the edited version %d", versionOf(current), base),
+			fmt.Sprintf("merge the other change, look at `boragecrank diff`, then apply with --base %d", versionOf(current)))
+	}
+	out := applied{Version: versionOf(current), DryRun: cmd.Bool("dry-run"), Changes: inventory.Diff(current, next)}
+	same := current != nil && current.SameContent(next)
+	if !cmd.Bool(flagJSON) {
+		fmt.Fprint(stdout(cmd), inventory.ChangesText(out.Changes))
+	}
+	if !same && !out.DryRun {
+		if err := accept(ctx, client, versionOf(current), next); err != nil {
+			return err
+		}
+		out.Version, out.Changed = next.Version(), true
+	}
+	if cmd.Bool(flagJSON) {
+		return printJSON(cmd, out)
+	}
+	switch {
+	case same:
+		fmt.Fprintf(stdout(cmd), "no change: version %d is in effect\n", out.Version)
+	case out.DryRun:
+		fmt.Fprintf(stdout(cmd), "dry run: nothing was sent, version %d is in effect\n", out.Version)
+	default:
+		fmt.Fprintf(stdout(cmd), "accepted version %d\n", out.Version)
+	}
+	return nil
+}
+
+// compare returns the accepted configuration, nil if there is none, and the one
+// that an inventory would make of it.
+func compare(
+	ctx context.Context, cmd *cli.Command, client *operatorapi.Client, source *inventory.Source,
+) (current, next *config.Config, err error) {
+	current, err = client.Config(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	next, report := source.Compile(current)
+	return current, next, findings(cmd, report)
+}
+
+// loadInventory reads the files of the arguments.
+func loadInventory(cmd *cli.Command) (*inventory.Source, error) {
+	if !cmd.Args().Present() {
+		return nil, badUsage(cmd, "no inventory files are given")
+	}
+	source, report := inventory.Load(cmd.Args().Slice()...)
+	return source, findings(cmd, report)
+}
+
+// findings prints a report and returns its summary as an error of kind invalid.
+func findings(cmd *cli.Command, report *inventory.Report) error {
+	if report.OK() {
+		return nil
+	}
+	fmt.Fprint(stderr(cmd), report.Text())
+	return invalid("inventory", len(report.Findings))
+}
+
+func invalid(object string, faults int) error {
+	problem := fmt.Sprintf("%d faults", faults)
+	if faults == 1 {
+		problem = "1 fault"
+	}
+	return apperr.New(apperr.KindInvalid, object, problem, "correct the lines named above; nothing was applied")
+}
+
+// accept sends a configuration. If the answer is lost it reads what is in
+// effect, which tells in most cases.
+func accept(ctx context.Context, client *operatorapi.Client, base types.Version, next *config.Config) error {
+	_, err := client.Accept(ctx, base, next)
+	if apperr.KindOf(err) != apperr.KindUncertain {
+		return err
+	}
+	for range readBackTries {
+		if sleep(ctx, readBackPause) != nil {
+			return err
+		}
+		seen, readErr := client.Config(ctx)
+		if readErr != nil || versionOf(seen) < next.Version() {
+			continue
+		}
+		// A version can be accepted once, so the content decides whose it was.
+		if seen.Version() == next.Version() && seen.SameContent(next) {
+			return nil
+		}
+		if seen.Version() == next.Version() {
+			return apperr.New(apperr.KindConflict, "configuration",
+				fmt.Sprintf("another change was accepted as version %d", seen.Version()),
+				"merge it, look at `boragecrank diff` and apply again")
+		}
+		return err
+	}
+	return err
+}
+
+// versionOf returns 0 for no configuration.
+func versionOf(c *config.Config) types.Version {
+	if c == nil {
+		return 0
+	}
+	return c.Version()
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/urfave/cli/v3"
 
@@ -17,10 +18,11 @@
 	cmd := &cli.Command{
 		Name:           "boragecrank",
 		Usage:          "schedule latency-critical and batch work on the same VMs",
+		Description:    rootDescription,
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands:       append(roleCommands(), devCommand()),
+		Commands:       slices.Concat(operatorCommands(), roleCommands(), []*cli.Command{devCommand()}),
 	}
 	if err := cmd.Run(ctx, args); err != nil {
 		fmt.Fprintln(stderr, "boragecrank:", err)
--- /dev/null
+++ b/internal/cli/operators.go
@@ -0,0 +1,175 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/operatorapi"
+	"github.com/boragecrank/boragecrank/internal/settings"
+)
+
+// rootDescription is the part of the root help that all commands share.
+const rootDescription = `Operators' commands call the operators' API of an entry. Give its address with
+--entry or BORAGECRANK_ENTRY, and the token with --token-file or
+BORAGECRANK_OPERATORS_TOKEN.
+
+A change of the system is a change of inventory files:
+   boragecrank check inventory/     find faults, without a running system
+   boragecrank diff inventory/      show what would change
+   boragecrank apply inventory/     make it take effect
+
+Exit codes:
+   0  done
+   1  failed, for example a job with failed tasks
+   2  bad usage
+   3  refused, limited, unauthorized or not available now
+   4  unreachable or no answer in time
+   5  conflict with another change
+   6  invalid settings or inventory
+   7  not found
+   8  outcome uncertain: the message says how to go on safely`
+
+const (
+	envEntry = "BORAGECRANK_ENTRY"
+	envToken = "BORAGECRANK_OPERATORS_TOKEN"
+
+	flagEntry     = "entry"
+	flagTokenFile = "token-file"
+	flagTimeout   = "timeout"
+	flagJSON      = "json"
+	flagWait      = "wait"
+	flagWaitLimit = "wait-limit"
+
+	categoryChange  = "Change"
+	categoryObserve = "Observe"
+	categoryOffline = "Without a running system"
+)
+
+// kindFailed is the kind of a command that worked and found failed work. It
+// has exit code 1.
+const kindFailed apperr.Kind = "failed"
+
+// operatorCommands returns the operators' commands.
+func operatorCommands() []*cli.Command {
+	commands := []*cli.Command{
+		withAPI(applyCommand()),
+		withAPI(statusCommand()),
+		withAPI(submitCommand()),
+		withAPI(jobsCommand()),
+		withAPI(configCommand()),
+	}
+	for _, c := range commands {
+		c.OnUsageError = usageError
+		c.HideHelpCommand = true
+	}
+	return commands
+}
+
+// usageError replaces the help page that the library would print before the
+// message.
+func usageError(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+	return badUsage(cmd, err.Error())
+}
+
+func badUsage(cmd *cli.Command, problem string) error {
+	return apperr.New(apperr.KindUsage, "command "+cmd.Name, problem, "see `boragecrank "+cmd.Name+" --help`")
+}
+
+// withAPI adds the flags of a command that calls the operators' API.
+func withAPI(c *cli.Command) *cli.Command {
+	c.Flags = append(c.Flags,
+		&cli.StringSliceFlag{
+			Name: flagEntry, Sources: cli.EnvVars(envEntry),
+			Usage: "base `URL` of the operators' API of an entry; several, separated by commas or repeated, are tried in order",
+		},
+		&cli.StringFlag{
+			Name:  flagTokenFile,
+			Usage: "`FILE` with the operators' token, mode 600 or 640; without it the token is taken from $" + envToken,
+		},
+		&cli.DurationFlag{Name: flagTimeout, Value: operatorapi.DefaultTimeout, Usage: "bound of one call to one entry"},
+	)
+	return c
+}
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: flagJSON, Usage: "print JSON instead of text"}
+}
+
+// newClient returns the API client that the flags describe.
+func newClient(cmd *cli.Command) (*operatorapi.Client, error) {
+	token := strings.TrimSpace(os.Getenv(envToken))
+	if path := cmd.String(flagTokenFile); path != "" {
+		secret, err := settings.ReadSecret(path)
+		if err != nil {
+			return nil, apperr.Wrap(err, apperr.KindUsage, "token file "+path, "cannot be used", "name a file with the token and mode 600")
+		}
+		token = secret.Reveal()
+	}
+	if cmd.Duration(flagTimeout) <= 0 {
+		return nil, badUsage(cmd, "--timeout must be above 0")
+	}
+	return operatorapi.New(operatorapi.Options{
+		Entries: cmd.StringSlice(flagEntry),
+		Token:   token,
+		Timeout: cmd.Duration(flagTimeout),
+	})
+}
+
+func stdout(cmd *cli.Command) io.Writer { return cmd.Root().Writer }
+
+func stderr(cmd *cli.Command) io.Writer { return cmd.Root().ErrWriter }
+
+// printJSON writes a value as indented JSON.
+func printJSON(cmd *cli.Command, value any) error {
+	enc := json.NewEncoder(stdout(cmd))
+	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
+	return enc.Encode(value)
+}
+
+// printTable writes rows in aligned columns.
+func printTable(w io.Writer, header []string, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	return t.Flush()
+}
+
+// orDash stands for an empty cell.
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// noArguments refuses arguments of a command that takes none.
+func noArguments(cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return badUsage(cmd, fmt.Sprintf("unexpected argument %q", cmd.Args().First()))
+	}
+	return nil
+}
+
+// sleep returns early with the error of a context that ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/operatorapi/calls.go
@@ -0,0 +1,134 @@
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/entry"
+	"github.com/boragecrank/boragecrank/internal/wire/wirepb"
+)
+
+// Status is the state of the system as one entry learns it from the owners.
+type Status struct {
+	Entry   string        `json:"entry"`
+	Version types.Version `json:"version"`
+	// Shards lists the shards whose owner answered, in order of ID.
+	Shards []*wirepb.ShardStatusResponse `json:"shards"`
+}
+
+// Drained is the answer to a drain.
+type Drained struct {
+	VM       types.VMID `json:"vm"`
+	Draining bool       `json:"draining"`
+	// RequestsInProgress are the requests that the worker still runs.
+	RequestsInProgress int `json:"requests_in_progress"`
+}
+
+// Config returns the accepted configuration, or nil if there is none yet.
+func (c *Client) Config(ctx context.Context) (*config.Config, error) {
+	var raw json.RawMessage
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/config", object: "configuration"}, &raw)
+	// Another object that is not found is not the answer of an entry without a
+	// configuration.
+	if e := apperr.From(err); err != nil && e.Kind == apperr.KindNotFound && e.Object == "configuration" {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := config.Decode(raw)
+	if err != nil {
+		return nil, apperr.Wrap(err, apperr.KindInternal, "configuration", "the entry's answer cannot be read",
+			"use the release of boragecrank that the entries run")
+	}
+	return cfg, nil
+}
+
+// Accept sends a configuration that was edited from version base, 0 for none.
+// Kind conflict means that another version was accepted meanwhile.
+func (c *Client) Accept(ctx context.Context, base types.Version, next *config.Config) (entry.Accepted, error) {
+	var accepted entry.Accepted
+	body, err := next.Encode()
+	if err != nil {
+		return accepted, err
+	}
+	err = c.do(ctx, call{
+		method: http.MethodPut, path: "/v1/config", ifMatch: strconv.FormatUint(uint64(base), 10), body: body,
+		object: "configuration", repeat: "run `boragecrank apply` again; it says no change if the version was accepted",
+	}, &accepted)
+	return accepted, err
+}
+
+// Status returns shards, members and tasks.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/status", object: "status"}, &s)
+	return s, err
+}
+
+// Processes returns the version in effect in every known process, in order of
+// name.
+func (c *Client) Processes(ctx context.Context) ([]entry.Process, error) {
+	var list []entry.Process
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/processes", object: "processes"}, &list)
+	return list, err
+}
+
+// Submit submits a job. A job that exists under the ID is returned unchanged.
+func (c *Client) Submit(ctx context.Context, id types.JobID, kind string) (entry.JobStatus, error) {
+	var status entry.JobStatus
+	body, err := json.Marshal(entry.Submission{ID: id, Kind: kind})
+	if err != nil {
+		return status, err
+	}
+	err = c.do(ctx, call{
+		method: http.MethodPost, path: "/v1/jobs", body: body, object: jobObject(id),
+		repeat: "submit it again with the same ID; it runs once",
+	}, &status)
+	return status, err
+}
+
+// Job returns the state of a job and its tasks.
+func (c *Client) Job(ctx context.Context, id types.JobID) (entry.JobStatus, error) {
+	var status entry.JobStatus
+	err := c.do(ctx, call{method: http.MethodGet, path: jobPath(id), object: jobObject(id)}, &status)
+	return status, err
+}
+
+// Jobs returns all jobs, without their tasks.
+func (c *Client) Jobs(ctx context.Context) ([]entry.JobStatus, error) {
+	var list []entry.JobStatus
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/jobs", object: "jobs"}, &list)
+	return list, err
+}
+
+// Cancel asks for the cancellation of a job. Cancelling again has no effect.
+func (c *Client) Cancel(ctx context.Context, id types.JobID) (entry.JobStatus, error) {
+	var status entry.JobStatus
+	err := c.do(ctx, call{
+		method: http.MethodDelete, path: jobPath(id), object: jobObject(id),
+		repeat: "cancel it again; that has no further effect",
+	}, &status)
+	return status, err
+}
+
+// Drain makes the worker of a VM refuse new work. Draining again returns the
+// requests that are left.
+func (c *Client) Drain(ctx context.Context, vm types.VMID) (Drained, error) {
+	var d Drained
+	err := c.do(ctx, call{
+		method: http.MethodPost, path: "/v1/vms/" + url.PathEscape(string(vm)) + "/drain", object: "VM " + string(vm),
+		repeat: "drain it again; that has no further effect",
+	}, &d)
+	return d, err
+}
+
+func jobObject(id types.JobID) string { return "job " + string(id) }
+
+func jobPath(id types.JobID) string { return "/v1/jobs/" + url.PathEscape(string(id)) }
--- /dev/null
+++ b/internal/operatorapi/client.go
@@ -0,0 +1,225 @@
+// Package operatorapi is the client of the operators' API of the entries.
+//
+// A client holds a list of entries. A read goes to the next entry when one does
+// not answer. A write goes to the next entry only when no connection to the
+// first was made, because a write that was sent may have taken effect.
+//
+// Errors are *apperr.Error: those that an entry sent, and unreachable, timeout,
+// uncertain (a write was sent and its answer is missing) or usage (the address
+// is not that of an operators' API).
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+)
+
+const (
+	// connectTimeout bounds connecting to one entry, so that the next is tried
+	// soon.
+	connectTimeout = 2 * time.Second
+	// DefaultTimeout bounds one call to one entry. An entry bounds the call at
+	// 10 s; its answer then still arrives.
+	DefaultTimeout = 15 * time.Second
+	// maxResponse bounds an answer. The status of 950 VMs and 13,000 tasks is
+	// well below it.
+	maxResponse = 64 << 20
+)
+
+// Options configure a client.
+type Options struct {
+	// Entries are the base URLs of the operators' API, in order of preference.
+	Entries []string
+	// Token is the operators' token.
+	Token string
+	// Timeout bounds one call to one entry; zero means DefaultTimeout.
+	Timeout time.Duration
+}
+
+// Client calls the operators' API.
+type Client struct {
+	entries []*url.URL
+	token   string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// New returns a client. The error is of kind usage if there is no entry, a URL
+// is malformed or the token is empty.
+func New(o Options) (*Client, error) {
+	c := &Client{token: o.Token, timeout: o.Timeout, http: newHTTPClient()}
+	if c.timeout == 0 {
+		c.timeout = DefaultTimeout
+	}
+	for _, text := range o.Entries {
+		u, err := url.Parse(strings.TrimSuffix(strings.TrimSpace(text), "/"))
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			return nil, apperr.New(apperr.KindUsage, fmt.Sprintf("entry %q", text), "is not a URL",
+				"write it as http://ADDRESS:PORT, with the address and port of listen.api of an entry")
+		}
+		c.entries = append(c.entries, u)
+	}
+	if len(c.entries) == 0 {
+		return nil, apperr.New(apperr.KindUsage, "entry", "no entry is given",
+			"give --entry http://ADDRESS:PORT or set BORAGECRANK_ENTRY")
+	}
+	if c.token == "" {
+		return nil, apperr.New(apperr.KindUsage, "operators' token", "none is given",
+			"give --token-file FILE or set BORAGECRANK_OPERATORS_TOKEN")
+	}
+	return c, nil
+}
+
+// newHTTPClient returns a client that sends each request at most once: it keeps
+// no idle connection, over which net/http would repeat a request, uses no proxy
+// and follows no redirect.
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives:   true,
+			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			TLSHandshakeTimeout: connectTimeout,
+			TLSClientConfig:     &tls.Config{MinVersion: tls.VersionTLS12},
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// call is one call of the API.
+type call struct {
+	method string
+	path   string
+	// ifMatch is the version for the header If-Match, or empty.
+	ifMatch string
+	body    []byte
+	// object is what errors of the transport concern.
+	object string
+	// repeat tells how to go on after an uncertain write.
+	repeat string
+}
+
+func (c call) write() bool { return c.method != http.MethodGet }
+
+// do tries the entries in order and decodes the answer into out.
+func (c *Client) do(ctx context.Context, call call, out any) error {
+	var last error
+	for _, entry := range c.entries {
+		a, err := c.once(ctx, entry, call)
+		if err == nil {
+			return a.decode(call, entry, out)
+		}
+		if ctx.Err() != nil || call.write() && a.sent {
+			return transportError(call, entry, a.sent, err)
+		}
+		last = transportError(call, entry, a.sent, err)
+	}
+	if len(c.entries) == 1 {
+		return last
+	}
+	e := apperr.From(last)
+	return apperr.Wrap(e.Cause, e.Kind, call.object, fmt.Sprintf("none of %d entries answers", len(c.entries)), e.Remedy)
+}
+
+// answer is a whole response. sent is set as soon as a connection exists over
+// which the request may have gone out.
+type answer struct {
+	sent       bool
+	status     int
+	retryAfter string
+	body       []byte
+}
+
+// once sends the call to one entry and reads the whole response.
+func (c *Client) once(ctx context.Context, entry *url.URL, call call) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, call.method, entry.String()+call.path, bytes.NewReader(call.body))
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if call.body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if call.ifMatch != "" {
+		req.Header.Set("If-Match", `"`+call.ifMatch+`"`)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer{sent: sent.Load()}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
+	if err == nil && len(body) > maxResponse {
+		err = fmt.Errorf("the answer has more than %d bytes", maxResponse)
+	}
+	return answer{sent: true, status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After"), body: body}, err
+}
+
+// transportError describes a call without an answer.
+func transportError(call call, entry *url.URL, sent bool, cause error) error {
+	var netErr net.Error
+	timeout := errors.As(cause, &netErr) && netErr.Timeout()
+	at := " at entry " + entry.String()
+	switch {
+	case call.write() && sent:
+		return &apperr.Error{Kind: apperr.KindUncertain, Object: call.object, Outcome: apperr.OutcomeUnknown, Cause: cause,
+			Problem: "the call was sent and its answer is missing" + at, Remedy: call.repeat}
+	case timeout && sent:
+		return apperr.Wrap(cause, apperr.KindTimeout, call.object, "no answer in time"+at,
+			"try again, raise --timeout, or name another entry with --entry")
+	default:
+		return apperr.Wrap(cause, apperr.KindUnreachable, call.object, "cannot be reached"+at,
+			"check the address and that the entry runs, or name another with --entry")
+	}
+}
+
+// decode turns an answer into a value or a typed error.
+func (a answer) decode(call call, entry *url.URL, out any) error {
+	if a.status >= 200 && a.status < 300 {
+		err := json.Unmarshal(a.body, out)
+		if err == nil {
+			return nil
+		}
+		return foreign(call, entry, a.status, err)
+	}
+	var body apperr.Body
+	if err := json.Unmarshal(a.body, &body); err != nil || body.Kind == "" || body.Message == "" {
+		return foreign(call, entry, a.status, err)
+	}
+	e := &apperr.Error{Kind: body.Kind, Object: body.Object, Problem: body.Message, Remedy: body.Remedy, Outcome: body.Outcome}
+	if seconds, err := strconv.Atoi(a.retryAfter); err == nil && seconds > 0 {
+		e.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return e
+}
+
+// foreign describes an answer that no entry gives. Something between, such as
+// a balancer, may have passed a write on before it failed.
+func foreign(call call, entry *url.URL, status int, cause error) error {
+	problem := fmt.Sprintf("%s answered with status %d, not as an operators' API does", entry, status)
+	if call.write() && (status < 300 || status >= 500) {
+		return &apperr.Error{Kind: apperr.KindUncertain, Object: call.object, Problem: problem, Remedy: call.repeat,
+			Outcome: apperr.OutcomeUnknown, Cause: cause}
+	}
+	return apperr.Wrap(cause, apperr.KindUsage, call.object, problem, "give the address of listen.api of an entry with --entry")
+}
--- a/internal/settings/credentials.go
+++ b/internal/settings/credentials.go
@@ -140,3 +140,13 @@
 	data, err := os.ReadFile(path)
 	return string(data), err
 }
+
+// ReadSecret reads a credential file under the rules for the files that
+// settings name. White space around the credential is dropped.
+func ReadSecret(path string) (Secret, error) {
+	data, err := readSecret(path)
+	if err != nil {
+		return Secret{}, err
+	}
+	return NewSecret(strings.TrimSpace(data)), nil
+}
