--- a/internal/store/lane.go
+++ b/internal/store/lane.go
@@ -3,12 +3,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 
+	"github.com/boragecrank/boragecrank/internal/apperr"
 	"github.com/boragecrank/boragecrank/internal/platform"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
 
+// maxQueue bounds the transactions that wait in a lane. A full lane takes
+// several minutes of an owner's budget, so more would only be told later.
+const maxQueue = 4096
+
 // lane carries the transactions of one class, one at a time.
 type lane struct {
 	store *Store
@@ -66,6 +73,12 @@
 func (l *lane) commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
 	o := &operation{txn: txn, done: make(chan outcome, 1)}
 	l.mu.Lock()
+	if len(l.queue) >= maxQueue {
+		l.mu.Unlock()
+		l.count(resultLimited)
+		return platform.TxnResult{}, apperr.New(apperr.KindLimited, "table",
+			fmt.Sprintf("%d %v transactions wait already; nothing was changed", maxQueue, l.class), "repeat later")
+	}
 	l.queue = append(l.queue, o)
 	if !l.running {
 		l.running = true
@@ -90,6 +103,9 @@
 	default:
 	}
 	o.gone = true
+	if i := slices.Index(l.queue, o); i >= 0 {
+		l.queue = slices.Delete(l.queue, i, i+1)
+	}
 	if o.batch != nil {
 		o.batch.live--
 		if o.batch.live == 0 {
@@ -127,12 +143,16 @@
 	// Operations that conflict with the group wait for the next one. Callers in
 	// the queue are concurrent, so their order does not matter.
 	var kept []*operation
-	for _, o := range l.queue {
-		if !o.gone && (len(g.ops) == limit || !g.add(o)) {
+	taken := 0
+	for ; taken < len(l.queue) && len(g.ops) < limit; taken++ {
+		if o := l.queue[taken]; !g.add(o) {
 			kept = append(kept, o)
 		}
 	}
-	l.queue = kept
+	l.queue = l.queue[taken:]
+	if len(kept) > 0 {
+		l.queue = append(kept, l.queue...)
+	}
 	if len(g.ops) == 0 {
 		l.running = false
 		return nil
--- a/internal/store/linearizability_test.go
+++ b/internal/store/linearizability_test.go
@@ -112,6 +112,7 @@
 		}
 	}
 	wg.Wait()
+	time.Sleep(time.Minute) // for transactions whose callers gave up
 	return history, uncertain
 }
 
