Test the store over HTTP with lost answers

The read-back was only tested on the in-memory table. The test counts up a row through the HTTP client and stand-in while a fifth of the calls get their connection closed.

--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -205,3 +208,34 @@
 		}
 	})
 }
+
+// Guards against parts that only fit together in memory: counts up a row over
+// HTTP while the service closes connections instead of answering. Each step
+// takes effect once.
+func TestCountsOnceOverHTTPWithLostAnswers(t *testing.T) {
+	p := standin.New(standin.Options{FaultSeed: 3})
+	srv := httptest.NewServer(standin.NewHandler(p))
+	defer srv.Close()
+	body := strings.NewReader(`{"Service": "table", "Faults": {"LoseAnswer": 0.2}}`)
+	resp, err := http.Post(srv.URL+"/admin/faults", "application/json", body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatal(resp, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	s := New(platform.NewHTTPTable(srv.URL, srv.Client()), testOptions("a", 1))
+	const steps = 40
+	for i := range steps {
+		rows, err := s.Get(ctx, Placement, "count")
+		if err != nil || string(rows[0].Value) != strings.Repeat("x", i) {
+			t.Fatalf("step %d: row is %+v, %v", i, rows, err)
+		}
+		res, err := s.Commit(ctx, Placement, platform.Txn{
+			Conditions: []platform.Condition{{Key: "count", Revision: rows[0].Revision}},
+			Writes:     []platform.Write{{Key: "count", Value: append(rows[0].Value, 'x')}},
+		})
+		if err != nil || !res.Committed {
+			t.Fatalf("step %d: %+v, %v", i, res, err)
+		}
+	}
+}
