Make store errors wrap exactly one platform error

An uncertain write could wrap platform.ErrUnavailable from its last attempt, and an unavailable one platform.ErrUncertain, so a caller could take one for the other with errors.Is. Each error now wraps the platform error of its own kind and keeps only the text of the attempt's failure. The package comment says when an uncertain transaction is void.

--- a/internal/store/doc.go
+++ b/internal/store/doc.go
@@ -25,9 +25,10 @@
 //     this cannot be known. The caller gets an error of kind uncertain.
 //
 // The caller also gets an error of kind uncertain when its context ends before
-// the table answered. An uncertain transaction may still commit later; whoever
-// acts on it must read the rows that it writes, and void it by changing a row
-// that it is conditional on.
+// the table answered. An uncertain transaction may still commit later, until
+// another transaction of the same store and class has committed. Whoever acts
+// on it reads the rows that it writes, and voids it by such a transaction or
+// by changing a row that it is conditional on.
 //
 // # Precedence and outages
 //
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -132,6 +133,9 @@
 //   - limited: nothing was changed; the budget allowed no attempt in time.
 //   - uncertain: the transaction may have been committed or may still be.
 //   - refused: the table rejected the transaction; nothing was changed.
+//
+// Errors of kind uncertain wrap platform.ErrUncertain, those of kind
+// unavailable and limited platform.ErrUnavailable, and none wraps both.
 func (s *Store) Commit(ctx context.Context, class Class, txn platform.Txn) (platform.TxnResult, error) {
 	if wait := s.gate.down(); class == Claim && wait > 0 {
 		s.metrics.count(accessWrite, class, resultUnavailable)
@@ -219,17 +223,24 @@
 func (s *Store) givenUp(acc access, class Class, ctxErr, last error) error {
 	if last == nil && s.gate.down() == 0 {
 		s.metrics.count(acc, class, resultLimited)
-		return apperr.Wrap(ctxErr, apperr.KindLimited, "table",
-			"the store's budget allowed no attempt in time", "repeat later")
+		return apperr.Wrap(asKind(platform.ErrUnavailable, ctxErr), apperr.KindLimited, "table",
+			"the store's budget allowed no attempt in time; nothing was changed", "repeat later")
 	}
 	if last == nil {
 		last = ctxErr
 	}
 	s.metrics.count(acc, class, resultUnavailable)
-	return apperr.Wrap(last, apperr.KindUnavailable, "table",
+	return apperr.Wrap(asKind(platform.ErrUnavailable, last), apperr.KindUnavailable, "table",
 		"the table did not answer in time; nothing was changed", "repeat when the table is back")
 }
 
+// asKind returns an error of the kind, platform.ErrUnavailable or
+// platform.ErrUncertain, with the text of the cause. The cause itself is not
+// wrapped: it may be the failure of an attempt, of the other kind.
+func asKind(kind, cause error) error {
+	return fmt.Errorf("%w: %s", kind, cause.Error())
+}
+
 func errDown(wait time.Duration) error {
 	return trace.Wrap(&apperr.Error{
 		Kind: apperr.KindUnavailable, Object: "table",
@@ -244,7 +255,7 @@
 }
 
 func errUncertain(cause error) error {
-	return apperr.Wrap(cause, apperr.KindUncertain, "table",
+	return apperr.Wrap(asKind(platform.ErrUncertain, cause), apperr.KindUncertain, "table",
 		"it is not known whether the transaction was committed",
 		"read the rows that it writes and void it by changing a row that it is conditional on")
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -118,12 +118,20 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
 			_, err := s.Commit(ctx, class, create("k", "v"))
+			uncertain := apperr.KindOf(err) == apperr.KindUncertain
+			if errors.Is(err, platform.ErrUncertain) != uncertain || errors.Is(err, platform.ErrUnavailable) == uncertain {
+				t.Errorf("kind %v wraps the wrong platform error: %v", apperr.KindOf(err), err)
+			}
 			return err
 		}
 		faults.Set(standin.Faults{LoseRequest: 1})
 		if err := commit(Placement); apperr.KindOf(err) != apperr.KindUncertain {
 			t.Errorf("lost requests: %v", err)
 		}
+		faults.Set(standin.Faults{LoseRequest: 1, Frozen: true})
+		if err := commit(Report); apperr.KindOf(err) != apperr.KindUnavailable {
+			t.Errorf("frozen before anything was sent: %v", err)
+		}
 		faults.Set(standin.Faults{Down: true})
 		start := time.Now()
 		if err := commit(Placement); apperr.KindOf(err) != apperr.KindUnavailable || time.Since(start) != 10*time.Second {
