--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -140,6 +140,34 @@
 	}
 }
 
+// Guards against the upstreams of a VM together exceeding the VM's slots or
+// connections, and against idle connections blocking other upstreams.
+func TestVMLimits(t *testing.T) {
+	limits := testLimits()
+	limits.Connections = 1
+	r := NewRequests(testIncarnation, limits)
+	r.Announce(0, Announcement{Upstream: "u1", Service: "berths", Slots: 4, Connections: 4})
+	r.Announce(0, Announcement{Upstream: "u2", Service: "locks", Slots: 4, Connections: 4})
+	r.Admit(0, offer(1, 0))
+	if d := r.Admit(0, offer(2, 0)); d.Reason != ReasonNoConnection {
+		t.Fatalf("second connection of one: %+v", d)
+	}
+	r.Finish(requestID(1), apperr.OutcomeDone, nil, true)
+	o := offer(3, 0)
+	o.Service = "locks"
+	if d := r.Admit(0, o); d.Upstream != "u2" || d.CloseIdle != "u1" {
+		t.Fatalf("with an idle connection elsewhere: %+v", d)
+	}
+	r = newWorker()
+	r.Announce(0, Announcement{Upstream: "u2", Service: "berths", Slots: 2, Connections: 2})
+	r.limits.Connections = 4
+	r.Admit(0, offer(1, 0))
+	r.Admit(0, offer(2, 0))
+	if d := r.Admit(0, offer(3, 0)); d.Reason != ReasonNoSlot {
+		t.Fatalf("third slot of two: %+v", d)
+	}
+}
+
 // Guards against the identity memory growing without bound, and against a
 // promise that is not remembered when it is full.
 func TestMemoryFull(t *testing.T) {
--- /dev/null
+++ b/internal/core/admission/property_test.go
@@ -0,0 +1,150 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// history is what a test knows of the identities that it has used.
+type history struct {
+	offers   []Offer
+	admitted map[types.RequestID]bool
+	running  []types.RequestID
+	// barred identities were promised never to run from then on.
+	barred map[types.RequestID]bool
+	// unreached identities were admitted and ended without a run.
+	unreached map[types.RequestID]bool
+}
+
+// Guards against any order of inputs that exceeds slots, connections or the
+// identity memory, admits an identity twice, or breaks a promise of a refusal
+// or a seal.
+func TestRequestsProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := testLimits()
+		limits.Connections = rapid.IntRange(1, 4).Draw(t, "VM connections")
+		limits.MaxIdentities = rapid.IntRange(1, 4).Draw(t, "identities")
+		r := NewRequests(testIncarnation, limits)
+		h := &history{
+			admitted:  make(map[types.RequestID]bool),
+			barred:    make(map[types.RequestID]bool),
+			unreached: make(map[types.RequestID]bool),
+		}
+		now := 20 * time.Second
+		t.Repeat(map[string]func(*rapid.T){
+			"advance":  func(t *rapid.T) { now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond },
+			"announce": func(t *rapid.T) { announceAny(t, r, now) },
+			"leave":    func(t *rapid.T) { r.Leave(anyUpstream(t)) },
+			"expire":   func(*rapid.T) { r.Expire(now, nil) },
+			"close":    func(t *rapid.T) { r.ConnectionClosed(anyUpstream(t)) },
+			"offer":    func(t *rapid.T) { h.offer(t, r, now) },
+			"finish":   func(t *rapid.T) { h.finish(t, r) },
+			"seal":     func(t *rapid.T) { h.seal(t, r, now) },
+			"pause":    func(t *rapid.T) { r.SetUnconfirmed(rapid.Bool().Draw(t, "unconfirmed")) },
+			"":         func(t *rapid.T) { checkLimits(t, r, len(h.running)) },
+		})
+	})
+}
+
+func anyUpstream(t *rapid.T) UpstreamID {
+	return UpstreamID(rapid.SampledFrom([]string{"u1", "u2", "u3"}).Draw(t, "upstream"))
+}
+
+func announceAny(t *rapid.T, r *Requests, now time.Duration) {
+	r.Announce(now, Announcement{
+		Upstream:    anyUpstream(t),
+		Service:     types.ServiceName(rapid.SampledFrom([]string{"berths", "locks"}).Draw(t, "service")),
+		Slots:       rapid.IntRange(0, 2).Draw(t, "slots"),
+		Connections: rapid.IntRange(0, 2).Draw(t, "connections"),
+	})
+}
+
+// anyOffer draws a new offer or one that was made before.
+func (h *history) anyOffer(t *rapid.T, now time.Duration) Offer {
+	n := rapid.IntRange(0, len(h.offers)).Draw(t, "offer")
+	if n < len(h.offers) {
+		return h.offers[n]
+	}
+	o := offer(byte(n), now-time.Duration(rapid.IntRange(0, 2000).Draw(t, "age"))*time.Millisecond)
+	o.ID[14] = byte(n >> 8)
+	o.Service = types.ServiceName(rapid.SampledFrom([]string{"berths", "locks"}).Draw(t, "service"))
+	o.Budget = time.Duration(rapid.IntRange(-1, 8).Draw(t, "budget")) * time.Second
+	h.offers = append(h.offers, o)
+	return o
+}
+
+func (h *history) offer(t *rapid.T, r *Requests, now time.Duration) {
+	o := h.anyOffer(t, now)
+	d := r.Admit(now, o)
+	if !d.Admitted() {
+		if d.Proven && h.admitted[o.ID] && !h.unreached[o.ID] {
+			t.Fatalf("refusal %q of a request that ran claims a proof", d.Reason)
+		}
+		h.barred[o.ID] = h.barred[o.ID] || d.Proven
+		return
+	}
+	u := r.upstreams[d.Upstream]
+	if h.admitted[o.ID] || h.barred[o.ID] || now > o.ValidUntil() {
+		t.Fatalf("admitted: before %v, barred %v, %v after its validity", h.admitted[o.ID], h.barred[o.ID], now-o.ValidUntil())
+	}
+	if u.active > u.Slots || u.open() > u.Connections && !d.Reuse || u.Service != o.Service {
+		t.Fatalf("admitted to %+v for %q", u, o.Service)
+	}
+	h.admitted[o.ID] = true
+	h.running = append(h.running, o.ID)
+}
+
+func (h *history) finish(t *rapid.T, r *Requests) {
+	if len(h.running) == 0 {
+		return
+	}
+	n := rapid.IntRange(0, len(h.running)-1).Draw(t, "running")
+	id := h.running[n]
+	h.running = append(h.running[:n:n], h.running[n+1:]...)
+	outcome := rapid.SampledFrom([]apperr.Outcome{apperr.OutcomeDone, apperr.OutcomeNotRun, apperr.OutcomeUnknown}).Draw(t, "outcome")
+	h.unreached[id] = outcome == apperr.OutcomeNotRun
+	if !r.Finish(id, outcome, []byte("abc"), rapid.Bool().Draw(t, "reusable")) {
+		t.Fatalf("running request %v was not known", id)
+	}
+}
+
+func (h *history) seal(t *rapid.T, r *Requests, now time.Duration) {
+	o := h.anyOffer(t, now)
+	s := r.Seal(now, SealRequest{ID: o.ID, Target: testIncarnation, ValidUntil: o.ValidUntil()})
+	ran := h.admitted[o.ID] && !h.unreached[o.ID]
+	switch s.State {
+	case SealNeverRan:
+		if ran {
+			t.Fatalf("%v ran and is reported never run", o.ID)
+		}
+		h.barred[o.ID] = true
+	case SealFinished, SealInProgress:
+		if !ran {
+			t.Fatalf("%v did not run and is reported %q", o.ID, s.State)
+		}
+	}
+}
+
+func checkLimits(t *rapid.T, r *Requests, running int) {
+	active, open := 0, 0
+	for _, u := range r.upstreams {
+		active += u.active
+		open += u.open()
+	}
+	slots, connections := r.InUse()
+	if slots != active || slots != running || connections != open {
+		t.Fatalf("%d slots for %d active and %d running, %d connections for %d open", slots, active, running, connections, open)
+	}
+	l := r.limits
+	if slots > l.Slots || connections > l.Connections {
+		t.Fatalf("%d slots and %d connections in use", slots, connections)
+	}
+	if r.Identities() > l.MaxIdentities+l.SealReserve {
+		t.Fatalf("%d identities", r.Identities())
+	}
+}
