--- a/internal/core/modelcheck/request_test.go
+++ b/internal/core/modelcheck/request_test.go
@@ -113,10 +113,10 @@
 				c.limit = longLimit
 			}
 			r := explore(t, c.scenario, noMutant, c.limit)
-			t.Logf("%d states, %d transitions, every state up to %d moves, complete %v", r.States, r.Transitions, r.Depth, r.Complete)
 			if r.Violation != nil {
 				t.Fatal(r.Violation)
 			}
+			t.Logf("%d states, %d transitions, every state up to %d moves, complete %v", r.States, r.Transitions, r.Depth, r.Complete)
 			if c.complete && !r.Complete {
 				t.Fatalf("%d states were not enough for a complete search", c.limit)
 			}
