Judge the validity of an offer by its end and keep the tightest clock reading

A worker refused offers whose budget exceeded 30 s, although the budget includes the age of the echo, so the first request to a worker idle for longer was refused without proof. It now bounds the end of the validity, which is what has to be remembered. This replaces the test that an echo 1 ns ahead is invalid: owners extrapolate readings, and only the sum of echo and budget matters.

The router took any later reading as fresh. A digest that repeats a reading made the worker's clock look behind and let offers end early; the router now keeps the reading that puts the clock farthest ahead, for at most 5 s.

--- a/internal/core/admission/doc.go
+++ b/internal/core/admission/doc.go
@@ -10,7 +10,9 @@
 // An offer carries an echo of the worker's own clock and a budget. It is valid
 // until echo + budget on the worker's clock and at no later time, so an offer
 // that a worker reads from a socket after a freeze is refused. A sender that
-// received the reading a while ago includes the elapsed time in the budget.
+// received the reading a while ago includes the elapsed time in the budget. A
+// reading may run a little ahead where it was extrapolated on the way; only the
+// sum counts, and it may lie at most MaxBudget ahead.
 //
 // # Identity memory
 //
--- a/internal/core/admission/requests.go
+++ b/internal/core/admission/requests.go
@@ -12,8 +12,9 @@
 	// Slots and Connections bound all upstreams of the VM together.
 	Slots       int
 	Connections int
-	// MaxBudget bounds the budget of an offer, and with it the time that an
-	// identity must be remembered.
+	// MaxBudget bounds how far the end of an offer's validity may lie ahead, and
+	// with it the time that an identity must be remembered. The budget itself
+	// may be longer, because it includes the age of the echo.
 	MaxBudget time.Duration
 	// Retention is how long a settled identity is remembered after its
 	// validity ended, so that a late seal still gets an answer.
@@ -209,8 +210,8 @@
 	if r.memory.forgotten(o.ValidUntil()) {
 		return Decision{Reason: ReasonForgotten}, true
 	}
-	if o.Echo > now || o.Budget > r.limits.MaxBudget {
-		// Such a validity cannot be trusted or remembered, so nothing is proven.
+	if o.ValidUntil() > now+r.limits.MaxBudget {
+		// Such a validity is not remembered, so nothing is proven.
 		return Decision{Reason: ReasonInvalid}, true
 	}
 	if o.Budget <= 0 || now > o.ValidUntil() {
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -286,9 +286,10 @@
 	}
 }
 
-// sealedFinished reports done only with the whole response in hand.
+// sealedFinished reports done only with the whole response in hand. A kept
+// response holds at least its status, so an empty one was not kept.
 func (m *Machine) sealedFinished(r admission.SealResult) Output {
-	if r.Outcome == apperr.OutcomeDone && r.Response != nil {
+	if r.Outcome == apperr.OutcomeDone && len(r.Response) > 0 {
 		out := m.finish(Done)
 		out.UseResponse = true
 		return out
--- a/internal/core/routing/members.go
+++ b/internal/core/routing/members.go
@@ -185,7 +185,10 @@
 		known = false
 	}
 	if !known {
-		w = &worker{vm: state.VM, incarnation: state.Incarnation, domain: state.Domain}
+		w = &worker{
+			vm: state.VM, incarnation: state.Incarnation, domain: state.Domain,
+			reading: state.Reading, readingAt: now,
+		}
 		r.workers[state.VM] = w
 	}
 	w.takeReading(now, state.Reading)
@@ -197,14 +200,22 @@
 	}
 }
 
-// takeReading keeps the latest reading of the worker's clock.
+// takeReading keeps the reading that puts the worker's clock farthest ahead
+// now: every reading is a lower bound, and one that was long on the way or is
+// told again would shorten the validity of offers. After readingLife any newer
+// reading is taken, so that clock drift does not add up.
 func (w *worker) takeReading(now, reading time.Duration) {
-	if reading >= w.reading {
+	age := now - w.readingAt
+	tighter := reading >= w.reading+age
+	if tighter || age > readingLife && reading > w.reading {
 		w.reading = reading
 		w.readingAt = now
 	}
 }
 
+// readingLife of 5 s bounds the error by drift of 0.1% to 5 ms.
+const readingLife = 5 * time.Second
+
 func (r *Router) updateMember(now time.Duration, w *worker, state ServiceState) {
 	m := w.member(state.Service)
 	if m == nil {
--- a/internal/core/routing/router_test.go
+++ b/internal/core/routing/router_test.go
@@ -81,6 +81,37 @@
 	}
 }
 
+// Guards against a digest that repeats an old reading of a worker's clock and
+// so lets offers to it end too early.
+func TestRepeatedReading(t *testing.T) {
+	r := New(DefaultConfig("Gent"))
+	state := workerState(1, "Gent", 8, 0)
+	state.Reading = time.Second
+	r.Update(2*time.Second, state)
+	if c, _ := r.Pick(2*time.Second, berths, time.Hour, newRNG()); c.Echo != time.Second || c.EchoAge != 0 {
+		t.Fatalf("first reading: %v, %v ago", c.Echo, c.EchoAge)
+	}
+	r.Remove(2*time.Second, state.VM)
+	state.Reading = time.Hour
+	r.Update(0, state)
+	clock := func(now time.Duration) time.Duration {
+		c, _ := r.Pick(now, berths, time.Hour, newRNG())
+		return c.Echo + c.EchoAge
+	}
+	r.Update(time.Second, state)
+	if got := clock(time.Second); got != time.Hour+time.Second {
+		t.Fatalf("after a repeated reading: %v", got)
+	}
+	r.Report(2*time.Second, state.VM, 1, time.Hour+2500*time.Millisecond, 0)
+	if got := clock(2 * time.Second); got != time.Hour+2500*time.Millisecond {
+		t.Fatalf("after a later reading: %v", got)
+	}
+	r.Report(time.Minute, state.VM, 1, time.Hour+59*time.Second, 0)
+	if got := clock(time.Minute); got != time.Hour+59*time.Second {
+		t.Fatalf("after the life of a reading: %v", got)
+	}
+}
+
 // Guards against a fresh upstream getting its full share at once.
 func TestSlowStart(t *testing.T) {
 	r := newRouter(3, 1000, "Gent")
