--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS ?= $(CURDIR)/.tools
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build run test lint fmt generate clean
+.PHONY: build run test lint fmt generate events clean
 
 build:
 	go build -o $(BIN) ./cmd/boragecrank
@@ -34,5 +34,10 @@
 generate:
 	cd internal/wire && go tool -modfile=$(CURDIR)/tools/go.mod buf generate
 
+# The page is replaced only if the program builds and prints it.
+events:
+	go run ./cmd/boragecrank events --markdown > docs/EVENTS.md.new
+	mv docs/EVENTS.md.new docs/EVENTS.md
+
 clean:
 	rm -rf bin
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -60,6 +60,53 @@
 	}
 }
 
+func diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "diff",
+		Category:  categoryObserve,
+		Usage:     "compare an inventory with the accepted configuration",
+		ArgsUsage: "PATH...",
+		Description: `Shows what ` + "`boragecrank apply`" + ` would change: + added, - removed, ~ changed with
+old and new value. A PATH is a file or a directory; all files of the inventory
+are given together. Exit code 0 with and without differences.
+
+Examples:
+   boragecrank diff inventory/
+   boragecrank diff inventory/ --json`,
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: runDiff,
+	}
+}
+
+// difference is the JSON output of diff.
+type difference struct {
+	// Version is the accepted version; 0 if there is none.
+	Version types.Version      `json:"version"`
+	Changes []inventory.Change `json:"changes"`
+}
+
+func runDiff(ctx context.Context, cmd *cli.Command) error {
+	source, err := loadInventory(cmd)
+	if err != nil {
+		return err
+	}
+	client, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	current, next, err := compare(ctx, cmd, client, source)
+	if err != nil {
+		return err
+	}
+	out := difference{Version: versionOf(current), Changes: inventory.Diff(current, next)}
+	if cmd.Bool(flagJSON) {
+		return printJSON(cmd, out)
+	}
+	fmt.Fprint(stdout(cmd), inventory.ChangesText(out.Changes))
+	fmt.Fprintf(stdout(cmd), "%d changes to version %d\n", len(out.Changes), out.Version)
+	return nil
+}
+
 func runApply(ctx context.Context, cmd *cli.Command) error {
 	source, err := loadInventory(cmd)
 	if err != nil {
@@ -116,32 +163,6 @@
 	return current, next, findings(cmd, report)
 }
 
-// loadInventory reads the files of the arguments.
-func loadInventory(cmd *cli.Command) (*inventory.Source, error) {
-	if !cmd.Args().Present() {
-		return nil, badUsage(cmd, "no inventory files are given")
-	}
-	source, report := inventory.Load(cmd.Args().Slice()...)
-	return source, findings(cmd, report)
-}
-
-// findings prints a report and returns its summary as an error of kind invalid.
-func findings(cmd *cli.Command, report *inventory.Report) error {
-	if report.OK() {
-		return nil
-	}
-	fmt.Fprint(stderr(cmd), report.Text())
-	return invalid("inventory", len(report.Findings))
-}
-
-func invalid(object string, faults int) error {
-	problem := fmt.Sprintf("%d faults", faults)
-	if faults == 1 {
-		problem = "1 fault"
-	}
-	return apperr.New(apperr.KindInvalid, object, problem, "correct the lines named above; nothing was applied")
-}
-
 // accept sends a configuration. If the answer is lost it reads what is in
 // effect, which tells in most cases.
 func accept(ctx context.Context, client *operatorapi.Client, base types.Version, next *config.Config) error {
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -61,9 +61,15 @@
 // operatorCommands returns the operators' commands.
 func operatorCommands() []*cli.Command {
 	commands := []*cli.Command{
+		checkCommand(),
+		eventsCommand(),
+		versionCommand(),
+		withAPI(diffCommand()),
 		withAPI(applyCommand()),
-		withAPI(statusCommand()),
 		withAPI(submitCommand()),
+		withAPI(cancelCommand()),
+		withAPI(drainCommand()),
+		withAPI(statusCommand()),
 		withAPI(jobsCommand()),
 		withAPI(configCommand()),
 	}
