--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -103,7 +103,7 @@
 		return printJSON(cmd, out)
 	}
 	fmt.Fprint(stdout(cmd), inventory.ChangesText(out.Changes))
-	fmt.Fprintf(stdout(cmd), "%d changes to version %d\n", len(out.Changes), out.Version)
+	fmt.Fprintf(stdout(cmd), "%s to version %d\n", count(len(out.Changes), "change"), out.Version)
 	return nil
 }
 
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -157,11 +157,7 @@
 }
 
 func invalid(object string, faults int, remedy string) error {
-	problem := fmt.Sprintf("%d faults", faults)
-	if faults == 1 {
-		problem = "1 fault"
-	}
-	return apperr.New(apperr.KindInvalid, object, problem, remedy)
+	return apperr.New(apperr.KindInvalid, object, count(faults, "fault"), remedy)
 }
 
 // joinErrors returns the first error, so that its kind decides the exit code,
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -123,28 +123,34 @@
 		err = waitUntil(ctx, cmd, "drain of VM "+string(vm), func(ctx context.Context) (bool, error) {
 			return left(ctx, client, vm, &state)
 		})
-		if err != nil {
-			return err
-		}
 	}
+	// The last state seen is shown also when the wait ended early.
+	if printErr := printDrain(cmd, &state); printErr != nil {
+		return printErr
+	}
+	return err
+}
+
+func printDrain(cmd *cli.Command, state *drainState) error {
 	if cmd.Bool(flagJSON) {
 		return printJSON(cmd, state)
 	}
-	fmt.Fprintf(stdout(cmd), "VM %s drains: %d requests in progress\n", vm, state.RequestsInProgress)
-	if cmd.Bool(flagWait) {
-		fmt.Fprintln(stdout(cmd), "no task is left; the VM may be stopped")
+	fmt.Fprintf(stdout(cmd), "VM %s drains: %s in progress", state.VM, count(state.RequestsInProgress, "request"))
+	if state.Tasks != nil {
+		fmt.Fprintf(stdout(cmd), ", %s left", count(len(state.Tasks), "task"))
 	}
+	fmt.Fprintln(stdout(cmd))
 	return nil
 }
 
 // left updates the state and reports whether nothing is left on the VM. While
 // the owner of the VM's shard does not answer, its tasks are not known.
 func left(ctx context.Context, client *operatorapi.Client, vm types.VMID, state *drainState) (bool, error) {
-	var err error
-	state.Drained, err = client.Drain(ctx, vm)
+	drained, err := client.Drain(ctx, vm)
 	if err != nil {
 		return false, err
 	}
+	state.Drained = drained
 	status, err := client.Status(ctx)
 	if err != nil {
 		return false, err
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -74,7 +74,7 @@
 	if cmd.Bool(flagJSON) {
 		return printJSON(cmd, status)
 	}
-	fmt.Fprintf(stdout(cmd), "job %s: %s, %d tasks in shard %s\n", status.ID, jobState(&status), status.Tasks, status.Shard)
+	fmt.Fprintf(stdout(cmd), "job %s: %s, %s in shard %s\n", status.ID, jobState(&status), count(status.Tasks, "task"), status.Shard)
 	return nil
 }
 
@@ -82,14 +82,21 @@
 func waitForJob(ctx context.Context, cmd *cli.Command, client *operatorapi.Client, id types.JobID) error {
 	var status entry.JobStatus
 	err := waitUntil(ctx, cmd, "job "+string(id), func(ctx context.Context) (bool, error) {
-		var err error
-		status, err = client.Job(ctx, id)
-		return status.Finished || neverRuns(&status) != nil, err
+		seen, err := client.Job(ctx, id)
+		if err != nil {
+			return false, err
+		}
+		status = seen
+		return status.Finished || neverRuns(&status) != nil, nil
 	})
-	if err != nil {
+	if err != nil && status.ID == "" {
 		return err
 	}
-	if err := printJob(cmd, &status); err != nil {
+	// The last state seen is shown also when the wait ended early.
+	if printErr := printJob(cmd, &status); printErr != nil {
+		return printErr
+	}
+	if err != nil {
 		return err
 	}
 	return jobError(&status)
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -152,6 +152,14 @@
 	return t.Flush()
 }
 
+// count returns a number with its noun, for example "1 fault" or "2 faults".
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
+
 // orDash stands for an empty cell.
 func orDash(s string) string {
 	if s == "" {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -283,12 +283,18 @@
 		return []string{p.Name, orDash(p.Role), p.Address, "-", "-", p.Error}
 	}
 	state := "in effect"
-	if p.Behind {
+	switch {
+	case p.Behind:
 		state = "behind"
+	case p.Version == 0:
+		state = "no configuration"
 	}
 	if p.Draining {
 		state += ", draining"
 	}
 	confirmed := fmt.Sprintf("%d ms ago", p.ConfirmedMS)
+	if p.ConfirmedMS < 0 {
+		confirmed = "never"
+	}
 	return []string{p.Name, p.Role, p.Address, strconv.FormatUint(uint64(p.Version), 10), confirmed, state}
 }
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -204,7 +204,7 @@
 	}
 	var body apperr.Body
 	if err := json.Unmarshal(a.body, &body); err != nil || body.Kind == "" || body.Message == "" {
-		return foreign(call, entry, a.status, err)
+		return foreign(call, entry, a.status, nil)
 	}
 	e := &apperr.Error{Kind: body.Kind, Object: body.Object, Problem: body.Message, Remedy: body.Remedy, Outcome: body.Outcome}
 	if seconds, err := strconv.Atoi(a.retryAfter); err == nil && seconds > 0 {
