Explore the shard owner's transitions and fix a job finished too early

The search found that a job's final row was written after a late batch of the owner had withdrawn the end of its task. The final row is now written only while all tasks have ended. Mutants drop one rule each and are all found.

--- a/internal/core/shard/batch.go
+++ b/internal/core/shard/batch.go
@@ -111,6 +111,10 @@
 func (o *Owner) addJobs(f *flight) {
 	kept := o.dirtyJobs[:0]
 	for _, j := range o.dirtyJobs {
+		if j.ended != len(j.tasks) {
+			j.dirty = false // an end was withdrawn; finishJob makes it due again
+			continue
+		}
 		if len(f.batch.Writes) >= o.cfg.BatchRows || !j.settled() {
 			kept = append(kept, j)
 			continue
--- /dev/null
+++ b/internal/core/shard/explore_test.go
@@ -0,0 +1,184 @@
+package shard
+
+import (
+	"encoding/binary"
+	"reflect"
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// explored is the result of an exhaustive search.
+type explored struct {
+	states, transitions int
+	// path and problem describe the first counterexample; problem is empty if
+	// there is none.
+	path    []string
+	problem string
+}
+
+// explore visits breadth first all states that moves lead to from the start,
+// until a counterexample or the depth. A state is rebuilt by replaying its
+// moves, so that states need no copy. The function moves returns the names of
+// the moves that are enabled; state returns what tells two states apart; final,
+// if not nil, checks the states at the depth.
+func explore[W any](start func() W, moves func(W) []string, step func(W, string) string, state func(W) any, final func(W) string, depth int) explored {
+	result := explored{states: 1}
+	seen := map[uint64]bool{fingerprint(state(start())): true}
+	level := [][]string{nil}
+	for d := 0; d < depth && len(level) > 0; d++ {
+		end := final
+		if d < depth-1 {
+			end = nil
+		}
+		children := expand(level, start, moves, step, state, end)
+		var next [][]string
+		for _, c := range children {
+			result.transitions++
+			if c.problem != "" {
+				result.path, result.problem = c.path, c.problem
+				return result
+			}
+			if !seen[c.hash] {
+				seen[c.hash] = true
+				next = append(next, c.path)
+			}
+		}
+		result.states += len(next)
+		level = next
+	}
+	return result
+}
+
+type child struct {
+	path    []string
+	hash    uint64
+	problem string
+}
+
+// expand returns the children of all states of a level in order.
+func expand[W any](level [][]string, start func() W, moves func(W) []string, step func(W, string) string, state func(W) any, final func(W) string) []child {
+	const workers = 4 // leaves most of a CI machine to the other packages
+	results := make([][]child, len(level))
+	var wg sync.WaitGroup
+	for k := range workers {
+		wg.Go(func() {
+			for i := k; i < len(level); i += workers {
+				results[i] = expandOne(level[i], start, moves, step, state, final)
+			}
+		})
+	}
+	wg.Wait()
+	var all []child
+	for _, r := range results {
+		all = append(all, r...)
+	}
+	return all
+}
+
+func expandOne[W any](path []string, start func() W, moves func(W) []string, step func(W, string) string, state func(W) any, final func(W) string) []child {
+	replay := func() W {
+		w := start()
+		for _, m := range path {
+			step(w, m)
+		}
+		return w
+	}
+	var children []child
+	for _, m := range moves(replay()) {
+		w := replay()
+		c := child{path: append(append([]string(nil), path...), m)}
+		c.problem = step(w, m)
+		c.hash = fingerprint(state(w))
+		if final != nil && c.problem == "" {
+			c.problem = final(w)
+		}
+		children = append(children, c)
+	}
+	return children
+}
+
+// fingerprint hashes everything that is reachable from v, unexported fields
+// included.
+func fingerprint(v any) uint64 {
+	f := &printer{seen: map[uintptr]uint64{}}
+	f.value(reflect.ValueOf(v))
+	return xxhash.Sum64(f.buf)
+}
+
+type printer struct {
+	buf  []byte
+	seen map[uintptr]uint64
+}
+
+func (p *printer) number(n uint64) {
+	p.buf = binary.LittleEndian.AppendUint64(p.buf, n)
+}
+
+func (p *printer) value(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		p.pointer(v)
+	case reflect.Interface:
+		if !v.IsNil() {
+			p.value(v.Elem())
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			p.value(v.Field(i))
+		}
+	case reflect.Slice, reflect.Array:
+		p.number(uint64(v.Len()))
+		for i := range v.Len() {
+			p.value(v.Index(i))
+		}
+	case reflect.Map:
+		p.mapping(v)
+	case reflect.String:
+		p.number(uint64(v.Len()))
+		p.buf = append(p.buf, v.String()...)
+	case reflect.Bool:
+		if v.Bool() {
+			p.buf = append(p.buf, 1)
+		} else {
+			p.buf = append(p.buf, 0)
+		}
+	case reflect.Func:
+	default:
+		if v.CanInt() {
+			p.number(uint64(v.Int()))
+		} else {
+			p.number(v.Uint())
+		}
+	}
+}
+
+func (p *printer) pointer(v reflect.Value) {
+	if v.IsNil() {
+		p.number(0)
+		return
+	}
+	if id, ok := p.seen[v.Pointer()]; ok {
+		p.number(id)
+		return
+	}
+	p.seen[v.Pointer()] = uint64(len(p.seen) + 1)
+	p.value(v.Elem())
+}
+
+// mapping hashes the entries in the order of their keys' hashes.
+func (p *printer) mapping(v reflect.Value) {
+	keys := v.MapKeys()
+	hash := func(k reflect.Value) string {
+		q := &printer{seen: map[uintptr]uint64{}}
+		q.value(k)
+		return string(q.buf)
+	}
+	sort.Slice(keys, func(a, b int) bool { return hash(keys[a]) < hash(keys[b]) })
+	p.number(uint64(len(keys)))
+	for _, k := range keys {
+		p.value(k)
+		p.value(v.MapIndex(k))
+	}
+}
--- a/internal/core/shard/gate.go
+++ b/internal/core/shard/gate.go
@@ -111,7 +111,7 @@
 // Ended records that an attempt has ended by itself.
 func (g *Gate) Ended(now time.Duration, task types.TaskID, attempt types.Attempt) {
 	h := g.tasks[task]
-	if h != nil && h.attempt == attempt {
+	if h != nil && h.attempt == attempt && !h.stopped {
 		h.stopped = true
 		h.stoppedAt = now
 	}
@@ -140,6 +140,9 @@
 		return g.resume(now, c, h)
 	case CommandStop:
 		return g.stop(now, c, h)
+	case CommandForget:
+		g.Ended(now, c.Task, c.Attempt)
+		return Execute
 	default:
 		if h != nil && h.attempt != c.Attempt {
 			return StaleAttempt
--- /dev/null
+++ b/internal/core/shard/model_round_test.go
@@ -0,0 +1,235 @@
+package shard
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// round lets a second pass and every process do what is due.
+func (w *world) round() {
+	w.now += time.Second
+	for i := range w.owners {
+		if !w.owners[i].frozen {
+			w.leaseStep(i)
+		}
+	}
+	for _, worker := range w.workers {
+		if !worker.frozen && !worker.cut {
+			w.beat(worker)
+		}
+	}
+	for i := range w.owners {
+		for range 4 { // a batch, and the commands that follow its commit
+			if w.owners[i].frozen || w.owners[i].owner == nil || !w.poll(i) {
+				break
+			}
+		}
+	}
+}
+
+// leaseStep renews the lease, or observes it and takes it over.
+func (w *world) leaseStep(i int) {
+	o := w.owners[i]
+	if o.owner != nil && (o.owner.Lost() || o.holder.Lost()) {
+		o.owner, o.holder = nil, nil
+	}
+	if w.down || o.isolated {
+		return
+	}
+	key := lease.Key(testShard)
+	read := func() (lease.Row, uint64, bool) {
+		r, ok := w.table.rows[key]
+		row, _ := lease.Decode(r.Value)
+		return row, r.Revision, ok
+	}
+	if o.holder == nil {
+		row, rev, ok := read()
+		o.observer.Observe(row, rev, ok, w.now, nil)
+		if take, ok := o.observer.TryTakeover(w.now, nil); ok {
+			w.takeOver(i, take)
+		}
+		return
+	}
+	renewal, ok := o.holder.BeginRenewal(w.now)
+	if !ok {
+		return
+	}
+	if _, rev, _ := read(); rev != renewal.Revision {
+		row, rev, ok := read()
+		o.holder.Observed(row, rev, ok)
+		return
+	}
+	value, _ := renewal.Row.Encode()
+	o.holder.Committed(w.table.put(key, value).Revision)
+	o.owner.SetLease(w.mutant.leaseUntil(o.holder.Until()))
+}
+
+func (w *world) takeOver(i int, take lease.Takeover) {
+	o := w.owners[i]
+	value, _ := take.Row.Encode()
+	rev := w.table.put(lease.Key(testShard), value).Revision
+	cfg := w.mutant.config()
+	cfg.Incarnation = o.inc
+	cfg.Epoch = take.Row.Epoch
+	cfg.FenceRevision = w.table.put(lease.FenceKey(testShard), value).Revision
+	o.holder = lease.NewHolder(modelLease(), take.Row, rev, w.now)
+	o.owner = NewOwner(cfg, modelMembers(), elsewhere{}, w.now)
+	o.owner.SetLease(w.mutant.leaseUntil(o.holder.Until()))
+	o.owner.SetVMs(w.inventory)
+	o.owner.Recover(w.table.scan(task.JobPrefix(testShard)), w.table.scan(task.Prefix(testShard)))
+}
+
+// beat sends a heartbeat and a report to every owner process, twice, so that
+// a challenge is answered within the round.
+func (w *world) beat(worker *modelWorker) {
+	for i, o := range w.owners {
+		if o.owner == nil || o.frozen || (worker.split && i == 1) {
+			continue
+		}
+		for range 2 {
+			reply, ok := o.owner.Heartbeat(w.now, worker.heartbeat(w.now+worker.offset))
+			if !ok {
+				break
+			}
+			if w.variant == "delay replies" {
+				w.send(message{what: "reply", reply: &reply})
+				break
+			}
+			w.deliver(message{what: "reply", reply: &reply}, false)
+		}
+		report := worker.list(w.now + worker.offset)
+		if w.variant == "delay reports" {
+			w.send(message{what: "report", owner: i, report: &report})
+		} else {
+			w.deliver(message{what: "report", owner: i, report: &report}, false)
+		}
+	}
+}
+
+// poll carries out what an owner has due and returns whether there was a batch.
+func (w *world) poll(i int) bool {
+	o := w.owners[i].owner
+	w.mutant.beforePoll(o)
+	out := o.Poll(w.now)
+	w.mutant.afterPoll(o, &out, w.now)
+	for _, v := range out.Violations {
+		w.fail("%v", v)
+	}
+	for _, p := range out.Problems {
+		w.fail("%v", p)
+	}
+	stalled := w.variant == fmt.Sprint("stall owner ", i)
+	if out.Batch != nil {
+		w.batch(i, out.Batch, stalled)
+	}
+	for _, c := range out.Commands {
+		m := message{what: "command", command: &c}
+		if stalled || w.variant == "delay commands" {
+			w.send(m)
+			continue
+		}
+		if w.variant == "duplicate commands" {
+			w.send(m)
+		}
+		w.deliver(m, false)
+	}
+	if out.Read != nil {
+		o.ReadDone(w.now, out.Read.ID, w.table.read(out.Read.Keys), !w.down && !w.owners[i].isolated)
+	}
+	w.owners[i].frozen = stalled
+	return out.Batch != nil || out.Read != nil
+}
+
+// batch answers a table batch.
+func (w *world) batch(i int, b *Batch, stalled bool) {
+	o := w.owners[i].owner
+	switch {
+	case stalled || w.variant == "delay batch":
+		w.send(message{what: "batch", batch: b})
+		o.BatchDone(w.now, b.ID, BatchUncertain, 0, nil)
+	case w.down || w.owners[i].isolated:
+		o.BatchDone(w.now, b.ID, BatchUnavailable, 0, nil)
+	default:
+		rev, ok := w.table.commit(b, w.mutant.noFence)
+		w.check()
+		switch {
+		case w.variant == "lose answer":
+			o.BatchDone(w.now, b.ID, BatchUncertain, 0, nil)
+		case ok:
+			o.BatchDone(w.now, b.ID, BatchCommitted, rev, nil)
+		default:
+			o.BatchDone(w.now, b.ID, BatchConflict, 0, w.table.read(b.Keys()))
+		}
+	}
+}
+
+// send puts a message into the network for a later delivery or none.
+func (w *world) send(m message) {
+	w.pool = append(w.pool, m)
+}
+
+// deliver hands a message over, keeps it for a frozen receiver, or loses it
+// where the receiver is cut off. Late messages were in the network before.
+func (w *world) deliver(m message, late bool) {
+	defer w.checkLive()
+	switch m.what {
+	case "batch":
+		if !w.down {
+			w.table.commit(m.batch, w.mutant.noFence)
+		}
+	case "report":
+		o := w.owners[m.owner]
+		if o.frozen {
+			w.send(m)
+		} else if o.owner != nil {
+			w.mutant.report(o.owner, w.now, m.report)
+		}
+	case "reply":
+		worker := w.workerOf(m.reply.Ack.VM)
+		if worker.frozen {
+			w.send(m)
+		} else if (late || !worker.cut) && m.reply.Ack.Incarnation == worker.incarnation {
+			w.mutant.acked(worker, w.now+worker.offset, *m.reply)
+		}
+	case "command":
+		w.deliverCommand(m, late)
+	}
+}
+
+func (w *world) deliverCommand(m message, late bool) {
+	worker := w.workerOf(m.command.VM)
+	if worker.frozen {
+		w.send(m)
+		return
+	}
+	if worker.cut && !late {
+		return
+	}
+	c := w.mutant.command(worker, *m.command)
+	if worker.command(w.now+worker.offset, c) != Execute || c.Kind != CommandStart {
+		return
+	}
+	if c.Task != modelTask {
+		return
+	}
+	if on, ok := w.startedOn[c.Attempt]; ok && on != c.VM {
+		w.fail("attempt %d was started on two workers", c.Attempt)
+	}
+	w.startedOn[c.Attempt] = c.VM
+	if w.checkpoint && c.Checkpoint == "" {
+		w.fail("attempt %d of an evicted task was started without its checkpoint", c.Attempt)
+	}
+}
+
+func (w *world) workerOf(vm types.VMID) *modelWorker {
+	for _, worker := range w.workers {
+		if worker.vm == vm {
+			return worker
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/shard/mutants_test.go
@@ -0,0 +1,253 @@
+package shard
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/membership"
+	"github.com/boragecrank/boragecrank/internal/core/task"
+)
+
+// mutant drops rules of the protocol around the real functions. The zero value
+// drops none.
+type mutant struct {
+	name string
+	// only restricts the moves beside rounds and deliveries; nil allows all.
+	// Every counterexample is also one of the whole model.
+	only []string
+	// fresh starts before the first placement instead of after it.
+	fresh bool
+	// shortRight makes R two rounds instead of four.
+	shortRight bool
+	// pair has one VM and a second job with higher priority.
+	pair bool
+	// noFence drops the condition on the epoch from table batches.
+	noFence bool
+	// noLease lets an owner act without a valid lease.
+	noLease bool
+	// rightFromReceipt counts the run right from the receipt of the reply.
+	rightFromReceipt bool
+	// noWait relocates the attempts of a silent worker at once.
+	noWait bool
+	// anyIncarnation drops the memory and the confirmation of incarnations: a
+	// detector believes the last one that it heard.
+	anyIncarnation bool
+	// startEarly sends starts before the commit.
+	startEarly bool
+	// stopUnconfirmed takes the checkpoint of an eviction as its stop.
+	stopUnconfirmed bool
+	// anyAttempt accepts completions of any attempt.
+	anyAttempt bool
+	// resumeByAck lets an acknowledged heartbeat resume lapsed attempts.
+	resumeByAck bool
+	// endlessCommands drops the validity of commands on the worker's clock.
+	endlessCommands bool
+	// missingIsProof takes an attempt that a report lacks as not running, also
+	// when it was given to the reporting incarnation.
+	missingIsProof bool
+	// noTakeoverWait does not count rights from before the takeover.
+	noTakeoverWait bool
+}
+
+func (m mutant) leaseUntil(until time.Duration) time.Duration {
+	if m.noLease {
+		return until + time.Hour
+	}
+	return until
+}
+
+func (m mutant) beforePoll(o *Owner) {
+	for _, v := range o.vmOrder {
+		if m.noWait {
+			v.boundFrom = 0
+		}
+		if m.noTakeoverWait && v.lastSentAt == 0 {
+			v.boundFrom = 0
+		}
+	}
+	for _, t := range o.sortedTasks() {
+		if m.stopUnconfirmed && t.row.State == task.Checkpointed {
+			o.stopped(t, "")
+		}
+	}
+}
+
+func (m mutant) afterPoll(o *Owner, out *Output, now time.Duration) {
+	if !m.startEarly || o.flight == nil {
+		return
+	}
+	for _, t := range o.flight.tasks {
+		t.committed = t.flying
+		o.activate(t)
+	}
+	o.commands(now)
+	out.Commands = append(out.Commands, o.out.Commands...)
+	o.out.Commands = nil
+}
+
+func (m mutant) report(o *Owner, now time.Duration, r *Report) {
+	if m.anyIncarnation {
+		m.believe(o, now, r)
+	}
+	changed := *r
+	changed.Tasks = append([]TaskReport(nil), r.Tasks...)
+	for i, tr := range changed.Tasks {
+		if t := o.tasks[tr.Task]; t != nil && m.anyAttempt && tr.Phase == PhaseDone {
+			changed.Tasks[i].Attempt = t.row.Attempt
+		}
+	}
+	if m.missingIsProof {
+		for _, t := range o.sortedTasks() {
+			if t.row.VM == r.VM && t.row.State.Live() && t.revision != 0 && !lists(r, t.row) {
+				o.stopped(t, "")
+			}
+		}
+	}
+	accepted := o.Report(now, changed)
+	for _, tr := range changed.Tasks {
+		if t := o.tasks[tr.Task]; accepted && t != nil && m.anyAttempt && tr.Phase == PhaseDone {
+			o.apply(t, task.Event{Kind: task.EventFinished, Attempt: t.row.Attempt})
+		}
+	}
+}
+
+func lists(r *Report, row task.Row) bool {
+	for _, tr := range r.Tasks {
+		if tr.Task == row.Task && tr.Attempt == row.Attempt {
+			return true
+		}
+	}
+	return false
+}
+
+// believe replaces the detector by one that has confirmed the reporter.
+func (m mutant) believe(o *Owner, now time.Duration, r *Report) {
+	if e, ok := o.detector.Lookup(r.VM); ok && e.Incarnation == r.Incarnation {
+		return
+	}
+	d := membership.NewDetector(modelMembers(), o.cfg.Incarnation)
+	for _, v := range o.vmOrder {
+		e, ok := o.detector.Lookup(v.vm.ID)
+		if v.vm.ID == r.VM {
+			e.Incarnation, ok = r.Incarnation, true
+		}
+		if !ok {
+			continue
+		}
+		hb := membership.Heartbeat{VM: v.vm.ID, Incarnation: e.Incarnation, Seq: 1}
+		ack, _, _ := d.Heartbeat(now, hb)
+		hb.Seq, hb.Echo = 2, ack.Echo
+		d.Heartbeat(now, hb)
+	}
+	o.detector = d
+	o.vms[r.VM].reportSeq = 0
+}
+
+func (m mutant) acked(w *modelWorker, now time.Duration, reply HeartbeatReply) {
+	if m.rightFromReceipt {
+		reply.Ack.SentAt = now
+	}
+	w.acked(now, reply)
+	if m.resumeByAck && now < w.gate.until {
+		for _, h := range w.gate.tasks {
+			h.confirmed = true
+		}
+	}
+}
+
+func (m mutant) command(w *modelWorker, c Command) Command {
+	if m.endlessCommands {
+		c.ValidUntil = 1 << 62
+	}
+	return c
+}
+
+// allowed drops the moves that the search does not use.
+func (m mutant) allowed(moves []string) []string {
+	if m.only == nil {
+		return moves
+	}
+	kept := moves[:0]
+	for _, move := range moves {
+		if move == "round" || strings.HasPrefix(move, "deliver") || slices.Contains(m.only, move) {
+			kept = append(kept, move)
+		}
+	}
+	return kept
+}
+
+func search(m mutant, faults, depth int, final func(*world) string) explored {
+	return explore(
+		func() *world { return newWorld(m, faults) },
+		(*world).moves,
+		(*world).step,
+		func(w *world) any { return w },
+		final,
+		depth,
+	)
+}
+
+// Guards against any sequence of moves within the bounds that breaks I1, I2 or
+// I3, or after which the task is not done although all faults have ended. A round is a second; R is four rounds, the lease's TTL two.
+func TestModel(t *testing.T) {
+	bounds := []struct {
+		mutant
+		maxFaults, depth int
+	}{
+		{mutant{name: "any two faults"}, 2, 5},
+		{mutant{name: "any fault"}, 1, 8},
+		{mutant{name: "any fault before the first placement", fresh: true}, 1, 7},
+		{mutant{name: "two jobs on one VM", fresh: true, pair: true}, 1, 7},
+	}
+	for _, b := range bounds {
+		t.Run(b.name, func(t *testing.T) {
+			r := search(b.mutant, b.maxFaults, b.depth, (*world).close)
+			t.Logf("%d states, %d transitions, at most %d faults and %d moves", r.states, r.transitions, b.maxFaults, b.depth)
+			if r.problem != "" {
+				t.Fatalf("%s after %q", r.problem, r.path)
+			}
+		})
+	}
+}
+
+// Guards against a model too weak to see the fault that a rule prevents. The
+// same search without the mutation must find nothing.
+func TestMutants(t *testing.T) {
+	mutants := []mutant{
+		{name: "batches without the epoch condition", noFence: true, fresh: true, pair: true,
+			only: []string{"round stall owner 0", "submit"}},
+		{name: "owner acts without a lease", noLease: true, shortRight: true,
+			only: []string{"isolate owner 0", "split worker 0"}},
+		{name: "right counted from receipt", rightFromReceipt: true,
+			only: []string{"round delay replies", "cut worker 0"}},
+		{name: "relocation without waiting R", noWait: true, only: []string{"cut worker 0"}},
+		{name: "new owner does not count from its takeover", noTakeoverWait: true,
+			only: []string{"kill owner 0", "cut worker 0"}},
+		{name: "no memory of incarnations", anyIncarnation: true,
+			only: []string{"round delay reports", "restart worker 1", "cut worker 1", "evict"}},
+		{name: "start before commit", startEarly: true, fresh: true,
+			only: []string{"round stall owner 0"}},
+		{name: "resume before the stop is confirmed", stopUnconfirmed: true,
+			only: []string{"evict"}},
+		{name: "completion of any attempt", anyAttempt: true, shortRight: true,
+			only: []string{"cut worker 0", "finish 0", "heal worker 0"}},
+		{name: "lapsed attempts resumed by any acknowledgement", resumeByAck: true, shortRight: true,
+			only: []string{"cut worker 0", "heal worker 0"}},
+		{name: "commands valid for ever", endlessCommands: true, fresh: true, shortRight: true,
+			only: []string{"round delay commands", "cut worker 0", "heal worker 0"}},
+		{name: "missing in a report is proof", missingIsProof: true, fresh: true,
+			only: []string{"round delay commands"}},
+	}
+	const maxFaults, depth = 3, 10
+	for _, m := range mutants {
+		t.Run(m.name, func(t *testing.T) {
+			r := search(m, maxFaults, depth, nil)
+			t.Logf("%d states, %d transitions: %s after %q", r.states, r.transitions, r.problem, r.path)
+			if r.problem == "" {
+				t.Fatal("no counterexample")
+			}
+		})
+	}
+}
