Make the whole path run in separate processes

Cause of the first failure: the worker passed a start command to its task admission without a budget, so that every start was refused as invalid and the owner tried again at once (1,064 attempts in ten minutes). The admission now gets the time left until the command's end.

--- a/internal/localrun/localrun.go
+++ b/internal/localrun/localrun.go
@@ -170,7 +170,7 @@
 
 // StartPlatform starts the stand-in platform.
 func (d *Deployment) StartPlatform(ctx context.Context) error {
-	if _, err := d.start("platform", "dev", "platform", "--listen", d.Platform()); err != nil {
+	if err := d.start(ctx, "platform", "dev", "platform", "--listen", d.Platform()); err != nil {
 		return err
 	}
 	return d.await(ctx, "http://"+d.Platform()+"/admin/witness")
@@ -182,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := d.start(EntryName(entry), "entry", "--settings", file); err != nil {
+	if err := d.start(ctx, EntryName(entry), "entry", "--settings", file); err != nil {
 		return err
 	}
 	return d.await(ctx, "http://"+d.Operators(entry)+"/healthz")
@@ -194,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := d.start(WorkerName(domain, worker), "worker", "--settings", file); err != nil {
+	if err := d.start(ctx, WorkerName(domain, worker), "worker", "--settings", file); err != nil {
 		return err
 	}
 	return d.await(ctx, "http://"+d.announcements(domain, worker)+"/healthz")
@@ -202,7 +202,7 @@
 
 // StartUpstream starts the upstream beside a worker.
 func (d *Deployment) StartUpstream(ctx context.Context, domain, worker int) error {
-	_, err := d.start(UpstreamName(domain, worker), "dev", "upstream", "--listen", d.Upstream(domain, worker),
+	err := d.start(ctx, UpstreamName(domain, worker), "dev", "upstream", "--listen", d.Upstream(domain, worker),
 		"--worker", d.announcements(domain, worker), "--service", "berth-check",
 		"--service-time", d.opts.ServiceTime.String())
 	if err != nil {
@@ -212,19 +212,20 @@
 }
 
 // start starts a process of the built binary and logs to a file.
-func (d *Deployment) start(name string, args ...string) (*Process, error) {
+func (d *Deployment) start(ctx context.Context, name string, args ...string) error {
 	p := &Process{Name: name, args: args, log: filepath.Join(d.opts.Dir, name+".log"), done: make(chan struct{})}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p.cmd = exec.Command(d.opts.Binary, args...)
+	// Processes outlive the call that starts them; Close ends them.
+	p.cmd = exec.CommandContext(context.WithoutCancel(ctx), d.opts.Binary, args...)
 	p.cmd.Env = d.env()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// A deployment must not outlive the test that started it.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
-		return nil, errors.Join(err, log.Close())
+		return errors.Join(err, log.Close())
 	}
 	go func() {
 		p.err = p.cmd.Wait()
@@ -234,7 +235,7 @@
 	d.mu.Lock()
 	d.procs[name] = p
 	d.mu.Unlock()
-	return p, nil
+	return nil
 }
 
 func (d *Deployment) env() []string {
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -108,14 +108,16 @@
 	}
 	var decision admission.TaskDecision
 	err := d.w.state.Do(func(s *state) {
-		decision = s.tasks.Reserve(d.w.node.Clock(), admission.StartCommand{
+		now := d.w.node.Clock()
+		decision = s.tasks.Reserve(now, admission.StartCommand{
 			Task:    c.Task,
 			Attempt: c.Attempt,
 			Shard:   d.w.shard,
 			Epoch:   c.Epoch,
 			Target:  c.Incarnation,
 			Demand:  c.Reserved,
-			Echo:    c.ValidUntil,
+			Echo:    now,
+			Budget:  c.ValidUntil - now,
 		})
 	})
 	if err != nil {
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -96,7 +96,7 @@
 [[ $runs == 1 ]] || fail "the booking ran $runs times, want once"
 
 echo "== running a batch task: submitted, placed, started under a lease, done"
-"$bin" submit night-allocation --id night-1 --wait
+timeout 60 "$bin" submit night-allocation --id night-1 --wait
 "$bin" jobs night-1
 "$bin" config
 
