--- /dev/null
+++ b/internal/core/guard/guard_test.go
@@ -0,0 +1,45 @@
+package guard
+
+import (
+	"testing"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Guards against a check that accepts what it should refuse, or the reverse.
+func TestChecks(t *testing.T) {
+	full := types.Resources{MilliCPU: 1000}
+	cases := []struct {
+		name string
+		got  *Violation
+		want *Rule
+	}{
+		{"full VM", Capacity("a", full, full), nil},
+		{"overfull VM", Capacity("a", full.Add(full), full), &OverCapacity},
+		{"next attempt", Change("t", 1, 2, 1, 1, false), nil},
+		{"attempt over a live one", Change("t", 1, 2, 1, 1, true), &SecondAttempt},
+		{"attempt falls", Change("t", 2, 1, 1, 1, false), &AttemptFell},
+		{"epoch falls", Change("t", 1, 1, 2, 1, false), &EpochFell},
+		{"start of the committed attempt", Start("t", 1, 1, true), nil},
+		{"start before the commit", Start("t", 2, 1, false), &StartBeforeCommit},
+	}
+	for _, c := range cases {
+		switch {
+		case c.want == nil && c.got != nil:
+			t.Errorf("%s: %v", c.name, c.got)
+		case c.want != nil && (c.got == nil || c.got.Rule != *c.want):
+			t.Errorf("%s: got %v, want rule %d", c.name, c.got, c.want.Number)
+		}
+	}
+}
+
+// Guards against two rules with one event number, or one outside 800 to 899.
+func TestRuleNumbers(t *testing.T) {
+	last := 799
+	for _, r := range Rules() {
+		if r.Number <= last || r.Number > 899 {
+			t.Errorf("rule %d follows %d", r.Number, last)
+		}
+		last = r.Number
+	}
+}
--- a/internal/core/lease/takeover_test.go
+++ b/internal/core/lease/takeover_test.go
@@ -20,7 +20,7 @@
 		const candidates = 32
 		cfg := DefaultConfig()
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		var live []types.VMID
+		live := make([]types.VMID, 0, candidates)
 		for i := range candidates {
 			live = append(live, types.VMID(fmt.Sprintf("vm%02d", i)))
 		}
@@ -30,8 +30,8 @@
 			known[i] = live[rng.IntN(2):]
 		}
 		row, revision := Row{Shard: "s", Owner: "dead", Incarnation: 1, Epoch: 3, Renewal: 9}, uint64(10)
-		var observers []*Observer
-		var offsets []time.Duration
+		observers := make([]*Observer, 0, candidates)
+		offsets := make([]time.Duration, 0, candidates)
 		for i, vm := range live {
 			observers = append(observers, NewObserver(cfg, "s", vm, types.Incarnation(i+2)))
 			offsets = append(offsets, time.Duration(rng.Int64N(int64(time.Hour))))
--- a/internal/core/shard/model_test.go
+++ b/internal/core/shard/model_test.go
@@ -276,7 +276,7 @@
 		worker := w.workers[i]
 		if name == "replace VM" {
 			worker.tasks = map[types.TaskID]*TaskReport{}
-			worker.lease = 0
+			clear(worker.leases)
 			worker.gate = NewGate(w.mutant.config(), worker.vm, w.incs)
 		}
 		worker.restart(w.mutant.config(), w.incs)
--- a/internal/core/shard/mutants_test.go
+++ b/internal/core/shard/mutants_test.go
@@ -49,6 +49,8 @@
 	// missingIsProof takes an attempt that a report lacks as not running, also
 	// when it was given to the reporting incarnation.
 	missingIsProof bool
+	// forgetEnded drops a worker's memory of ended attempts.
+	forgetEnded bool
 	// noTakeoverWait does not count rights from before the takeover.
 	noTakeoverWait bool
 }
@@ -163,6 +165,9 @@
 	if m.endlessCommands {
 		c.ValidUntil = 1 << 62
 	}
+	if h := w.gate.tasks[c.Task]; m.forgetEnded && h != nil && h.stopped {
+		delete(w.gate.tasks, c.Task)
+	}
 	return c
 }
 
@@ -201,8 +206,8 @@
 		faults, depth int
 	}{
 		{mutant{name: "any two faults"}, 2, 4},
-		{mutant{name: "any fault"}, 1, 7},
-		{mutant{name: "any fault before the first placement", fresh: true}, 1, 6},
+		{mutant{name: "any fault"}, 1, 8},
+		{mutant{name: "any fault before the first placement", fresh: true}, 1, 7},
 		{mutant{name: "two jobs on one VM", fresh: true, pair: true}, 1, 6},
 	}
 	for _, b := range bounds {
@@ -218,7 +223,8 @@
 }
 
 // Guards against a model too weak to see the fault that a rule prevents. The
-// same search without the mutation must find nothing.
+// same search without the mutation, to the same number of moves, must find
+// nothing.
 func TestMutants(t *testing.T) {
 	mutants := []mutant{
 		{name: "batches without the epoch condition", noFence: true, fresh: true, pair: true,
@@ -244,6 +250,8 @@
 			only: []string{"round delay commands", "cut worker 0", "heal worker 0", "deliver 0"}},
 		{name: "missing in a report is proof", missingIsProof: true, fresh: true,
 			only: []string{"round delay commands", "deliver 0"}},
+		{name: "no memory of ended attempts", forgetEnded: true, fresh: true,
+			only: []string{"round duplicate commands", "finish 0", "deliver 0"}},
 	}
 	const maxFaults, depth = 3, 10
 	for _, m := range mutants {
@@ -253,6 +261,10 @@
 			if r.problem == "" {
 				t.Fatal("no counterexample")
 			}
+			control := mutant{only: m.only, setup: m.setup, fresh: m.fresh, shortRight: m.shortRight, pair: m.pair}
+			if r := search(control, maxFaults, len(r.path), nil); r.problem != "" {
+				t.Fatalf("without the mutation: %s after %q", r.problem, r.path)
+			}
 		})
 	}
 }
--- a/internal/core/shard/sim_test.go
+++ b/internal/core/shard/sim_test.go
@@ -136,20 +136,28 @@
 	incarnation types.Incarnation
 	gate        *Gate
 	tasks       map[types.TaskID]*TaskReport
-	// lease is the end of the runtime's lease, for attempts of an earlier gate.
-	lease  time.Duration
+	// leases are the ends of the runtime's leases that an earlier worker process
+	// renewed, for the attempts that were confirmed to it.
+	leases map[types.TaskID]time.Duration
 	echo   membership.Echo
 	seq    uint64
 	report uint64
 }
 
 func newSimWorker(cfg Config, vm types.VMID, i types.Incarnation) *simWorker {
-	return &simWorker{vm: vm, incarnation: i, gate: NewGate(cfg, vm, i), tasks: map[types.TaskID]*TaskReport{}}
+	return &simWorker{
+		vm: vm, incarnation: i, gate: NewGate(cfg, vm, i),
+		tasks: map[types.TaskID]*TaskReport{}, leases: map[types.TaskID]time.Duration{},
+	}
 }
 
 // restart replaces the worker process; the runtime keeps its tasks.
 func (w *simWorker) restart(cfg Config, i types.Incarnation) {
-	w.lease = max(w.lease, w.gate.Until())
+	for id, h := range w.gate.tasks {
+		if h.confirmed && !h.stopped {
+			w.leases[id] = w.gate.Until()
+		}
+	}
 	w.incarnation = i
 	w.gate = NewGate(cfg, w.vm, i)
 	w.seq, w.report = 0, 0
@@ -176,7 +184,7 @@
 	if tr.Class == types.ClassLatencyCritical {
 		return true
 	}
-	return w.gate.MayRun(now, tr.Task, tr.Attempt) || now < w.lease
+	return w.gate.MayRun(now, tr.Task, tr.Attempt) || now < w.leases[tr.Task]
 }
 
 func (w *simWorker) heartbeat(now time.Duration) membership.Heartbeat {
@@ -212,6 +220,7 @@
 	switch c.Kind {
 	case CommandStart:
 		if tr == nil || tr.Attempt != c.Attempt {
+			delete(w.leases, c.Task)
 			w.tasks[c.Task] = &TaskReport{
 				Task: c.Task, Attempt: c.Attempt, Class: c.Class, Phase: PhaseRunning, Reserved: c.Reserved,
 			}
