Add placement core: incremental state, preemption, gangs, queue

Cause: the shard owner needs VMs chosen for tasks, infeasible tasks named with their constraint, and urgent work started by preemption. Change: a tree of free capacity finds at most 32 candidates per decision.

--- /dev/null
+++ b/internal/core/placement/doc.go
@@ -0,0 +1,172 @@
+// Package placement chooses VMs for tasks and victims for preemption.
+//
+// State holds the VMs and allocations of one shard (it also works for a whole
+// region). Place reads it and returns a Decision; it changes nothing. The
+// caller applies a decision with Add, Remove and Resize. All methods are
+// deterministic given their inputs and the random source, and none is safe
+// for concurrent use.
+//
+// A decision looks at no more than candidateLimit VMs. They are found through
+// a tree of free capacity, so the cost depends neither on the number of
+// running tasks nor linearly on the number of VMs.
+package placement
+
+import (
+	"errors"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Errors of State's methods, told apart with errors.Is.
+var (
+	// ErrOverfull: the VM lacks the free capacity; nothing changed.
+	ErrOverfull = errors.New("reserved sizes would exceed the VM's capacity")
+	// ErrUnknownVM: the VM is not in the state.
+	ErrUnknownVM = errors.New("VM is not in the placement state")
+	// ErrUnknownTask: the task has no allocation in the state.
+	ErrUnknownTask = errors.New("task has no allocation in the placement state")
+	// ErrDuplicateTask: the task already has an allocation.
+	ErrDuplicateTask = errors.New("task already has an allocation in the placement state")
+)
+
+// Request asks for a VM for one task.
+type Request struct {
+	Task types.TaskID
+	Job  types.JobID
+	Kind string
+	// Service is the service of a replica; empty for batch.
+	Service  types.ServiceName
+	Class    types.Class
+	Priority int
+	Urgent   bool
+	// Size is the amount to reserve.
+	Size types.Resources
+	// RunTime is the expected remaining run time; zero means unknown.
+	RunTime time.Duration
+	// Deadline is the time by which the task should finish; zero means none.
+	Deadline time.Duration
+	// Domains restricts placement; empty allows all.
+	Domains []types.FailureDomain
+	// Avoid excludes one VM, the one that a moved task leaves.
+	Avoid types.VMID
+	Quota Quota
+}
+
+// Quota is the team's quota as known to the owner when the request is made.
+type Quota struct {
+	Limited bool
+	// Left is what the owner's share still holds.
+	Left types.Resources
+	// Total is the team's quota over all owners.
+	Total types.Resources
+}
+
+// Running is one allocation with what preemption needs to know about it.
+type Running struct {
+	types.Allocation
+	Job      types.JobID
+	Kind     string
+	Service  types.ServiceName
+	Priority int
+	Urgent   bool
+	// Gang ties the tasks of Job: evicting one evicts all.
+	Gang    bool
+	Started time.Duration
+	// SavedAt is the time of the last checkpoint; work done since Started or
+	// SavedAt, whichever is later, is lost by an eviction without checkpoint.
+	SavedAt time.Duration
+	// Evictions counts earlier evictions of the task, over all attempts.
+	Evictions int
+}
+
+// Outcome is the kind of a Decision.
+type Outcome uint8
+
+// Outcomes of a placement.
+const (
+	// Placed: VM has room.
+	Placed Outcome = iota + 1
+	// Preempt: VM has room once Victims have stopped.
+	Preempt
+	// Wait: no VM has room now.
+	Wait
+	// Infeasible: no VM of the state can ever hold the task.
+	Infeasible
+)
+
+// Constraint names what binds a Wait or Infeasible decision.
+type Constraint uint8
+
+// Constraints.
+const (
+	NoConstraint Constraint = iota
+	ConstraintProcessors
+	ConstraintMemory
+	ConstraintAccelerators
+	// ConstraintCombination: each amount fits on some VM, but no VM has all.
+	ConstraintCombination
+	ConstraintFailureDomain
+	ConstraintQuota
+	// ConstraintGang: each task fits alone, but not all at once.
+	ConstraintGang
+	// ConstraintNoVM: the state holds no usable VM.
+	ConstraintNoVM
+	// ConstraintInvalid: the request's size is negative.
+	ConstraintInvalid
+)
+
+var constraintNames = [...]string{
+	"none", "processors", "memory", "accelerators", "combination of amounts",
+	"failure domain", "team quota", "gang", "no usable VM", "negative size",
+}
+
+// String returns the constraint as shown to operators.
+func (c Constraint) String() string {
+	if int(c) < len(constraintNames) {
+		return constraintNames[c]
+	}
+	return "unknown constraint"
+}
+
+// Decision answers a Request.
+type Decision struct {
+	Outcome Outcome
+	VM      types.VMID
+	// Victims are the tasks to evict before the start. The slice is reused by
+	// the next call.
+	Victims []types.TaskID
+	// LostWork is the work that evicting Victims would discard, in core time
+	// since their last checkpoints.
+	LostWork time.Duration
+	// Binding is set on Wait and Infeasible.
+	Binding Constraint
+	// Limit is the most that any allowed VM or the quota offers of the binding
+	// constraint, set on Infeasible.
+	Limit types.Resources
+	// Late tells that the task cannot meet its deadline even if it starts now.
+	Late bool
+}
+
+// CostFunc returns the cost of running r on vm, in the unit of the score: 1 is
+// as bad as a full VM. It is called for each candidate and must not allocate.
+type CostFunc func(vm types.VMID, r *Request) float64
+
+// Options configure a State. The zero value of a field means its default.
+type Options struct {
+	// Cost adds interference to the score; nil adds nothing.
+	Cost CostFunc
+	// MaxEvictions is the number of evictions after which a task is no longer
+	// chosen as a victim. Default 3.
+	MaxEvictions int
+	// EvictionGap is the least time from a restart after an eviction to the
+	// next eviction of the same task. Default 10 minutes.
+	EvictionGap time.Duration
+}
+
+const (
+	defaultMaxEvictions = 3
+	defaultEvictionGap  = 10 * time.Minute
+	// candidateLimit covers a whole shard of 32 VMs; larger states are sampled.
+	candidateLimit = 32
+)
--- /dev/null
+++ b/internal/core/placement/gang.go
@@ -0,0 +1,157 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// GangDecision answers a request for a whole gang.
+type GangDecision struct {
+	// Outcome is Placed, Preempt, Wait or Infeasible for all tasks together.
+	Outcome Outcome
+	// VMs holds one VM per task, in order; nil unless Placed or Preempt.
+	VMs []types.VMID
+	// Victims must have stopped before any task of the gang starts.
+	Victims  []types.TaskID
+	LostWork time.Duration
+	// Binding and Task name the constraint and the first task that it stops.
+	Binding Constraint
+	Limit   types.Resources
+	Task    types.TaskID
+	Late    bool
+}
+
+// PlaceGang decides for all tasks of a gang, or for none. The state is the
+// same before and after. Requests share one team: each Quota is that before
+// the gang starts.
+func (s *State) PlaceGang(now time.Duration, reqs []Request) GangDecision {
+	s.rebuild()
+	if c, limit := s.gangInfeasible(reqs); c != NoConstraint {
+		return GangDecision{Outcome: Infeasible, Binding: c, Limit: limit, Task: reqs[0].Task}
+	}
+	var out GangDecision
+	var undo []func()
+	used := types.Resources{}
+	for i := range reqs {
+		r := reqs[i]
+		r.Quota.Left = r.Quota.Left.Sub(used)
+		d := s.Place(now, &r)
+		if d.Outcome != Placed && d.Outcome != Preempt {
+			out = s.gangRefusal(d, &r, i)
+			break
+		}
+		out.Late = out.Late || d.Late
+		out.VMs = append(out.VMs, d.VM)
+		out.LostWork += d.LostWork
+		for _, id := range slices.Clone(d.Victims) {
+			victim := s.mustRemove(id)
+			undo = append(undo, func() { s.mustAdopt(victim) })
+			out.Victims = append(out.Victims, id)
+		}
+		s.mustAdopt(tentative(now, &r, d.VM))
+		undo = append(undo, func() { s.mustRemove(r.Task) })
+		used = used.Add(r.Size)
+	}
+	for i := len(undo) - 1; i >= 0; i-- {
+		undo[i]()
+	}
+	return s.gangOutcome(out, len(reqs))
+}
+
+// tentative is the allocation of a gang member while the others are placed.
+// It counts as urgent, so that no member evicts another.
+func tentative(now time.Duration, r *Request, vm types.VMID) Running {
+	return Running{
+		Allocation: types.Allocation{Task: r.Task, VM: vm, Reserved: r.Size, Class: r.Class},
+		Job:        r.Job,
+		Kind:       r.Kind,
+		Service:    r.Service,
+		Priority:   r.Priority,
+		Urgent:     true,
+		Started:    now,
+	}
+}
+
+// gangRefusal names the constraint of the member at index i. A member that
+// only lacks room behind other members is bound by the gang.
+func (s *State) gangRefusal(d Decision, r *Request, i int) GangDecision {
+	binding := d.Binding
+	if d.Outcome == Wait && i > 0 && binding != ConstraintQuota {
+		binding = ConstraintGang
+	}
+	return GangDecision{Outcome: d.Outcome, Binding: binding, Limit: d.Limit, Task: r.Task, Late: d.Late}
+}
+
+func (s *State) gangOutcome(out GangDecision, n int) GangDecision {
+	switch {
+	case out.Outcome != 0:
+	case n == 0:
+		out.Outcome = Wait
+	case len(out.Victims) > 0:
+		out.Outcome = Preempt
+	default:
+		out.Outcome = Placed
+	}
+	return out
+}
+
+func (s *State) mustAdopt(r Running) {
+	if err := s.Adopt(r); err != nil {
+		panic("placement index is inconsistent: " + err.Error())
+	}
+}
+
+// gangInfeasible names the constraint that no empty shard could meet. For
+// tasks of one size it counts how many fit; otherwise it compares sums.
+func (s *State) gangInfeasible(reqs []Request) (Constraint, types.Resources) {
+	if len(reqs) == 0 || len(s.shapes) == 0 {
+		return NoConstraint, types.Resources{}
+	}
+	first := &reqs[0]
+	var total types.Resources
+	same := true
+	for i := range reqs {
+		total = total.Add(reqs[i].Size)
+		same = same && reqs[i].Size == first.Size
+	}
+	if first.Quota.Limited && !total.Fits(first.Quota.Total) {
+		return ConstraintQuota, first.Quota.Total
+	}
+	var sum types.Resources
+	var room int64
+	for i := range s.shapes {
+		sh := &s.shapes[i]
+		if len(first.Domains) > 0 && !slices.Contains(first.Domains, sh.domain) {
+			continue
+		}
+		room += sh.count * copiesThatFit(first.Size, sh.capacity)
+		for range sh.count {
+			sum = sum.Add(sh.capacity)
+		}
+	}
+	if room == 0 {
+		return NoConstraint, sum // Place names the constraint of a single task.
+	}
+	if !total.Fits(sum) || same && room < int64(len(reqs)) {
+		return ConstraintGang, sum
+	}
+	return NoConstraint, sum
+}
+
+// copiesThatFit is the number of tasks of one size that an empty VM holds.
+func copiesThatFit(size, capacity types.Resources) int64 {
+	const unlimited = 1 << 20
+	n := int64(unlimited)
+	if size.MilliCPU > 0 {
+		n = min(n, capacity.MilliCPU/size.MilliCPU)
+	}
+	if size.MemoryBytes > 0 {
+		n = min(n, capacity.MemoryBytes/size.MemoryBytes)
+	}
+	if size.Accelerators > 0 {
+		n = min(n, capacity.Accelerators/size.Accelerators)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/placement/queue.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"cmp"
+	"container/heap"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// promoteSlack is the slack below which a task with a deadline goes ahead of
+// tasks of higher priority that can still wait.
+const promoteSlack = 30 * time.Minute
+
+// Queue orders waiting requests: urgent ones first, then services, then batch
+// tasks that would otherwise miss their deadline (least slack first), then by
+// priority and slack. A task that can no longer meet its deadline is ordered
+// by priority alone, so that it does not displace one that still can.
+// The zero value is an empty queue.
+type Queue struct {
+	items      map[types.TaskID]*queued
+	byPriority queuedHeap
+	bySlack    queuedHeap
+	next       uint64
+}
+
+type queued struct {
+	req Request
+	// latestStart is the deadline minus the run time; zero without deadline.
+	latestStart time.Duration
+	seq         uint64
+	removed     bool
+}
+
+type queuedHeap struct {
+	items []*queued
+	less  func(a, b *queued) bool
+}
+
+// Len implements heap.Interface.
+func (h *queuedHeap) Len() int { return len(h.items) }
+
+// Less implements heap.Interface.
+func (h *queuedHeap) Less(i, j int) bool { return h.less(h.items[i], h.items[j]) }
+
+// Swap implements heap.Interface.
+func (h *queuedHeap) Swap(i, j int) { h.items[i], h.items[j] = h.items[j], h.items[i] }
+
+// Push implements heap.Interface.
+func (h *queuedHeap) Push(x any) { h.items = append(h.items, x.(*queued)) }
+
+// Pop implements heap.Interface.
+func (h *queuedHeap) Pop() any {
+	last := len(h.items) - 1
+	x := h.items[last]
+	h.items[last] = nil
+	h.items = h.items[:last]
+	return x
+}
+
+func rank(q *queued) int {
+	switch {
+	case q.req.Urgent:
+		return 0
+	case q.req.Class == types.ClassLatencyCritical:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func lessByPriority(a, b *queued) bool {
+	return cmp.Or(
+		cmp.Compare(rank(a), rank(b)),
+		cmp.Compare(b.req.Priority, a.req.Priority),
+		compareSlack(a, b),
+		cmp.Compare(a.seq, b.seq),
+	) < 0
+}
+
+func lessBySlack(a, b *queued) bool {
+	return cmp.Or(compareSlack(a, b), cmp.Compare(a.seq, b.seq)) < 0
+}
+
+// compareSlack puts tasks without a deadline last.
+func compareSlack(a, b *queued) int {
+	if (a.req.Deadline == 0) != (b.req.Deadline == 0) {
+		if a.req.Deadline == 0 {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.latestStart, b.latestStart)
+}
+
+// Push adds a request, or replaces the waiting request of the same task.
+func (q *Queue) Push(r Request) {
+	if q.items == nil {
+		q.items = make(map[types.TaskID]*queued)
+		q.byPriority.less = lessByPriority
+		q.bySlack.less = lessBySlack
+	}
+	q.Remove(r.Task)
+	item := &queued{req: r, seq: q.next}
+	q.next++
+	if r.Deadline > 0 {
+		item.latestStart = r.Deadline - r.RunTime
+		heap.Push(&q.bySlack, item)
+	}
+	q.items[r.Task] = item
+	heap.Push(&q.byPriority, item)
+}
+
+// Remove drops the request of a task (cancelled) and reports whether it waited.
+func (q *Queue) Remove(id types.TaskID) bool {
+	item, ok := q.items[id]
+	if !ok {
+		return false
+	}
+	item.removed = true
+	delete(q.items, id)
+	return true
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int {
+	return len(q.items)
+}
+
+// Pop removes and returns the request to decide on next.
+func (q *Queue) Pop(now time.Duration) (Request, bool) {
+	first := top(&q.byPriority)
+	if first == nil {
+		return Request{}, false
+	}
+	if rank(first) == 2 {
+		if tight := q.tight(now); tight != nil {
+			first = tight
+		}
+	}
+	q.Remove(first.req.Task)
+	return first.req, true
+}
+
+// tight returns the batch task with the least slack if that is below
+// promoteSlack. Tasks whose latest start has passed leave the slack order.
+func (q *Queue) tight(now time.Duration) *queued {
+	for {
+		item := top(&q.bySlack)
+		if item == nil || item.latestStart-now >= promoteSlack {
+			return nil
+		}
+		if item.latestStart >= now {
+			return item
+		}
+		heap.Pop(&q.bySlack)
+	}
+}
+
+// top discards removed items and returns the first that waits.
+func top(h *queuedHeap) *queued {
+	for h.Len() > 0 {
+		if !h.items[0].removed {
+			return h.items[0]
+		}
+		heap.Pop(h)
+	}
+	return nil
+}
