--- /dev/null
+++ b/internal/core/estimate/estimate.go
@@ -0,0 +1,261 @@
+// Package estimate learns the sizes and run times of job kinds.
+//
+// Declared values are priors. Samples are peaks of use and run times; tasks
+// that still run or were evicted count as censored samples, whose true value
+// is at least what was seen. Usage reports may arrive late, also after the
+// task has ended. Reservations are raised at once and lowered slowly, and
+// never below what the running task was seen to use.
+//
+// An Estimator is not safe for concurrent use.
+package estimate
+
+import (
+	"math"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Options configure an Estimator. The zero value of a field means its default.
+type Options struct {
+	// HalfLife is the time after which a sample counts half. Default 3 days,
+	// so that one week's habits replace the last one's.
+	HalfLife time.Duration
+	// CPUQuantile is the share of tasks whose processor peak a reservation
+	// covers. Default 0.9; a task above it runs slower, it does not fail.
+	CPUQuantile float64
+	// MemoryQuantile is the share for memory. Default 0.98; a task above it
+	// may fail.
+	MemoryQuantile float64
+	// MaxKinds bounds the kinds remembered. Default 1024.
+	MaxKinds int
+}
+
+const (
+	// margin is the factor by which reservations exceed the observed peak.
+	margin = 1.1
+	// priorUp and priorDown are the weights, in samples, of declared values
+	// against learned ones that are larger or smaller. A task that is too
+	// small on paper harms its neighbours, one too large only wastes room.
+	priorUp   = 0.5
+	priorDown = 4.0
+	// lowerThreshold, lowerHold and lowerStep give the hysteresis: a
+	// reservation falls when the target has been below the threshold for the
+	// hold time, and by at most the step each time.
+	lowerThreshold = 0.85
+	lowerHold      = 10 * time.Minute
+	lowerStep      = 0.75
+	// reportLag is how long an ended task accepts late usage reports. Reports
+	// are up to 30 s late.
+	reportLag = time.Minute
+	// censoredGrowth multiplies a quantile hidden by censoring.
+	censoredGrowth = 1.5
+)
+
+// End says how an attempt ended.
+type End uint8
+
+// Ends of an attempt.
+const (
+	// Done: the task finished; its run time and peaks are whole.
+	Done End = iota + 1
+	// Cut: evicted, cancelled, failed or lost; its values are lower bounds.
+	Cut
+)
+
+// Change is a reservation to apply to a running task.
+type Change struct {
+	Task     types.TaskID
+	Reserved types.Resources
+}
+
+type kind struct {
+	cpu, memory, runTime survival
+	size                 held
+	usedAt               time.Duration
+}
+
+// held is a reservation under hysteresis.
+type held struct {
+	value    types.Resources
+	set      bool
+	lowSince time.Duration
+	low      bool
+}
+
+type task struct {
+	kind                 string
+	declared             types.Resources
+	started, earlier     time.Duration
+	peak                 types.Resources
+	size                 held
+	endedAt              time.Duration
+	end                  End
+	cpu, memory, runTime lowerBound
+}
+
+// Estimator holds what was learned, per kind, and the running tasks.
+type Estimator struct {
+	opt   Options
+	kinds map[string]*kind
+	tasks map[types.TaskID]*task
+}
+
+// New returns an estimator that knows nothing.
+func New(opt Options) *Estimator {
+	if opt.HalfLife == 0 {
+		opt.HalfLife = 72 * time.Hour
+	}
+	if opt.CPUQuantile == 0 {
+		opt.CPUQuantile = 0.9
+	}
+	if opt.MemoryQuantile == 0 {
+		opt.MemoryQuantile = 0.98
+	}
+	if opt.MaxKinds == 0 {
+		opt.MaxKinds = 1024
+	}
+	return &Estimator{opt: opt, kinds: make(map[string]*kind), tasks: make(map[types.TaskID]*task)}
+}
+
+// Size returns the amount to reserve for a new task of a kind.
+func (e *Estimator) Size(now time.Duration, kindName string, declared types.Resources) types.Resources {
+	k := e.kind(now, kindName)
+	target := e.target(now, k, declared)
+	if k.weightless() {
+		return target // Each declaration stands for itself until a sample exists.
+	}
+	k.size.follow(now, target, types.Resources{})
+	out := k.size.value
+	out.Accelerators = declared.Accelerators
+	return out
+}
+
+func (k *kind) weightless() bool {
+	return k.cpu.weight() == 0 && k.memory.weight() == 0
+}
+
+// target blends learned quantiles with the declared size.
+func (e *Estimator) target(now time.Duration, k *kind, declared types.Resources) types.Resources {
+	k.cpu.decay(now, e.opt.HalfLife)
+	k.memory.decay(now, e.opt.HalfLife)
+	return types.Resources{
+		MilliCPU:     blend(&k.cpu, e.opt.CPUQuantile, float64(declared.MilliCPU)),
+		MemoryBytes:  blend(&k.memory, e.opt.MemoryQuantile, float64(declared.MemoryBytes)),
+		Accelerators: declared.Accelerators,
+	}
+}
+
+// blend is the geometric mean of the declared value and the learned quantile,
+// weighted by the prior and the number of samples.
+func blend(s *survival, q, declared float64) int64 {
+	v, reached := s.quantile(q, 0)
+	n := s.weight()
+	if !reached {
+		// Lower bounds raise the declared value but never lower it.
+		return int64(math.Ceil(max(declared, v)))
+	}
+	v *= margin
+	if declared <= 0 {
+		return int64(math.Ceil(v))
+	}
+	prior := priorDown
+	if v > declared {
+		prior = priorUp
+	}
+	log := (prior*math.Log(declared) + n*math.Log(v)) / (prior + n)
+	return int64(math.Ceil(math.Exp(log)))
+}
+
+// follow raises the value to target at once, and lowers it slowly, never below
+// floor.
+func (h *held) follow(now time.Duration, target, floor types.Resources) bool {
+	target = target.Max(floor)
+	before := h.value
+	if !h.set {
+		h.value, h.set = target, true
+		return true
+	}
+	h.value = h.value.Max(target)
+	if !clearlyLower(target, h.value) {
+		h.low = false
+		return h.value != before
+	}
+	if !h.low {
+		h.low, h.lowSince = true, now
+	}
+	if now-h.lowSince >= lowerHold {
+		h.value = target.Max(scale(h.value, lowerStep))
+		h.low = false
+	}
+	return h.value != before
+}
+
+func clearlyLower(target, value types.Resources) bool {
+	return float64(target.MilliCPU) < lowerThreshold*float64(value.MilliCPU) ||
+		float64(target.MemoryBytes) < lowerThreshold*float64(value.MemoryBytes)
+}
+
+func scale(r types.Resources, f float64) types.Resources {
+	return types.Resources{
+		MilliCPU:     int64(math.Ceil(float64(r.MilliCPU) * f)),
+		MemoryBytes:  int64(math.Ceil(float64(r.MemoryBytes) * f)),
+		Accelerators: r.Accelerators,
+	}
+}
+
+// RunTime returns the time that a task of a kind still needs at quantile q
+// after it ran for elapsed. Without samples it is what is left of the declared
+// time, or as long again as it has already run.
+func (e *Estimator) RunTime(now time.Duration, kindName string, declared, elapsed time.Duration, q float64) time.Duration {
+	k := e.kind(now, kindName)
+	k.runTime.decay(now, e.opt.HalfLife)
+	n := k.runTime.weight()
+	prior := declared - elapsed
+	if prior <= 0 {
+		prior = elapsed
+	}
+	v, reached := k.runTime.quantile(q, seconds(elapsed))
+	if n == 0 && !reached {
+		return prior
+	}
+	if !reached {
+		v = max(v, seconds(elapsed)) * censoredGrowth
+	}
+	learned := max(v-seconds(elapsed), 1)
+	if prior <= 0 {
+		return time.Duration(learned * float64(time.Second))
+	}
+	log := (math.Log(seconds(prior)) + n*math.Log(learned)) / (1 + n)
+	return time.Duration(math.Exp(log) * float64(time.Second))
+}
+
+func seconds(d time.Duration) float64 {
+	return d.Seconds()
+}
+
+// kind returns the model of a kind, and forgets the one unused for longest
+// when there are too many.
+func (e *Estimator) kind(now time.Duration, name string) *kind {
+	k := e.kinds[name]
+	if k == nil {
+		if len(e.kinds) >= e.opt.MaxKinds {
+			e.forgetOldest()
+		}
+		k = &kind{}
+		e.kinds[name] = k
+	}
+	k.usedAt = now
+	return k
+}
+
+func (e *Estimator) forgetOldest() {
+	var oldest string
+	found := false
+	for name, k := range e.kinds {
+		if !found || k.usedAt < e.kinds[oldest].usedAt || k.usedAt == e.kinds[oldest].usedAt && name < oldest {
+			oldest, found = name, true
+		}
+	}
+	delete(e.kinds, oldest)
+}
--- /dev/null
+++ b/internal/core/estimate/estimate_test.go
@@ -0,0 +1,153 @@
+package estimate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+func cpu(m int64) types.Resources { return types.Resources{MilliCPU: m, MemoryBytes: m << 20} }
+
+// finish runs n tasks of a kind to their end with the given peak and run time.
+func finish(e *Estimator, now time.Duration, kind string, n int, peak types.Resources, run time.Duration) time.Duration {
+	for i := range n {
+		id := types.TaskID(fmt.Sprintf("%s/%d/%d", kind, now, i))
+		e.Start(now, id, kind, cpu(1000), cpu(1000), 0)
+		e.Usage(now+run/2, now+run/2, id, peak)
+		now += run
+		e.End(now, id, Done)
+	}
+	now += reportLag
+	e.Sweep(now)
+	return now
+}
+
+func within(t *testing.T, what string, got, want int64, tolerance float64) {
+	t.Helper()
+	if f := float64(got) / float64(want); f > 1+tolerance || f < 1-tolerance {
+		t.Errorf("%s = %d, want %d within %.0f%%", what, got, want, 100*tolerance)
+	}
+}
+
+// Guards against declared sizes that are off by a factor of five either way
+// being kept for ever.
+func TestSizeLearnsFromWrongDeclaration(t *testing.T) {
+	for _, actual := range []int64{200, 5000} {
+		e := New(Options{})
+		if got := e.Size(0, "k", cpu(1000)); got != cpu(1000) {
+			t.Fatalf("without samples got %v, want the declared size", got)
+		}
+		now := time.Hour
+		for range 40 {
+			now = finish(e, now, "k", 5, cpu(actual), 10*time.Minute)
+			e.Size(now, "k", cpu(1000))
+		}
+		got := e.Size(now, "k", cpu(1000))
+		// A bucket is 9% wide and the dead band of lowering 18%.
+		within(t, fmt.Sprint("size for ", actual), got.MilliCPU, int64(margin*float64(actual)), 0.3)
+	}
+}
+
+// Guards against a slow raise: one finished task far above the declared size
+// must move the next reservation most of the way.
+func TestSizeRaisesFast(t *testing.T) {
+	e := New(Options{})
+	now := finish(e, time.Hour, "k", 1, cpu(4000), time.Minute)
+	if got := e.Size(now, "k", cpu(1000)); got.MilliCPU < 2000 {
+		t.Fatalf("after one sample of 4000m got %dm", got.MilliCPU)
+	}
+}
+
+// Guards against evicted and running tasks pulling run times down: with long
+// tasks cut at 10 minutes, plain averages would say 10 minutes.
+func TestCensoredRunTimes(t *testing.T) {
+	e := New(Options{})
+	now := time.Hour
+	for i := range 20 {
+		id := types.TaskID(fmt.Sprint("cut", i))
+		e.Start(now, id, "k", cpu(1000), cpu(1000), 0)
+		e.End(now+10*time.Minute, id, Cut)
+	}
+	now = finish(e, now, "k", 10, cpu(500), time.Hour)
+	got := e.RunTime(now, "k", time.Minute, 0, 0.5)
+	within(t, "median run time in seconds", int64(got.Seconds()), 3600, 0.3)
+	left := e.RunTime(now, "k", time.Minute, 50*time.Minute, 0.5)
+	within(t, "time left after 50 minutes", int64(left.Seconds()), 700, 0.5)
+}
+
+// Guards against losing reports that arrive after the task ended, and against
+// counting reports of a former attempt.
+func TestLateReports(t *testing.T) {
+	e := New(Options{})
+	e.Start(time.Hour, "t", "k", cpu(1000), cpu(1000), 0)
+	e.Usage(time.Hour, time.Hour-time.Second, "t", cpu(9000))
+	e.End(time.Hour+time.Minute, "t", Done)
+	e.Usage(time.Hour+80*time.Second, time.Hour+50*time.Second, "t", cpu(3000))
+	e.Sweep(time.Hour + 3*time.Minute)
+	got := e.Size(time.Hour+3*time.Minute, "k", cpu(1000))
+	if got.MilliCPU < 2000 || got.MilliCPU > 4000 {
+		t.Fatalf("size %dm, want it from the late report of 3000m", got.MilliCPU)
+	}
+}
+
+// Guards against reservations below observed use, lowering faster than the
+// hold time and step allow, and growth that comes late.
+func TestPropertyReservationHysteresis(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		e := New(Options{})
+		now := finish(e, time.Hour, "k", rapid.IntRange(0, 20).Draw(rt, "history"), cpu(300), time.Minute)
+		reserved := cpu(2000)
+		e.Start(now, "t", "k", cpu(2000), reserved, 0)
+		var peak types.Resources
+		loweredAt := now - lowerHold
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += time.Minute
+			use := cpu(rapid.Int64Range(10, 4000).Draw(rt, "use"))
+			peak = peak.Max(use)
+			if c, ok := e.Usage(now, now-30*time.Second, "t", use); ok {
+				reserved = c.Reserved
+			}
+			if !peak.Fits(reserved) {
+				rt.Fatalf("reserved %v below observed %v", reserved, peak)
+			}
+			for _, c := range e.Sweep(now) {
+				if c.Reserved.MilliCPU < reserved.MilliCPU {
+					if float64(c.Reserved.MilliCPU) < lowerStep*float64(reserved.MilliCPU)-1 || now-loweredAt < lowerHold {
+						rt.Fatalf("lowered from %v to %v after %v", reserved, c.Reserved, now-loweredAt)
+					}
+					loweredAt = now
+				}
+				reserved = c.Reserved
+			}
+			if !peak.Fits(reserved) {
+				rt.Fatalf("sweep left %v below observed %v", reserved, peak)
+			}
+		}
+	})
+}
+
+// Guards against unbounded memory when kinds are named by the job.
+func TestKindsBounded(t *testing.T) {
+	e := New(Options{MaxKinds: 10})
+	for i := range 100 {
+		e.Size(time.Duration(i), fmt.Sprint(i), cpu(1))
+	}
+	if len(e.kinds) != 10 {
+		t.Fatalf("%d kinds remembered, want 10", len(e.kinds))
+	}
+}
+
+// Guards against learning being lost when the owner changes.
+func TestSnapshotRestores(t *testing.T) {
+	e := New(Options{})
+	now := finish(e, time.Hour, "k", 30, cpu(5000), time.Minute)
+	f := New(Options{})
+	f.Restore(time.Second, e.Snapshot())
+	if got, want := f.Size(time.Second, "k", cpu(1000)), e.Size(now, "k", cpu(1000)); got != want {
+		t.Fatalf("restored size %v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/core/estimate/running.go
@@ -0,0 +1,155 @@
+package estimate
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Start records that a task started with a reservation. earlier is the run
+// time of its former attempts up to the checkpoint it resumes from.
+func (e *Estimator) Start(now time.Duration, id types.TaskID, kindName string, declared, reserved types.Resources, earlier time.Duration) {
+	if old := e.tasks[id]; old != nil && old.end == 0 {
+		e.End(now, id, Cut)
+	}
+	e.tasks[id] = &task{
+		kind:     kindName,
+		declared: declared,
+		started:  now,
+		earlier:  earlier,
+		size:     held{value: reserved, set: true},
+	}
+}
+
+// Usage records the use of a task at the time takenAt, which may be earlier
+// than reports already seen. It returns the reservation to apply when use
+// exceeds it. Reports from before the start of the attempt are ignored.
+func (e *Estimator) Usage(now, takenAt time.Duration, id types.TaskID, use types.Resources) (Change, bool) {
+	t := e.tasks[id]
+	if t == nil || takenAt < t.started {
+		return Change{}, false
+	}
+	if t.end != 0 && takenAt > t.endedAt {
+		return Change{}, false
+	}
+	if use.Fits(t.peak) {
+		return Change{}, false
+	}
+	t.peak = t.peak.Max(use)
+	k := e.kind(now, t.kind)
+	k.cpu.raise(&t.cpu, float64(t.peak.MilliCPU))
+	k.memory.raise(&t.memory, float64(t.peak.MemoryBytes))
+	if t.end != 0 || t.peak.Fits(t.size.value) {
+		return Change{}, false
+	}
+	t.size.follow(now, scale(t.peak, margin), t.peak)
+	return Change{Task: id, Reserved: t.size.value}, true
+}
+
+// End records the end of an attempt. Its peaks count once its late reports
+// have had time to arrive; see Sweep.
+func (e *Estimator) End(now time.Duration, id types.TaskID, how End) {
+	t := e.tasks[id]
+	if t == nil || t.end != 0 {
+		return
+	}
+	t.end, t.endedAt = how, now
+	k := e.kind(now, t.kind)
+	ran := seconds(t.earlier + now - t.started)
+	if how == Done {
+		k.runTime.observe(&t.runTime, ran)
+		return
+	}
+	k.runTime.raise(&t.runTime, ran)
+}
+
+// Resized records the reservation that was really applied to a task, when the
+// VM had no room for the one returned.
+func (e *Estimator) Resized(id types.TaskID, reserved types.Resources) {
+	if t := e.tasks[id]; t != nil {
+		t.size.value = reserved
+	}
+}
+
+// Sweep counts the run times of running tasks as lower bounds, closes ended
+// tasks whose reports are all in, and returns reservations that changed, by
+// task. Call it about once a minute.
+func (e *Estimator) Sweep(now time.Duration) []Change {
+	var out []Change
+	ids := make([]types.TaskID, 0, len(e.tasks))
+	for id := range e.tasks {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b types.TaskID) int { return cmp.Compare(a, b) })
+	for _, id := range ids {
+		t := e.tasks[id]
+		k := e.kind(now, t.kind)
+		if t.end != 0 {
+			if now-t.endedAt >= reportLag {
+				e.closeTask(k, t)
+				delete(e.tasks, id)
+			}
+			continue
+		}
+		k.runTime.raise(&t.runTime, seconds(t.earlier+now-t.started))
+		if e.review(now, k, t) {
+			out = append(out, Change{Task: id, Reserved: t.size.value})
+		}
+	}
+	return out
+}
+
+// review follows the learned size of the kind for a running task. Use that
+// was not reported yet cannot lower a reservation: a task without reports
+// keeps what it has.
+func (e *Estimator) review(now time.Duration, k *kind, t *task) bool {
+	if t.peak.IsZero() {
+		return false
+	}
+	return t.size.follow(now, e.target(now, k, t.declared), scale(t.peak, margin))
+}
+
+// closeTask turns the peaks of a finished task into whole samples. Those of a
+// task that was cut off stay lower bounds.
+func (e *Estimator) closeTask(k *kind, t *task) {
+	if t.end != Done || t.peak.IsZero() {
+		return
+	}
+	k.cpu.observe(&t.cpu, float64(t.peak.MilliCPU))
+	k.memory.observe(&t.memory, float64(t.peak.MemoryBytes))
+}
+
+// Snapshot is what an Estimator learned, for storage.
+type Snapshot struct {
+	Kinds map[string]KindSnapshot
+}
+
+// KindSnapshot is what was learned about one kind. Censored bounds of tasks
+// that ran at the time are included.
+type KindSnapshot struct {
+	CPU, Memory, RunTime survival
+}
+
+// Snapshot copies what was learned.
+func (e *Estimator) Snapshot() Snapshot {
+	out := Snapshot{Kinds: make(map[string]KindSnapshot, len(e.kinds))}
+	for name, k := range e.kinds {
+		out.Kinds[name] = KindSnapshot{CPU: k.cpu, Memory: k.memory, RunTime: k.runTime}
+	}
+	return out
+}
+
+// Restore replaces what was learned. Samples count from now on as they did
+// when the snapshot was taken, since clocks of two owners are not compared.
+func (e *Estimator) Restore(now time.Duration, s Snapshot) {
+	e.kinds = make(map[string]*kind, len(s.Kinds))
+	for name, ks := range s.Kinds {
+		k := &kind{cpu: ks.CPU, memory: ks.Memory, runTime: ks.RunTime, usedAt: now}
+		for _, v := range []*survival{&k.cpu, &k.memory, &k.runTime} {
+			v.DecayedAt = now
+		}
+		e.kinds[name] = k
+	}
+}
--- /dev/null
+++ b/internal/core/estimate/survival.go
@@ -0,0 +1,131 @@
+package estimate
+
+import (
+	"math"
+	"time"
+)
+
+// Values are counted in logarithmic buckets: eight per factor of two, so a
+// quantile is at most 9% above the true value.
+const (
+	bucketsPerDoubling = 8
+	buckets            = 40 * bucketsPerDoubling
+)
+
+// survival holds decaying weights of values, seen whole or censored (known to
+// be at least so large), and estimates quantiles by the product-limit method.
+type survival struct {
+	Seen     [buckets]float32
+	Censored [buckets]float32
+	// Age is the decay so far, in half-lives.
+	Age float64
+	// DecayedAt is the time that Age refers to.
+	DecayedAt time.Duration
+}
+
+func bucketOf(v float64) int {
+	if v <= 1 {
+		return 0
+	}
+	b := int(math.Ceil(math.Log2(v) * bucketsPerDoubling))
+	return min(b, buckets-1)
+}
+
+// bucketTop is the largest value of a bucket.
+func bucketTop(b int) float64 {
+	return math.Exp2(float64(b) / bucketsPerDoubling)
+}
+
+// decay reduces all weights for the time since the last decay. Steps shorter
+// than 1/64 half-life are left to the next call.
+func (s *survival) decay(now, halfLife time.Duration) {
+	if s.DecayedAt == 0 {
+		s.DecayedAt = now
+	}
+	steps := float64(now-s.DecayedAt) / float64(halfLife)
+	if steps < 1.0/64 {
+		return
+	}
+	f := float32(math.Exp2(-steps))
+	for i := range s.Seen {
+		s.Seen[i] *= f
+		s.Censored[i] *= f
+	}
+	s.Age += steps
+	s.DecayedAt = now
+}
+
+// lowerBound is a censored value that may still grow, as counted.
+type lowerBound struct {
+	bucket int
+	age    float64
+	set    bool
+}
+
+// raise counts a censored value in place of its earlier bound.
+func (s *survival) raise(b *lowerBound, v float64) {
+	bucket := bucketOf(v)
+	if b.set && b.bucket >= bucket {
+		return
+	}
+	s.withdraw(b)
+	s.Censored[bucket]++
+	*b = lowerBound{bucket: bucket, age: s.Age, set: true}
+}
+
+// withdraw removes a censored value, at the weight it has decayed to.
+func (s *survival) withdraw(b *lowerBound) {
+	if !b.set {
+		return
+	}
+	w := float32(math.Exp2(b.age - s.Age))
+	s.Censored[b.bucket] = max(s.Censored[b.bucket]-w, 0)
+	b.set = false
+}
+
+// observe counts a value seen whole, in place of its earlier bound.
+func (s *survival) observe(b *lowerBound, v float64) {
+	s.withdraw(b)
+	s.Seen[bucketOf(v)]++
+}
+
+// weight is the decayed number of values seen whole.
+func (s *survival) weight() float64 {
+	var n float64
+	for i := range s.Seen {
+		n += float64(s.Seen[i])
+	}
+	return n
+}
+
+// quantile returns the value that a share q of the values above floor do not
+// exceed. When censoring hides it, reached is false and the value is the
+// largest that was counted, which is a lower bound.
+func (s *survival) quantile(q, floor float64) (v float64, reached bool) {
+	first := 0
+	if floor > 0 {
+		first = bucketOf(floor) + 1
+	}
+	var atRisk float64
+	for i := first; i < buckets; i++ {
+		atRisk += float64(s.Seen[i] + s.Censored[i])
+	}
+	alive, last := 1.0, -1
+	for i := first; i < buckets && atRisk > 1e-6; i++ {
+		seen, cens := float64(s.Seen[i]), float64(s.Censored[i])
+		if seen+cens > 0 {
+			last = i
+		}
+		if seen > 0 {
+			alive *= 1 - seen/atRisk
+		}
+		if alive <= 1-q+1e-9 {
+			return bucketTop(i), true
+		}
+		atRisk -= seen + cens
+	}
+	if last < 0 {
+		return floor, false
+	}
+	return bucketTop(last), false
+}
