--- a/internal/benchpolicy/baseline.go
+++ b/internal/benchpolicy/baseline.go
@@ -205,3 +205,14 @@
 func (b *baseline) vmDown(_ time.Duration, _ int)                               {}
 func (b *baseline) vmUp(_ time.Duration, _ int)                                 { b.changed = true }
 func (b *baseline) quarantined(_ int) bool                                      { return false }
+
+// idle refuses all batch work: its latencies are the floor for all policies.
+type idle struct {
+	baseline
+}
+
+func newIdle(s *sim, rng *rand.Rand) policy {
+	return &idle{baseline{s: s, rng: rng, pick: firstFit, used: make([]types.Resources, vmCount), cap: s.vmSpec(0).Capacity}}
+}
+
+func (i *idle) arrive(_ time.Duration, t *task) { i.s.refuse(t) }
--- a/internal/benchpolicy/run.go
+++ b/internal/benchpolicy/run.go
@@ -19,8 +19,10 @@
 	build    func(*sim, *rand.Rand) policy
 }
 
-// Contenders are the baselines, the project's policy, and its ablations.
+// Contenders are the floor of the latencies, the baselines, the project's
+// policy, and its ablations.
 var Contenders = []Contender{
+	{"(no batch work)", false, newIdle},
 	{"first-fit", true, newBaseline(firstFit)},
 	{"least-loaded", true, newBaseline(leastLoaded)},
 	{"two-choices", true, newBaseline(twoChoices)},
--- a/internal/benchpolicy/sim.go
+++ b/internal/benchpolicy/sim.go
@@ -22,8 +22,11 @@
 	// stopOfVictim is the time until an evicted task has stopped.
 	stopOfVictim = 1500 * time.Millisecond
 	// commitDelay is the time from a decision to the start of a task.
-	commitDelay  = 100 * time.Millisecond
+	commitDelay = 100 * time.Millisecond
+	// retryDelay doubles with each failure or kill of a task, up to retryMost,
+	// for all policies.
 	retryDelay   = 30 * time.Second
+	retryMost    = 16 * time.Minute
 	urgentLimit  = 2300 * time.Millisecond
 	evictBackoff = 5 * time.Second
 )
@@ -195,7 +198,7 @@
 				s.stop(t, false)
 				t.failures++
 				t.avoid = s.ids[i]
-				t.readyAt = now + retryDelay
+				t.readyAt = now + backoff(t)
 				s.result.Failures++
 				s.policy.ended(now, t, i, endFailed)
 			case t.progress >= t.work:
@@ -208,12 +211,18 @@
 			s.result.Kills++
 			s.countEviction(t, false)
 			s.stop(t, false)
-			t.readyAt = now + retryDelay
+			t.kills++
+			t.readyAt = now + backoff(t)
 			s.policy.ended(now, t, i, endKilled)
 		}
 	}
 }
 
+// backoff is the wait before the next attempt after failures and kills.
+func backoff(t *task) time.Duration {
+	return min(retryDelay<<min(t.failures+t.kills-1, 10), retryMost)
+}
+
 // serveRequests sends the tick's requests, each to the less busy of two VMs.
 func (s *sim) serveRequests(now time.Duration) {
 	rate := requestRate(now) * vmCount
--- a/internal/benchpolicy/workload.go
+++ b/internal/benchpolicy/workload.go
@@ -116,6 +116,7 @@
 	speed     float64
 	evictions int
 	failures  int
+	kills     int
 	avoid     types.VMID
 	failsAt   time.Duration
 }
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -22,7 +22,8 @@
 	// so that one week's habits replace the last one's.
 	HalfLife time.Duration
 	// CPUQuantile is the share of tasks whose processor peak a reservation
-	// covers. Default 0.9; a task above it runs slower, it does not fail.
+	// covers. Default 0.5: sums over a VM's tasks even out, and a task that
+	// lacks processors runs slower but does not fail.
 	CPUQuantile float64
 	// MemoryQuantile is the share for memory. Default 0.98; a task above it
 	// may fail.
@@ -32,7 +33,9 @@
 }
 
 const (
-	// margin is the factor by which reservations exceed the observed peak.
+	// margin is the factor by which memory reservations exceed the observed
+	// peak. Processor reservations have none: a peak of noisy reports is
+	// already above the mean.
 	margin = 1.1
 	// priorUp and priorDown are the weights, in samples, of declared values
 	// against learned ones that are larger or smaller. A task that is too
@@ -109,7 +112,7 @@
 		opt.HalfLife = 72 * time.Hour
 	}
 	if opt.CPUQuantile == 0 {
-		opt.CPUQuantile = 0.9
+		opt.CPUQuantile = 0.5
 	}
 	if opt.MemoryQuantile == 0 {
 		opt.MemoryQuantile = 0.98
@@ -142,15 +145,15 @@
 	k.cpu.decay(now, e.opt.HalfLife)
 	k.memory.decay(now, e.opt.HalfLife)
 	return types.Resources{
-		MilliCPU:     blend(&k.cpu, &k.cpuQuantile, e.opt.CPUQuantile, float64(declared.MilliCPU)),
-		MemoryBytes:  blend(&k.memory, &k.memoryQuantile, e.opt.MemoryQuantile, float64(declared.MemoryBytes)),
+		MilliCPU:     blend(&k.cpu, &k.cpuQuantile, e.opt.CPUQuantile, 1, float64(declared.MilliCPU)),
+		MemoryBytes:  blend(&k.memory, &k.memoryQuantile, e.opt.MemoryQuantile, margin, float64(declared.MemoryBytes)),
 		Accelerators: declared.Accelerators,
 	}
 }
 
 // blend is the geometric mean of the declared value and the learned quantile,
 // weighted by the prior and the number of samples.
-func blend(s *survival, c *cached, q, declared float64) int64 {
+func blend(s *survival, c *cached, q, margin, declared float64) int64 {
 	v, reached := c.of(s, q)
 	n := s.Weight
 	if !reached {
@@ -193,6 +196,12 @@
 	return h.value != before
 }
 
+// withMargin adds the margin to the memory of an observed peak.
+func withMargin(r types.Resources) types.Resources {
+	r.MemoryBytes = int64(math.Ceil(float64(r.MemoryBytes) * margin))
+	return r
+}
+
 func clearlyLower(target, value types.Resources) bool {
 	return float64(target.MilliCPU) < lowerThreshold*float64(value.MilliCPU) ||
 		float64(target.MemoryBytes) < lowerThreshold*float64(value.MemoryBytes)
--- a/internal/core/estimate/running.go
+++ b/internal/core/estimate/running.go
@@ -44,7 +44,7 @@
 	if t.end != 0 || t.peak.Fits(t.size.value) {
 		return Change{}, false
 	}
-	t.size.follow(now, scale(t.peak, margin), t.peak)
+	t.size.follow(now, withMargin(t.peak), t.peak)
 	return Change{Task: id, Reserved: t.size.value}, true
 }
 
@@ -108,7 +108,7 @@
 	if t.peak.IsZero() {
 		return false
 	}
-	return t.size.follow(now, e.target(now, k, t.declared), scale(t.peak, margin))
+	return t.size.follow(now, e.target(now, k, t.declared), withMargin(t.peak))
 }
 
 // closeTask turns the peaks of a finished task into whole samples. Those of a
