--- a/internal/benchpolicy/fake.go
+++ b/internal/benchpolicy/fake.go
@@ -82,7 +82,9 @@
 	}
 }
 
-// serve runs one request on the VM and returns its latency with queueing.
+// serve runs one request on the VM and returns its latency with queueing. One
+// whose deadline passes before a slot is free is refused, as workers do; its
+// latency counts as if it had run, without holding the slot.
 func (v *vm) serve(at time.Duration, service time.Duration) time.Duration {
 	slot := 0
 	for i := 1; i < slotsPerVM; i++ {
@@ -92,6 +94,9 @@
 	}
 	begin := max(at, v.freeAt[slot])
 	took := time.Duration(float64(service) * v.slowdown)
+	if begin-at > deadline {
+		return begin + took - at
+	}
 	v.freeAt[slot] = begin + took
 	v.samples = append(v.samples, took)
 	return begin + took - at
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -45,9 +45,12 @@
 	// lowerThreshold, lowerHold and lowerStep give the hysteresis: a
 	// reservation falls when the target has been below the threshold for the
 	// hold time, and by at most the step each time.
-	lowerThreshold = 0.85
-	lowerHold      = 10 * time.Minute
+	lowerThreshold = 0.92
+	lowerHold      = 5 * time.Minute
 	lowerStep      = 0.75
+	// settled is how long the peak of a running task must have stayed for its
+	// reservation to follow it instead of the kind's learned size.
+	settled = 10 * time.Minute
 	// reportLag is how long an ended task accepts late usage reports. Reports
 	// are up to 30 s late.
 	reportLag = time.Minute
@@ -93,6 +96,7 @@
 	declared             types.Resources
 	started, earlier     time.Duration
 	peak                 types.Resources
+	grewAt               time.Duration // when peak last rose clearly
 	size                 held
 	endedAt              time.Duration
 	end                  End
--- a/internal/core/estimate/running.go
+++ b/internal/core/estimate/running.go
@@ -37,6 +37,9 @@
 	if use.Fits(t.peak) {
 		return Change{}, false
 	}
+	if !use.Fits(scale(t.peak, 1/lowerThreshold)) {
+		t.grewAt = now
+	}
 	t.peak = t.peak.Max(use)
 	k := e.kind(now, t.kind)
 	k.cpu.raise(&t.cpu, float64(t.peak.MilliCPU))
@@ -101,13 +104,16 @@
 	return out
 }
 
-// review follows the learned size of the kind for a running task. Use that
-// was not reported yet cannot lower a reservation: a task without reports
-// keeps what it has.
+// review follows the learned size of the kind for a running task, and the
+// task's own use once that has settled. Use that was not reported yet cannot
+// lower a reservation: a task without reports keeps what it has.
 func (e *Estimator) review(now time.Duration, k *kind, t *task) bool {
 	if t.peak.IsZero() {
 		return false
 	}
+	if now-t.grewAt >= settled {
+		return t.size.follow(now, withMargin(t.peak), t.peak)
+	}
 	return t.size.follow(now, e.target(now, k, t.declared), withMargin(t.peak))
 }
 
--- a/internal/core/estimate/survival.go
+++ b/internal/core/estimate/survival.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Values are counted in logarithmic buckets: eight per factor of two, so a
-// quantile is at most 9% above the true value.
+// Values are counted in logarithmic buckets: 16 per factor of two, so a
+// quantile is at most 4.5% above the true value.
 const (
-	bucketsPerDoubling = 8
+	bucketsPerDoubling = 16
 	buckets            = 40 * bucketsPerDoubling
 )
 
