--- a/internal/core/interference/control.go
+++ b/internal/core/interference/control.go
@@ -83,6 +83,9 @@
 	relapse      = 2 * time.Minute
 	// blameShare is the part of the predicted slowdown whose kinds are acted on.
 	blameShare = 0.8
+	// suspicion is the weight of a kind's remembered peak in the blame, since
+	// measurements show a new wave only after their delay.
+	suspicion = 0.5
 	// slackPressure is the pressure below which a VM may try pairings that are
 	// little known, and freshness the age at which it is no longer known.
 	slackPressure = 0.5
@@ -288,7 +291,7 @@
 	var total float64
 	for _, k := range kinds {
 		mean, _ := c.model.Predict(k, v.worst, level)
-		harm[k] = (mean + 0.01) * share[k]
+		harm[k] = (mean + suspicion*c.model.Peak(k, v.worst) + 0.01) * share[k]
 		total += harm[k]
 	}
 	slices.SortFunc(kinds, func(a, b string) int {
@@ -387,26 +390,45 @@
 	return cost
 }
 
-// relaxStage undoes one stage of the kind predicted to harm least.
+// relaxStage restores the kinds predicted to add little pressure to full
+// speed, least harmful first, as long as the sum stays low; if there are none,
+// it undoes one stage of the least harmful kind.
 func (c *Controller) relaxStage(now time.Duration, v *vmControl, tasks []TaskInfo) []Action {
-	best, bestHarm := "", 0.0
+	gain := make(map[string]float64)
+	var kinds []string
 	for i := range tasks {
 		k := tasks[i].Kind
 		if v.stage[k] == 0 {
 			continue
 		}
-		harm := c.worstHarm(v, k)
-		if best == "" || harm < bestHarm || harm == bestHarm && k < best {
-			best, bestHarm = k, harm
+		if _, ok := gain[k]; !ok {
+			kinds = append(kinds, k)
 		}
+		gain[k] += c.worstHarm(v, k) * tasks[i].Share * (1 - c.factor(v.stage[k]))
 	}
-	if best == "" {
+	if len(kinds) == 0 {
 		clear(v.stage) // Throttled kinds have left the VM.
 		return nil
 	}
-	v.stage[best]--
+	slices.SortFunc(kinds, func(a, b string) int {
+		return cmp.Or(cmp.Compare(gain[a], gain[b]), cmp.Compare(a, b))
+	})
 	v.relaxedAt = now
-	return throttleKind(tasks, best, c.factor(v.stage[best]))
+	var out []Action
+	pressure := v.pressure
+	for _, k := range kinds {
+		pressure += gain[k]
+		if pressure > lowPressure {
+			break
+		}
+		v.stage[k] = 0
+		out = append(out, throttleKind(tasks, k, 1)...)
+	}
+	if len(out) == 0 {
+		v.stage[kinds[0]]--
+		out = throttleKind(tasks, kinds[0], c.factor(v.stage[kinds[0]]))
+	}
+	return out
 }
 
 // worstHarm is the largest predicted pressure of a kind on the VM's services.
--- a/internal/core/interference/model.go
+++ b/internal/core/interference/model.go
@@ -54,8 +54,15 @@
 	// drift is the variance that a pairing regains per second, so that it
 	// follows kinds that change.
 	drift = 0.5 / 3600
-	// maxVar bounds the variance that drift accumulates.
-	maxVar = 2.0
+	// maxVar bounds the variance that drift and volatility accumulate.
+	maxVar = 50.0
+	// volatilityRate is the weight of the last change of a pairing in its
+	// volatility, the variance it regains per second. Kinds that come in waves
+	// become volatile and take the blame for sudden changes; steady kinds keep
+	// their estimates.
+	volatilityRate = 0.1
+	// peakHalfLife is the time after which a remembered peak counts half.
+	peakHalfLife = 4 * time.Hour
 	// sharedSamples is the number of measurements of a kind's other pairings
 	// from which a new pairing takes their mean as its prior.
 	sharedSamples = 5
@@ -90,6 +97,8 @@
 	mean, variance float64
 	samples        int
 	at             time.Duration
+	// volatility is in variance per second, peak is the largest recent mean.
+	volatility, peak float64
 }
 
 type baseKey struct {
@@ -260,6 +269,9 @@
 		before := p.mean
 		p.mean = max(p.mean+gain*miss, 0)
 		p.variance *= 1 - gain*s.share
+		step := p.mean - before
+		p.volatility += volatilityRate * (step*step/max(x.Interval.Seconds(), 1) - p.volatility)
+		p.peak = max(p.peak, p.mean)
 		p.samples++
 		sum := m.kinds[s.kind]
 		sum.samples++
@@ -273,7 +285,8 @@
 	key := pairKey{kind, service, level}
 	if p := m.pairs[key]; p != nil {
 		if at > p.at {
-			p.variance = min(p.variance+drift*(at-p.at).Seconds(), maxVar)
+			p.variance = min(p.variance+(drift+p.volatility)*(at-p.at).Seconds(), maxVar)
+			p.peak *= math.Exp2(-float64(at-p.at) / float64(peakHalfLife))
 			p.at = at
 		}
 		return p
@@ -309,6 +322,18 @@
 	return mean, math.Sqrt(variance)
 }
 
+// Peak returns the largest slowdown that Predict's mean showed recently. Kinds
+// that come in waves have a peak far above their mean.
+func (m *Model) Peak(kind string, service types.ServiceName) float64 {
+	var peak float64
+	for level := range levels {
+		if p := m.pairs[pairKey{kind, service, level}]; p != nil {
+			peak = max(peak, p.peak)
+		}
+	}
+	return peak
+}
+
 // Share returns the share of a VM's processors that a kind holds now.
 func (m *Model) Share(vm types.VMID, kind string) float64 {
 	if o := m.occupancy[vm]; o != nil {
