--- a/internal/core/interference/control.go
+++ b/internal/core/interference/control.go
@@ -68,10 +68,13 @@
 }
 
 const (
-	// highPressure and lowPressure are shares of the tolerated slowdown at
-	// which actions escalate and relax; the gap prevents oscillation.
-	highPressure = 0.8
-	lowPressure  = 0.55
+	// Actions escalate at a share of the tolerated slowdown between
+	// highAtTail, when only tail latency has weight, and highAtEviction, when
+	// only evictions have. They relax at lowShare of that; the gap prevents
+	// oscillation.
+	highAtTail     = 0.3
+	highAtEviction = 0.9
+	lowShare       = 0.65
 	// severePressure escalates by two stages, on a single measurement.
 	severePressure = 1.3
 	// confirmations is the number of measurements in a row that escalate.
@@ -81,8 +84,9 @@
 	relaxHold    = 30 * time.Second
 	relaxHoldMax = 8 * time.Minute
 	relapse      = 2 * time.Minute
-	// blameShare is the part of the predicted slowdown whose kinds are acted on.
-	blameShare = 0.8
+	// harmless is the predicted pressure below which a kind gets its full speed
+	// back after relaxHold, whatever the VM's hold time.
+	harmless = 0.1
 	// suspicion is the weight of a kind's remembered peak in the blame, since
 	// measurements show a new wave only after their delay.
 	suspicion = 0.5
@@ -102,6 +106,8 @@
 	model    *Model
 	services map[types.ServiceName]ServiceInfo
 	vms      map[types.VMID]*vmControl
+	// high and low are the pressures at which actions escalate and relax.
+	high, low float64
 	// explorers counts VMs that explore, as of countedAt.
 	explorers int
 	countedAt time.Duration
@@ -136,7 +142,14 @@
 	if len(opt.Steps) == 0 {
 		opt.Steps = []float64{0.4, 0.1}
 	}
+	tail := 0.5
+	if sum := opt.Weights.TailLatency + opt.Weights.Eviction; sum > 0 {
+		tail = opt.Weights.TailLatency / sum
+	}
+	high := tail*highAtTail + (1-tail)*highAtEviction
 	return &Controller{
+		high:     high,
+		low:      lowShare * high,
 		opt:      opt,
 		model:    model,
 		services: make(map[types.ServiceName]ServiceInfo),
@@ -194,11 +207,11 @@
 	if x.TakenAt-x.Interval < v.actedAt {
 		return
 	}
-	v.assess(now)
+	c.assess(now, v)
 }
 
 // assess updates the VM's pressure from the readings of all its services.
-func (v *vmControl) assess(now time.Duration) {
+func (c *Controller) assess(now time.Duration, v *vmControl) {
 	v.pressure, v.worst = 0, ""
 	names := make([]types.ServiceName, 0, len(v.services))
 	for name := range v.services {
@@ -210,7 +223,7 @@
 			v.pressure, v.worst = r.pressure, name
 		}
 	}
-	if v.pressure >= highPressure {
+	if v.pressure >= c.high {
 		v.high++
 		v.low = false
 		v.severe = v.pressure >= severePressure
@@ -219,14 +232,14 @@
 	}
 	v.high = 0
 	v.escalate = false
-	if v.pressure >= lowPressure {
+	if v.pressure >= c.low {
 		v.low = false
 		return
 	}
 	if !v.low {
 		v.low, v.lowSince = true, now
 	}
-	v.relax = now-v.lowSince >= v.hold
+	v.relax = now-v.lowSince >= relaxHold
 }
 
 // Pressure returns the VM's last pressure: 0 for no slowdown, 1 for the
@@ -272,8 +285,9 @@
 	return out
 }
 
-// blamed returns the kinds that cause most of the predicted slowdown, most
-// harmful first. A kind at the last stage holds little and drops out.
+// blamed returns the fewest kinds, most harmful first, whose part of the
+// predicted slowdown explains what pressure exceeds the low mark. A kind at
+// the last stage holds little and drops out.
 func (c *Controller) blamed(vm types.VMID, v *vmControl, tasks []TaskInfo) []string {
 	share := make(map[string]float64)
 	var kinds []string
@@ -297,10 +311,11 @@
 	slices.SortFunc(kinds, func(a, b string) int {
 		return cmp.Or(cmp.Compare(harm[b], harm[a]), cmp.Compare(a, b))
 	})
+	excess := 1 - c.low/max(v.pressure, c.high)
 	var sum float64
 	for i, k := range kinds {
 		sum += harm[k]
-		if sum >= blameShare*total {
+		if sum >= excess*total {
 			return kinds[:i+1]
 		}
 	}
@@ -356,7 +371,7 @@
 // be. The gain is the excess pressure; the cost grows with each eviction of
 // the same task.
 func (c *Controller) remove(v *vmControl, tasks []TaskInfo, blamed []string) []Action {
-	gain := c.opt.Weights.TailLatency * math.Max(v.pressure-highPressure, 0)
+	gain := c.opt.Weights.TailLatency * math.Max(v.pressure-c.high, 0)
 	for _, k := range blamed {
 		best := -1
 		for i := range tasks {
@@ -413,21 +428,23 @@
 	slices.SortFunc(kinds, func(a, b string) int {
 		return cmp.Or(cmp.Compare(gain[a], gain[b]), cmp.Compare(a, b))
 	})
-	v.relaxedAt = now
 	var out []Action
 	pressure := v.pressure
 	for _, k := range kinds {
 		pressure += gain[k]
-		if pressure > lowPressure {
+		if pressure > c.low || gain[k] > harmless && now-v.lowSince < v.hold {
 			break
 		}
 		v.stage[k] = 0
 		out = append(out, throttleKind(tasks, k, 1)...)
 	}
-	if len(out) == 0 {
+	if len(out) == 0 && now-v.lowSince >= v.hold {
 		v.stage[kinds[0]]--
 		out = throttleKind(tasks, kinds[0], c.factor(v.stage[kinds[0]]))
 	}
+	if len(out) > 0 {
+		v.relaxedAt = now
+	}
 	return out
 }
 
