--- a/internal/benchpolicy/own.go
+++ b/internal/benchpolicy/own.go
@@ -22,6 +22,7 @@
 	Preemption    bool
 	DeadlineOrder bool // by priority and arrival only
 	Attribution   bool // late measurements count as taken on arrival
+	Headroom      bool // no room is kept for urgent work
 }
 
 const (
@@ -31,6 +32,8 @@
 	// refreshEvery is how often the requests that wait are made anew from what
 	// was learned.
 	refreshEvery = 5 * time.Minute
+	// recentUrgent is the number of urgent requests that headroom is sized by.
+	recentUrgent = 8
 )
 
 // own is the project's policy: the core packages, wired as a shard owner
@@ -56,6 +59,8 @@
 	freed     bool
 	passedAt  time.Duration
 	refreshed time.Duration
+	// urgentSizes are those of the last urgent requests.
+	urgentSizes []types.Resources
 }
 
 func newOwn(off Off) func(*sim, *rand.Rand) policy {
@@ -217,6 +222,9 @@
 
 // startOne reports whether the task started or was refused for good.
 func (o *own) startOne(now time.Duration, t *task, r *placement.Request) bool {
+	if r.Urgent {
+		o.keepHeadroom(r.Size)
+	}
 	if o.off.Preemption {
 		r.Urgent = false
 	}
@@ -235,6 +243,27 @@
 	return true
 }
 
+// keepHeadroom reserves room for urgent work like the last ones: on two VMs
+// where the operator gives evictions the larger weight, else on one.
+func (o *own) keepHeadroom(size types.Resources) {
+	if o.off.Headroom {
+		return
+	}
+	o.urgentSizes = append(o.urgentSizes, size)
+	if n := len(o.urgentSizes); n > recentUrgent {
+		o.urgentSizes = o.urgentSizes[n-recentUrgent:]
+	}
+	var most types.Resources
+	for _, s := range o.urgentSizes {
+		most = most.Max(s)
+	}
+	vms := 1
+	if o.s.d.Weights.Eviction > o.s.d.Weights.TailLatency {
+		vms = 2
+	}
+	o.state.SetHeadroom(most, vms)
+}
+
 func (o *own) preempt(now time.Duration, victims []types.TaskID) {
 	for _, id := range slices.Clone(victims) {
 		o.remove(now, o.byID[id], true)
--- a/internal/benchpolicy/run.go
+++ b/internal/benchpolicy/run.go
@@ -34,6 +34,7 @@
 	{"  no quarantine", false, newOwn(Off{Quarantine: true})},
 	{"  no preemption", false, newOwn(Off{Preemption: true})},
 	{"  no deadline order", false, newOwn(Off{DeadlineOrder: true})},
+	{"  no headroom", false, newOwn(Off{Headroom: true})},
 	{"  no attribution", false, newOwn(Off{Attribution: true})},
 }
 
--- a/internal/core/placement/index.go
+++ b/internal/core/placement/index.go
@@ -71,6 +71,7 @@
 	s.free.reset(len(s.order))
 	s.preemptable.reset(len(s.order))
 	s.shapes = s.shapes[:0]
+	s.holders = s.holders[:0]
 	for pos, i := range s.order {
 		s.vms[i].pos = pos
 		s.reindex(i)
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -28,6 +28,7 @@
 		d.Late = late
 		return d
 	}
+	s.chooseHolders()
 	if i := s.bestFree(r); i >= 0 {
 		return Decision{Outcome: Placed, VM: s.vms[i].ID, Late: late}
 	}
@@ -77,7 +78,7 @@
 			}
 			from = pos + 1
 			i := s.order[pos]
-			if !allowed(&s.vms[i], r) {
+			if !allowed(&s.vms[i], r) || s.takesHeadroom(i, r) {
 				continue
 			}
 			seen++
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -31,6 +31,10 @@
 	dirty       bool
 	shapes      []shape
 	scratch     preemptScratch
+
+	headroom      types.Resources
+	headroomCount int
+	holders       []int
 }
 
 type vmState struct {
