--- a/internal/core/shard/mutants_test.go
+++ b/internal/core/shard/mutants_test.go
@@ -161,7 +161,7 @@
 	}
 }
 
-func (m mutant) command(_ *modelWorker, c Command) Command {
+func (m mutant) command(w *modelWorker, c Command) Command {
 	if m.endlessCommands {
 		c.ValidUntil = 1 << 62
 	}
