--- a/internal/benchpolicy/ownlearn.go
+++ b/internal/benchpolicy/ownlearn.go
@@ -75,7 +75,7 @@
 }
 
 func (o *own) tasksOn(now time.Duration, vm int) []interference.TaskInfo {
-	var out []interference.TaskInfo
+	out := make([]interference.TaskInfo, 0, len(o.s.vms[vm].running))
 	for _, t := range o.s.vms[vm].running {
 		r := o.request(now, t)
 		r.Size = o.reserved(t)
--- a/internal/core/interference/control.go
+++ b/internal/core/interference/control.go
@@ -288,7 +288,7 @@
 // blamed returns the fewest kinds, most harmful first, whose part of the
 // predicted slowdown explains what pressure exceeds the low mark. A kind at
 // the last stage holds little and drops out.
-func (c *Controller) blamed(vm types.VMID, v *vmControl, tasks []TaskInfo) []string {
+func (c *Controller) blamed(_ types.VMID, v *vmControl, tasks []TaskInfo) []string {
 	share := make(map[string]float64)
 	var kinds []string
 	for i := range tasks {
--- a/internal/core/interference/model.go
+++ b/internal/core/interference/model.go
@@ -291,7 +291,7 @@
 		}
 		return p
 	}
-	mean, variance := m.prior(kind)
+	mean, variance := m.prior(kind), priorVar
 	p := &pairing{mean: mean, variance: variance, at: at}
 	m.pairs[key] = p
 	sum := m.kinds[kind]
@@ -304,12 +304,12 @@
 	return p
 }
 
-func (m *Model) prior(kind string) (mean, variance float64) {
+func (m *Model) prior(kind string) float64 {
 	sum := m.kinds[kind]
 	if sum == nil || sum.samples < sharedSamples {
-		return priorMean, priorVar
+		return priorMean
 	}
-	return sum.mean / sum.variance, priorVar
+	return sum.mean / sum.variance
 }
 
 // Predict returns the slowdown that a VM full of a kind would add to a service
@@ -318,7 +318,7 @@
 	if p := m.pairs[pairKey{kind, service, level}]; p != nil {
 		return p.mean, math.Sqrt(p.variance)
 	}
-	mean, variance := m.prior(kind)
+	mean, variance := m.prior(kind), priorVar
 	return mean, math.Sqrt(variance)
 }
 
