Test bookings through real processes under kills, freezes and stops

Entries, workers and shard owners are killed, frozen and stopped, and the table is frozen, down, slow or loses answers, from a seed. Afterwards the answers of all callers are reconciled with the record of the upstreams.

--- /dev/null
+++ b/internal/e2e/bookings_test.go
@@ -0,0 +1,232 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/standin"
+)
+
+// callerTimeout is how long a caller waits for one answer.
+const callerTimeout = 12 * time.Second
+
+// answer is what a caller learned from one exchange with an entry.
+type answer struct {
+	entry    int
+	from, to time.Time
+	outcome  apperr.Outcome
+	kind     apperr.Kind
+	// refused tells that no connection was made, so nothing was sent.
+	refused bool
+	// whole tells that the response is the one to the booking.
+	whole bool
+	err   error
+}
+
+// booking is one booking with all that its caller learned.
+type booking struct {
+	standin.Booking
+	keyed   bool
+	answers []answer
+}
+
+// last returns the latest answer.
+func (b *booking) last() answer { return b.answers[len(b.answers)-1] }
+
+// is reports whether any answer has the outcome.
+func (b *booking) is(o apperr.Outcome) bool {
+	for _, a := range b.answers {
+		if a.outcome == o {
+			return true
+		}
+	}
+	return false
+}
+
+// certainlyNotRun reports that the system said of every exchange that nothing
+// was run, or that no exchange reached it.
+func (b *booking) certainlyNotRun() bool {
+	for _, a := range b.answers {
+		if !a.refused && a.outcome != apperr.OutcomeNotRun {
+			return false
+		}
+	}
+	return true
+}
+
+// callers send a stream of bookings.
+type callers struct {
+	f      *fleet
+	client *http.Client
+
+	mu       sync.Mutex
+	bookings []*booking
+}
+
+func newCallers(f *fleet) *callers {
+	return &callers{f: f, client: &http.Client{
+		Timeout:   callerTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 32, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
+	}}
+}
+
+// run sends bookings from several callers until the context ends, and returns
+// when all exchanges have ended.
+func (c *callers) run(ctx context.Context, seed uint64, count int) {
+	var running sync.WaitGroup
+	for i := range count {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		running.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				c.book(newBooking(rng, fmt.Sprintf("s%d-c%d-%d", seed, i, n)), rng)
+				time.Sleep(time.Duration(rng.IntN(50)) * time.Millisecond)
+			}
+		})
+	}
+	running.Wait()
+}
+
+func newBooking(rng *rand.Rand, id string) *booking {
+	b := &booking{Booking: standin.Booking{ID: id, Size: 100 + rng.IntN(20_000)}, keyed: rng.IntN(2) == 0}
+	service := 5 + rng.IntN(45)
+	switch rng.IntN(20) {
+	case 0:
+		service = 500 + rng.IntN(2500)
+	case 1:
+		// Above the size that is kept for repeats.
+		b.Size = 100_000
+	}
+	b.ServiceMS = &service
+	return b
+}
+
+// tries bounds the repeats of one booking during the faults.
+const tries = 6
+
+// book sends a booking until its outcome is known or may not be improved.
+func (c *callers) book(b *booking, rng *rand.Rand) {
+	c.mu.Lock()
+	c.bookings = append(c.bookings, b)
+	c.mu.Unlock()
+	for range tries {
+		a := c.send(b, rng.IntN(c.f.o.Entries)+1)
+		if a.outcome == apperr.OutcomeDone {
+			break
+		}
+		if !b.keyed && !a.refused && a.outcome != apperr.OutcomeNotRun {
+			return
+		}
+		time.Sleep(time.Duration(50+rng.IntN(300)) * time.Millisecond)
+	}
+	if b.keyed && b.is(apperr.OutcomeDone) && rng.IntN(10) == 0 {
+		c.send(b, rng.IntN(c.f.o.Entries)+1)
+	}
+}
+
+// send makes one exchange.
+func (c *callers) send(b *booking, entry int) answer {
+	a := answer{entry: entry, from: time.Now()}
+	a.outcome, a.kind, a.whole, a.err = c.exchange(b, entry)
+	a.to = time.Now()
+	var op *net.OpError
+	a.refused = errors.As(a.err, &op) && op.Op == "dial"
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b.answers = append(b.answers, a)
+	return a
+}
+
+func (c *callers) exchange(b *booking, entry int) (apperr.Outcome, apperr.Kind, bool, error) {
+	body, err := json.Marshal(b.Booking)
+	if err != nil {
+		return "", "", false, err
+	}
+	url := "http://" + c.f.d.Callers(entry) + "/v1/services/berth-check/bookings"
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return "", "", false, err
+	}
+	// The transport must not repeat a booking on its own.
+	req.GetBody = nil
+	if b.keyed {
+		req.Header.Set("Idempotency-Key", "key-"+b.ID)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return "", "", false, err
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", "", false, fmt.Errorf("body cut: %w", err)
+	}
+	outcome := apperr.Outcome(resp.Header.Get(apperr.HeaderOutcome))
+	if outcome == apperr.OutcomeDone && resp.StatusCode == http.StatusOK {
+		return outcome, "", true, standin.CheckBookingBody(b.ID, content)
+	}
+	var e apperr.Body
+	if err := json.Unmarshal(content, &e); err != nil {
+		return outcome, "", false, fmt.Errorf("status %d without typed error: %w", resp.StatusCode, err)
+	}
+	return outcome, e.Kind, false, nil
+}
+
+// resolve repeats the keyed bookings whose outcome is open. Each has to become
+// done, or be reported twice as uncertain, within the limit.
+func (c *callers) resolve(limit time.Duration) {
+	slots := make(chan struct{}, 16)
+	var running sync.WaitGroup
+	end := time.Now().Add(limit)
+	for _, b := range c.bookings {
+		if !b.keyed || b.is(apperr.OutcomeDone) {
+			continue
+		}
+		running.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			c.resolveOne(b, end)
+		})
+	}
+	running.Wait()
+}
+
+func (c *callers) resolveOne(b *booking, end time.Time) {
+	uncertain := 0
+	for i := 0; time.Now().Before(end); i++ {
+		a := c.send(b, i%c.f.o.Entries+1)
+		if a.outcome == apperr.OutcomeDone {
+			return
+		}
+		if a.outcome == apperr.OutcomeUnknown && a.kind == apperr.KindUncertain {
+			uncertain++
+		}
+		if uncertain == 2 {
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	c.f.t.Errorf("keyed booking %s stays open: %+v", b.ID, b.last())
+}
+
+// longestGap returns the longest time without a whole answer.
+func (c *callers) longestGap(from, to time.Time) time.Duration {
+	times := []time.Time{from, to}
+	for _, b := range c.bookings {
+		for _, a := range b.answers {
+			if a.whole && a.to.After(from) && a.to.Before(to) {
+				times = append(times, a.to)
+			}
+		}
+	}
+	return widest(times)
+}
--- /dev/null
+++ b/internal/e2e/chaos_test.go
@@ -0,0 +1,98 @@
+package e2e
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/localrun"
+)
+
+// callerCount is the number of callers that book at the same time.
+const callerCount = 12
+
+// Guards against bookings that are lost, doubled, cut off or wrongly reported
+// as not run when entries, workers, shard owners and the platform are killed,
+// frozen and stopped, also two at once.
+func TestBookingsUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes for about a minute")
+	}
+	f := startFleet(t, localrun.Options{
+		Octet: octetBookings, Entries: 3, Domains: 3, Workers: 2, Upstreams: true, ServiceTime: 20 * time.Millisecond,
+	})
+	c := newCallers(f)
+	awaitService(t, c)
+	from := time.Now()
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.run(ctx, seed(t), callerCount)
+	}()
+	f.chaos(t.Context(), rand.New(rand.NewPCG(seed(t), 0)), phase(t, 25))
+	to := time.Now()
+	stop()
+	<-ended
+	c.resolve(60 * time.Second)
+	records := f.records()
+	c.figures(records, from, to)
+	c.reconcile(records)
+}
+
+// Guards against planned stops that cut off a request in progress or leave its
+// outcome open: entries, workers and owners are stopped and started again one
+// after the other, and nothing else happens.
+func TestGracefulStops(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes for half a minute")
+	}
+	f := startFleet(t, localrun.Options{
+		Octet: octetGraceful, Entries: 2, Domains: 3, Workers: 1, Upstreams: true, ServiceTime: 20 * time.Millisecond,
+	})
+	c := newCallers(f)
+	awaitService(t, c)
+	from := time.Now()
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.run(ctx, seed(t), callerCount)
+	}()
+	rng := rand.New(rand.NewPCG(seed(t), 1))
+	for _, n := range []node{f.entry(1), f.worker(1, 1), f.entry(2), f.worker(2, 1), f.worker(3, 1)} {
+		f.inject(t.Context(), faultGraceful, n, rng)
+		time.Sleep(time.Second)
+	}
+	to := time.Now()
+	stop()
+	<-ended
+	c.resolve(30 * time.Second)
+	records := f.records()
+	c.figures(records, from, to)
+	c.reconcile(records)
+	for _, b := range c.bookings {
+		for _, a := range b.answers {
+			if a.outcome == apperr.OutcomeUnknown && a.kind != apperr.KindConflict {
+				t.Errorf("booking %s has an open outcome after graceful stops only: %+v", b.ID, a)
+			}
+		}
+	}
+}
+
+// awaitService waits until every entry serves a booking.
+func awaitService(t *testing.T, c *callers) {
+	t.Helper()
+	for i := 1; i <= c.f.o.Entries; i++ {
+		await(t, "service at "+localrun.EntryName(i), 20*time.Second, func() bool {
+			b := newBooking(rand.New(rand.NewPCG(1, 1)), "warm-up-"+time.Now().Format(time.RFC3339Nano))
+			b.answers = nil
+			c.mu.Lock()
+			c.bookings = append(c.bookings, b)
+			c.mu.Unlock()
+			return c.send(b, i).outcome == apperr.OutcomeDone
+		})
+	}
+}
--- /dev/null
+++ b/internal/e2e/faults_test.go
@@ -0,0 +1,261 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/localrun"
+	"github.com/boragecrank/boragecrank/internal/operatorapi"
+	"github.com/boragecrank/boragecrank/internal/standin"
+)
+
+// Kinds of faults.
+const (
+	faultKill     = "kill"
+	faultFreeze   = "freeze"
+	faultGraceful = "graceful"
+	faultTable    = "table"
+)
+
+// stopTimeout is above the 31 s that the settings allow for a graceful stop,
+// and the 5 s that the command adds.
+const stopTimeout = 45 * time.Second
+
+// fleet is a deployment under faults.
+type fleet struct {
+	t       *testing.T
+	d       *localrun.Deployment
+	o       localrun.Options
+	started time.Time
+
+	mu   sync.Mutex
+	busy map[string]bool // processes with a fault in progress
+	past []event
+}
+
+// event is one fault that was injected.
+type event struct {
+	kind, target string
+	from, to     time.Time
+}
+
+// node is a process that can be stopped and started again.
+type node struct {
+	name  string
+	start func(context.Context) error
+}
+
+func (f *fleet) entry(i int) node {
+	return node{localrun.EntryName(i), func(ctx context.Context) error { return f.d.StartEntry(ctx, i) }}
+}
+
+func (f *fleet) worker(domain, worker int) node {
+	return node{localrun.WorkerName(domain, worker), func(ctx context.Context) error { return f.d.StartWorker(ctx, domain, worker) }}
+}
+
+// owner returns the worker that owns a shard now, or any worker if no entry
+// can tell.
+func (f *fleet) owner(ctx context.Context, rng *rand.Rand) node {
+	other := f.worker(rng.IntN(f.o.Domains)+1, rng.IntN(f.o.Workers)+1)
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	status, err := f.operators().Status(ctx)
+	if err != nil || len(status.Shards) == 0 {
+		return other
+	}
+	name := status.Shards[rng.IntN(len(status.Shards))].GetOwner()
+	for domain := 1; domain <= f.o.Domains; domain++ {
+		for worker := 1; worker <= f.o.Workers; worker++ {
+			if localrun.WorkerName(domain, worker) == name {
+				return f.worker(domain, worker)
+			}
+		}
+	}
+	return other
+}
+
+func (f *fleet) operators() *operatorapi.Client {
+	var urls []string
+	for i := 1; i <= f.o.Entries; i++ {
+		urls = append(urls, "http://"+f.d.Operators(i))
+	}
+	c, err := operatorapi.New(operatorapi.Options{Entries: urls, Token: localrun.Token, Timeout: 3 * time.Second})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+// claim marks a target as having a fault in progress, and reports whether it
+// had none.
+func (f *fleet) claim(target string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.busy[target] {
+		return false
+	}
+	f.busy[target] = true
+	return true
+}
+
+func (f *fleet) done(e event) {
+	e.to = time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.busy[e.target] = false
+	f.past = append(f.past, e)
+	f.t.Logf("%6.1f s to %6.1f s: %s %s", e.from.Sub(f.started).Seconds(), e.to.Sub(f.started).Seconds(), e.kind, e.target)
+}
+
+// inject runs one fault on a process to its end.
+func (f *fleet) inject(ctx context.Context, kind string, n node, rng *rand.Rand) {
+	if !f.claim(n.name) {
+		return
+	}
+	e := event{kind: kind, target: n.name, from: time.Now()}
+	defer func() { f.done(e) }()
+	switch kind {
+	case faultKill:
+		if err := f.d.Kill(n.name); err != nil {
+			f.t.Errorf("kill %s: %v", n.name, err)
+		}
+		time.Sleep(time.Duration(rng.Int64N(int64(2 * time.Second))))
+		f.start(ctx, n)
+	case faultGraceful:
+		if err := f.d.Stop(n.name, stopTimeout); err != nil {
+			f.t.Errorf("graceful stop: %v", err)
+			_ = f.d.Kill(n.name)
+		}
+		f.start(ctx, n)
+	case faultFreeze:
+		f.freeze(n.name, time.Second+time.Duration(rng.Int64N(int64(7*time.Second))))
+	}
+}
+
+// start starts a process like a supervisor does, until it answers.
+func (f *fleet) start(ctx context.Context, n node) {
+	var err error
+	for range 4 {
+		if err = n.start(ctx); err == nil {
+			return
+		}
+		_ = f.d.Kill(n.name)
+	}
+	f.t.Errorf("%s does not start: %v", n.name, err)
+}
+
+func (f *fleet) freeze(name string, d time.Duration) {
+	if err := f.d.Signal(name, syscall.SIGSTOP); err != nil {
+		f.t.Errorf("freeze %s: %v", name, err)
+		return
+	}
+	time.Sleep(d)
+	if err := f.d.Signal(name, syscall.SIGCONT); err != nil {
+		f.t.Errorf("thaw %s: %v", name, err)
+	}
+}
+
+// disturbTable injects one fault of the table service, or freezes the whole
+// platform.
+func (f *fleet) disturbTable(ctx context.Context, rng *rand.Rand) {
+	const platform = "platform"
+	if !f.claim(platform) {
+		return
+	}
+	faults := []standin.Faults{
+		{Down: true},
+		{Frozen: true},
+		{Delay: time.Duration(100+rng.IntN(1500)) * time.Millisecond},
+		{LoseAnswer: 0.3, LoseRequest: 0.1},
+		{LateWrite: 0.2, LoseAnswer: 0.2},
+		{},
+	}
+	n := rng.IntN(len(faults))
+	length := time.Second + time.Duration(rng.Int64N(int64(6*time.Second)))
+	e := event{kind: faultTable + "-" + [...]string{"down", "frozen", "slow", "lossy", "late", "process-frozen"}[n], target: platform, from: time.Now()}
+	defer func() { f.done(e) }()
+	if faults[n] == (standin.Faults{}) {
+		f.freeze(platform, length)
+		return
+	}
+	f.setTable(ctx, faults[n])
+	time.Sleep(length)
+	f.setTable(ctx, standin.Faults{})
+}
+
+func (f *fleet) setTable(ctx context.Context, faults standin.Faults) {
+	err := f.d.Post(ctx, "http://"+f.d.Platform()+"/admin/faults", standin.FaultsRequest{Service: standin.ServiceTable, Faults: faults})
+	if err != nil {
+		f.t.Errorf("faults of the table: %v", err)
+	}
+}
+
+// chaos injects faults for a time, sometimes two at once. It returns when the
+// last one has ended and everything runs again.
+func (f *fleet) chaos(ctx context.Context, rng *rand.Rand, length time.Duration) {
+	var running sync.WaitGroup
+	end := time.Now().Add(length)
+	for time.Now().Before(end) {
+		count := 1 + rng.IntN(2)
+		for range count {
+			own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+			running.Go(func() { f.one(ctx, own) })
+		}
+		time.Sleep(time.Second + time.Duration(rng.Int64N(int64(2*time.Second))))
+	}
+	running.Wait()
+}
+
+// one injects one fault drawn at random.
+func (f *fleet) one(ctx context.Context, rng *rand.Rand) {
+	kind := [...]string{faultKill, faultFreeze, faultGraceful}[rng.IntN(3)]
+	switch rng.IntN(4) {
+	case 0:
+		f.inject(ctx, kind, f.entry(rng.IntN(f.o.Entries)+1), rng)
+	case 1:
+		f.inject(ctx, kind, f.worker(rng.IntN(f.o.Domains)+1, rng.IntN(f.o.Workers)+1), rng)
+	case 2:
+		f.inject(ctx, kind, f.owner(ctx, rng), rng)
+	default:
+		f.disturbTable(ctx, rng)
+	}
+}
+
+// struck reports whether a fault of a kind hit the target within a time.
+func (f *fleet) struck(kind, target string, from, to time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.past {
+		if e.kind == kind && e.target == target && !e.to.Before(from) && !e.from.After(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// faultCounts returns the number of faults by kind.
+func (f *fleet) faultCounts() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := make(map[string]int)
+	for _, e := range f.past {
+		counts[e.kind]++
+	}
+	return counts
+}
+
+// await polls until the condition holds.
+func await(t *testing.T, what string, limit time.Duration, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal(fmt.Sprintf("%s: not within %v", what, limit))
+}
--- /dev/null
+++ b/internal/e2e/main_test.go
@@ -0,0 +1,132 @@
+// Package e2e tests real processes on the loopback interface under failure:
+// built binaries are killed, frozen and stopped under a stream of work, and
+// what callers were told is reconciled with the record of the upstreams.
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/localrun"
+)
+
+// Environment variables of longer and repeated runs.
+const (
+	// envSeconds is the length of each fault phase in seconds.
+	envSeconds = "BORAGECRANK_E2E_SECONDS"
+	// envSeed is the seed of faults and bookings.
+	envSeed = "BORAGECRANK_E2E_SEED"
+	// envRace builds the processes with the race detector if it is not empty.
+	envRace = "BORAGECRANK_E2E_RACE"
+	// envKeep names a folder that receives settings and logs.
+	envKeep = "BORAGECRANK_E2E_KEEP"
+)
+
+// Second numbers of the addresses of each test's deployment.
+const (
+	octetBookings = 41 + iota
+	octetGraceful
+	octetBatch
+	octetTrace
+	octetEdges
+	octetUpstream
+)
+
+// binary is the command under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	code, err := buildAndRun(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func buildAndRun(m *testing.M) (int, error) {
+	dir, err := os.MkdirTemp("", "boragecrank-e2e-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "boragecrank")
+	args := []string{"build", "-o", binary}
+	if os.Getenv(envRace) != "" {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args, "../../cmd/boragecrank")...).CombinedOutput()
+	if err != nil {
+		return 0, fmt.Errorf("build: %w: %s", err, out)
+	}
+	return m.Run(), nil
+}
+
+// number returns the number in an environment variable, or the default.
+func number(t *testing.T, name string, standard int) int {
+	t.Helper()
+	s := os.Getenv(name)
+	if s == "" {
+		return standard
+	}
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+func phase(t *testing.T, standard int) time.Duration {
+	return time.Duration(number(t, envSeconds, standard)) * time.Second
+}
+
+func seed(t *testing.T) uint64 { return uint64(number(t, envSeed, 1)) }
+
+// startFleet starts a deployment that ends with the test.
+func startFleet(t *testing.T, o localrun.Options) *fleet {
+	t.Helper()
+	o.Binary = binary
+	o.Dir = t.TempDir()
+	if keep := os.Getenv(envKeep); keep != "" {
+		o.Dir = filepath.Join(keep, t.Name())
+		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d, err := localrun.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	if err := d.StartAll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, d: d, o: o, started: time.Now(), busy: make(map[string]bool)}
+	t.Cleanup(func() { f.checkLogs() })
+	return f
+}
+
+// checkLogs fails the test if a process crashed or found a data race.
+func (f *fleet) checkLogs() {
+	logs, err := filepath.Glob(filepath.Join(f.o.Dir, "*.log"))
+	if err != nil {
+		f.t.Error(err)
+	}
+	for _, file := range logs {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			f.t.Error(err)
+		}
+		for _, sign := range []string{"panic:", "DATA RACE", "fatal error:"} {
+			if i := strings.Index(string(b), sign); i >= 0 {
+				f.t.Errorf("%s: %.1500s", filepath.Base(file), b[i:])
+			}
+		}
+	}
+}
