Settle only held claims, and free attempts that are not in progress

Four faults of the entry, each with a test that failed before: - A request that lost its claim settled the row of the request that had won it, as unknown; repeats then never got the winner's response. An entry now settles only the attempt that it holds. - Attempts whose claim was not written, or that a later attempt replaced, stayed active. If the write took effect late, the key was in progress for ever at this entry. They are removed. - Each poll of an attempt in progress took a retry token (4 of 10 tokens for one retry after 3 polls; now 1). The token is taken only when the attempt is proven not run. - The claim timeout equalled the store's attempt timeout (2 s), so a write without answer was given up before its read-back. Entries now use 0.8 s.

--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -95,13 +95,13 @@
 	if err != nil {
 		return err
 	}
-	limits := store.OwnerLimits()
+	limits, attempt := store.OwnerLimits(), store.DefaultAttemptTimeout
 	if role == settings.RoleEntry {
-		limits = store.EntryLimits()
+		limits, attempt = store.EntryLimits(), store.EntryAttemptTimeout
 	}
 	table := platform.NewHTTPTable(s.Platform.Table, platformClient())
 	p := &process{settings: s, node: n, store: store.New(table, store.Options{
-		Name: string(s.ID), Incarnation: n.Incarnation, Limits: limits, Scope: tel.Metrics, Logger: tel.Log,
+		Name: string(s.ID), Incarnation: n.Incarnation, Limits: limits, AttemptTimeout: attempt, Scope: tel.Metrics, Logger: tel.Log,
 	})}
 	if err := run(ctx, p); err != nil {
 		return err
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -16,7 +16,8 @@
 
 const (
 	// claimTimeout bounds one read or write of a claim row before a request is
-	// refused as not run.
+	// refused as not run. It is more than twice store.EntryAttemptTimeout, so
+	// that a write without answer is read back first.
 	claimTimeout = 2 * time.Second
 	// settleTimeout bounds the attempts to store an outcome. After it the
 	// outcome is found by sealing.
@@ -54,6 +55,9 @@
 
 	row      *claim.Row
 	revision uint64
+	// held is the attempt of this request that the row names or named last; zero
+	// if it never named one.
+	held types.RequestID
 }
 
 // openClaim decides what a request with a key may do. A nil claimant with a
@@ -169,7 +173,23 @@
 			return claimLost
 		}
 	}
+	// Active before the write: a repeat that reads the row must not seal the
+	// attempt between its claim and its dispatch.
 	cl.e.active.add(attempt)
+	res := cl.writeAndConfirm(ctx, next, attempt, previous)
+	if res != claimHeld {
+		// The attempt is never dispatched. Should its write take effect later, a
+		// repeat finds that out by sealing.
+		cl.e.active.remove(attempt)
+		return res
+	}
+	cl.e.active.remove(cl.held)
+	cl.held = attempt
+	return claimHeld
+}
+
+// writeAndConfirm writes the row of an attempt and reads it back if need be.
+func (cl *claimant) writeAndConfirm(ctx context.Context, next claim.Row, attempt, previous types.RequestID) claimResult {
 	if cl.write(ctx, next) {
 		return claimHeld
 	}
@@ -187,17 +207,18 @@
 	}
 }
 
-// settle stores the outcome of the last attempt. Until it has succeeded, a
-// repeat finds the outcome by sealing.
+// settle stores the outcome of the last attempt that this request held. A row
+// that names another request's attempt stays as it is. Until settle has
+// succeeded, a repeat finds the outcome by sealing.
 func (cl *claimant) settle(ctx context.Context, res result) {
-	if cl.row == nil {
+	attempt := cl.held
+	if attempt == (types.RequestID{}) {
 		return
 	}
-	attempt := cl.row.Attempt
 	defer cl.e.active.remove(attempt)
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	for {
+	for cl.row != nil {
 		next, needed := claim.Settle(*cl.row, attempt, res.outcome, storedResponse(res))
 		if !needed || cl.write(ctx, next) {
 			return
@@ -205,9 +226,8 @@
 		if err := sleep(ctx, settlePause); err != nil {
 			return
 		}
-		if err := cl.load(ctx); err == nil && cl.row == nil {
-			return
-		}
+		// Without an answer the row of the last read is tried again.
+		_ = cl.load(ctx)
 	}
 }
 
--- /dev/null
+++ b/internal/entry/claims_test.go
@@ -0,0 +1,275 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/admission"
+	"github.com/boragecrank/boragecrank/internal/core/claim"
+	"github.com/boragecrank/boragecrank/internal/core/membership"
+	"github.com/boragecrank/boragecrank/internal/core/request"
+	"github.com/boragecrank/boragecrank/internal/core/routing"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/node"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/standin"
+	"github.com/boragecrank/boragecrank/internal/store"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/wire/runcall"
+	"github.com/boragecrank/boragecrank/internal/wire/wirepb"
+)
+
+const testService = "berth-check"
+
+// fakeWorker answers runs and seals as told by the test.
+type fakeWorker struct {
+	wirepb.WorkerService
+	run  func(w http.ResponseWriter, attempt int)
+	seal func() admission.SealState
+
+	mu       sync.Mutex
+	attempts int
+}
+
+func (f *fakeWorker) Seal(context.Context, *wirepb.SealRequest) (*wirepb.SealResponse, error) {
+	return &wirepb.SealResponse{State: string(f.seal())}, nil
+}
+
+func (f *fakeWorker) serveRun(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	f.attempts++
+	n := f.attempts
+	f.mu.Unlock()
+	w.Header().Set(runcall.HeaderReport, runcall.Report{Incarnation: 1}.String())
+	f.run(w, n)
+}
+
+func answerDone(w http.ResponseWriter, _ int) {
+	w.Header().Set(apperr.HeaderOutcome, string(apperr.OutcomeDone))
+}
+
+// tableClaims is a claim table with hooks before reads and writes. A hook that
+// returns an error prevents the call.
+type tableClaims struct {
+	TableClaims
+	beforeGet, beforePut func(key string, revision uint64, value []byte) error
+}
+
+func (c *tableClaims) Get(ctx context.Context, key string) (platform.Row, error) {
+	if c.beforeGet != nil {
+		if err := c.beforeGet(key, 0, nil); err != nil {
+			return platform.Row{}, err
+		}
+	}
+	return c.TableClaims.Get(ctx, key)
+}
+
+func (c *tableClaims) Put(ctx context.Context, key string, revision uint64, value []byte) (uint64, bool, error) {
+	if c.beforePut != nil {
+		if err := c.beforePut(key, revision, value); err != nil {
+			return 0, false, err
+		}
+	}
+	return c.TableClaims.Put(ctx, key, revision, value)
+}
+
+// newTestEntry returns an entry that knows one worker.
+func newTestEntry(t *testing.T, claims Claims, w *fakeWorker) *Entry {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc(runcall.PathPrefix, w.serveRun)
+	service := wirepb.NewWorkerServiceServer(w)
+	mux.Handle(service.PathPrefix(), service)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	n, err := node.New(node.Options{Name: "entry-1", Role: "entry", Internal: "127.0.0.1:0",
+		Key: []byte("key-of-the-test-with-32-bytes-00"), Telemetry: telemetry.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Shutdown(context.Background()) })
+	e, err := New(n, Options{Claims: claims, Membership: membership.DefaultConfig()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.router.update(routing.WorkerState{
+		VM: "vm-1", Incarnation: 1, Slots: 8, Connections: 8,
+		Services: []routing.ServiceState{{Service: testService, Slots: 8, Connections: 8}},
+	}, server.Listener.Addr().String())
+	return e
+}
+
+func keyedCall(e *Entry) *call {
+	return &call{id: node.NewRequestID(), service: types.Service{Name: testService}, method: http.MethodPost, path: "/",
+		header: http.Header{}, key: "key-1", deadline: e.node.Clock() + 10*time.Second}
+}
+
+// performAndSettle runs a call and waits until its outcome is stored.
+func performAndSettle(e *Entry, c *call) result {
+	res := e.perform(context.Background(), c)
+	e.running.Wait()
+	return res
+}
+
+func activeAttempts(e *Entry) int {
+	e.active.mu.Lock()
+	defer e.active.mu.Unlock()
+	return len(e.active.ids)
+}
+
+func (c *tableClaims) only(t *testing.T) (platform.Row, claim.Row) {
+	t.Helper()
+	rows, err := c.Table.Scan(context.Background(), "claims/", "", 0)
+	if err != nil || len(rows) != 1 {
+		t.Fatalf("rows %v, %v", rows, err)
+	}
+	row, err := claim.Decode(rows[0].Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rows[0], row
+}
+
+// Guards against a request that lost its claim to another one and then marks
+// the other's claim as unknown, which keeps the other's response from repeats.
+func TestLostClaimIsNotSettled(t *testing.T) {
+	claims := &tableClaims{TableClaims: TableClaims{standin.NewTable()}}
+	other := claim.New(claim.Fingerprint(http.MethodPost, "/", nil), types.RequestID{1}, request.Target{VM: "vm-2"})
+	claims.beforePut = func(key string, _ uint64, _ []byte) error {
+		claims.beforePut = nil
+		value, err := other.Encode()
+		if err != nil {
+			return err
+		}
+		_, _, err = claims.TableClaims.Put(context.Background(), key, 0, value)
+		return err
+	}
+	e := newTestEntry(t, claims, &fakeWorker{run: answerDone})
+	if res := performAndSettle(e, keyedCall(e)); res.outcome != apperr.OutcomeUnknown {
+		t.Fatalf("outcome %q, want unknown", res.outcome)
+	}
+	if _, row := claims.only(t); row.Attempt != other.Attempt || row.State != claim.StateClaimed {
+		t.Fatalf("row of the other request is now %+v", row)
+	}
+	if n := activeAttempts(e); n != 0 {
+		t.Fatalf("%d attempts stay active", n)
+	}
+}
+
+// Guards against a key that stays in progress for ever, because the claim
+// write of a refused request takes effect after the refusal.
+func TestLateClaimWriteDoesNotBlockKey(t *testing.T) {
+	claims := &tableClaims{TableClaims: TableClaims{standin.NewTable()}}
+	var late func()
+	down := errors.New("table is down")
+	claims.beforePut = func(key string, revision uint64, value []byte) error {
+		late = func() { _, _, _ = claims.TableClaims.Put(context.Background(), key, revision, value) }
+		claims.beforeGet = func(string, uint64, []byte) error { return down }
+		return down
+	}
+	e := newTestEntry(t, claims, &fakeWorker{run: answerDone, seal: func() admission.SealState { return admission.SealNeverRan }})
+	if res := performAndSettle(e, keyedCall(e)); res.outcome != apperr.OutcomeNotRun {
+		t.Fatalf("outcome %q, want not-run", res.outcome)
+	}
+	claims.beforePut, claims.beforeGet = nil, nil
+	late()
+	if res := performAndSettle(e, keyedCall(e)); res.outcome != apperr.OutcomeDone {
+		t.Fatalf("outcome of the repeat %q (%v), want done", res.outcome, res.err)
+	}
+	if n := activeAttempts(e); n != 0 {
+		t.Fatalf("%d attempts stay active", n)
+	}
+}
+
+// Guards against attempts that stay active after a later attempt replaced them.
+func TestReplacedAttemptIsNotActive(t *testing.T) {
+	claims := &tableClaims{TableClaims: TableClaims{standin.NewTable()}}
+	e := newTestEntry(t, claims, &fakeWorker{run: func(w http.ResponseWriter, n int) {
+		if n == 1 {
+			apperr.WriteHTTP(w, notRun(apperr.KindRefused, "request", string(admission.ReasonNoSlot), ""))
+			return
+		}
+		answerDone(w, n)
+	}})
+	res := performAndSettle(e, keyedCall(e))
+	if res.outcome != apperr.OutcomeDone || res.attempts != 2 {
+		t.Fatalf("outcome %q after %d attempts, want done after 2", res.outcome, res.attempts)
+	}
+	if _, row := claims.only(t); row.State != claim.StateDone {
+		t.Fatalf("row %+v, want done", row)
+	}
+	if n := activeAttempts(e); n != 0 {
+		t.Fatalf("%d attempts stay active", n)
+	}
+}
+
+// Guards against a retry budget that is used up by asking about an attempt
+// that still runs.
+func TestSealInProgressTakesNoRetry(t *testing.T) {
+	polls := 0
+	w := &fakeWorker{}
+	w.run = func(rw http.ResponseWriter, n int) {
+		if n == 1 {
+			panic(http.ErrAbortHandler) // the connection is cut
+		}
+		answerDone(rw, n)
+	}
+	w.seal = func() admission.SealState {
+		if polls++; polls <= 3 {
+			return admission.SealInProgress
+		}
+		return admission.SealNeverRan
+	}
+	e := newTestEntry(t, nil, w)
+	c := keyedCall(e)
+	c.key = ""
+	if res := e.perform(context.Background(), c); res.outcome != apperr.OutcomeDone {
+		t.Fatalf("outcome %q (%v), want done", res.outcome, res.err)
+	}
+	retries := 0
+	for e.router.retry() {
+		retries++
+	}
+	if want := int(routing.DefaultConfig("").RetryBurst) - 1; retries != want {
+		t.Fatalf("%d retries left after %d seals, want %d", retries, polls, want)
+	}
+}
+
+// hangingTable takes the first commit into effect and never answers it.
+type hangingTable struct {
+	*standin.Table
+	commits int
+}
+
+func (h *hangingTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	h.commits++
+	if h.commits == 1 {
+		_, _ = h.Table.Commit(ctx, txn)
+		<-ctx.Done()
+		return platform.TxnResult{}, platform.ErrUncertain
+	}
+	return h.Table.Commit(ctx, txn)
+}
+
+// Guards against a claim write that is given up as uncertain before the store
+// has read it back: one answer that never comes must not refuse the request.
+func TestClaimTimeoutLeavesTimeForReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(&hangingTable{Table: standin.NewTable()}, store.Options{
+			Name: "entry-1", Incarnation: 1, Limits: store.EntryLimits(), AttemptTimeout: store.EntryAttemptTimeout,
+		})
+		claims := TableClaims{s.View(store.Claim)}
+		ctx, cancel := context.WithTimeout(t.Context(), claimTimeout)
+		defer cancel()
+		if _, ok, err := claims.Put(ctx, "claims/a", 0, []byte("row")); err != nil || !ok {
+			t.Fatalf("committed %v, %v", ok, err)
+		}
+	})
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -288,7 +288,8 @@
 			d.reply = &kept
 		}
 	}
-	return d.machine.Sealed(out.Attempt, sealed, d.e.router.retry())
+	retry := sealed.State == admission.SealNeverRan && d.e.router.retry()
+	return d.machine.Sealed(out.Attempt, sealed, retry)
 }
 
 // sealAt seals an attempt at the worker that it was given to.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,6 +41,11 @@
 	DefaultGroupSize      = 256
 )
 
+// EntryAttemptTimeout is the attempt timeout of entries. A caller waits for
+// its claim, which an entry gives up after 2 s: a write without answer and its
+// read-back have to fit in that time.
+const EntryAttemptTimeout = 800 * time.Millisecond
+
 // Options configures a Store.
 type Options struct {
 	// Name names the lanes. It must be unique among running processes; a
