--- /dev/null
+++ b/internal/e2e/batch_test.go
@@ -0,0 +1,161 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/entry"
+	"github.com/boragecrank/boragecrank/internal/localrun"
+	"github.com/boragecrank/boragecrank/internal/standin"
+)
+
+const (
+	tasksPerJob = 3
+	batchWork   = `[[team]]
+name = "bookings"
+quota_cores = 20000
+quota_memory = "60TB"
+
+[[service]]
+name = "berth-check"
+team = "bookings"
+replicas = 1
+cores = 1
+memory = "1GB"
+deadline = "2s"
+
+[[job]]
+name = "night-allocation"
+team = "bookings"
+tasks = 3
+cores = 4
+memory = "8GB"
+run_time = "3s"
+`
+)
+
+// Guards against batch tasks that run in two places, overfill a VM, end twice
+// or never when workers and shard owners are killed, frozen and stopped, and
+// the table fails. The task runtimes survive the workers, as on real VMs.
+func TestBatchUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes for about a minute")
+	}
+	f := startFleet(t, localrun.Options{Octet: octetBatch, Entries: 2, Domains: 2, Workers: 3, Work: batchWork})
+	f.setCapacities()
+	ctx, stop := context.WithCancel(t.Context())
+	jobs := make(map[types.JobID]bool)
+	var running sync.WaitGroup
+	running.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			id := types.JobID(fmt.Sprintf("s%d-%d", seed(t), n))
+			if f.submit(id) {
+				jobs[id] = true
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	rng := rand.New(rand.NewPCG(seed(t), 2))
+	for end := time.Now().Add(phase(t, 15)); time.Now().Before(end); {
+		for range 1 + rng.IntN(2) {
+			own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+			running.Go(func() { f.oneOfBatch(t.Context(), own) })
+		}
+		time.Sleep(time.Second + time.Duration(rng.Int64N(int64(2*time.Second))))
+	}
+	stop()
+	running.Wait()
+	stopped := time.Now()
+	f.awaitJobs(jobs, 120*time.Second)
+	w := f.witness()
+	t.Logf("jobs %d, tasks completed %d, all ended %v after the faults", len(jobs), w.Completed, time.Since(stopped).Round(time.Millisecond))
+	t.Logf("faults by kind: %v", f.faultCounts())
+	if !w.Clean() {
+		t.Errorf("violations: %+v", w)
+	}
+	if want := tasksPerJob * len(jobs); w.Completed != want {
+		t.Errorf("%d tasks ended, want %d", w.Completed, want)
+	}
+}
+
+// oneOfBatch injects a fault of a worker, a shard owner or the table.
+func (f *fleet) oneOfBatch(ctx context.Context, rng *rand.Rand) {
+	kind := [...]string{faultKill, faultFreeze, faultGraceful}[rng.IntN(3)]
+	switch rng.IntN(3) {
+	case 0:
+		f.inject(ctx, kind, f.worker(rng.IntN(f.o.Domains)+1, rng.IntN(f.o.Workers)+1), rng)
+	case 1:
+		f.inject(ctx, kind, f.owner(ctx, rng), rng)
+	default:
+		f.disturbTable(ctx, rng)
+	}
+}
+
+func (f *fleet) setCapacities() {
+	for domain := 1; domain <= f.o.Domains; domain++ {
+		for worker := 1; worker <= f.o.Workers; worker++ {
+			err := f.d.Post(f.t.Context(), "http://"+f.d.Platform()+"/admin/capacity", standin.CapacityRequest{
+				VM:       types.VMID(localrun.WorkerName(domain, worker)),
+				Capacity: types.Resources{MilliCPU: 16_000, MemoryBytes: 60e9},
+			})
+			if err != nil {
+				f.t.Fatal(err)
+			}
+		}
+	}
+}
+
+// submit submits a job until an entry has accepted it, and reports whether it
+// did. A job without an accepting answer may exist all the same, so it is
+// submitted again under the same ID.
+func (f *fleet) submit(id types.JobID) bool {
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		if _, err := f.operators().Submit(f.t.Context(), id, "night-allocation"); err == nil {
+			return true
+		}
+	}
+	f.t.Errorf("job %s is not accepted within 40 s", id)
+	return false
+}
+
+// awaitJobs waits until all jobs have ended with all tasks done.
+func (f *fleet) awaitJobs(jobs map[types.JobID]bool, limit time.Duration) {
+	var status entry.JobStatus
+	for id := range jobs {
+		end := time.Now().Add(limit)
+		for {
+			var err error
+			status, err = f.operators().Job(f.t.Context(), id)
+			if err == nil && status.Finished {
+				break
+			}
+			if time.Now().After(end) {
+				f.t.Fatalf("job %s has not ended after %v: %+v, %v", id, limit, status, err)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if status.Done != tasksPerJob {
+			f.t.Errorf("job %s ended as %+v, want all tasks done", id, status)
+		}
+	}
+}
+
+func (f *fleet) witness() standin.Record {
+	var w standin.Record
+	b, err := f.d.Get(f.t.Context(), "http://"+f.d.Platform()+"/admin/witness")
+	if err == nil {
+		err = json.Unmarshal(b, &w)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	slices.Sort(w.RepeatedEndings)
+	return w
+}
--- a/internal/e2e/bookings_test.go
+++ b/internal/e2e/bookings_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
@@ -26,6 +27,8 @@
 	from, to time.Time
 	outcome  apperr.Outcome
 	kind     apperr.Kind
+	// problem is the message of the error.
+	problem string
 	// refused tells that no connection was made, so nothing was sent.
 	refused bool
 	// whole tells that the response is the one to the booking.
@@ -71,19 +74,47 @@
 
 	mu       sync.Mutex
 	bookings []*booking
+	// ready tells by entry, counted from 0, whether the readiness check passes.
+	ready []atomic.Bool
 }
 
 func newCallers(f *fleet) *callers {
-	return &callers{f: f, client: &http.Client{
+	return &callers{f: f, ready: make([]atomic.Bool, f.o.Entries), client: &http.Client{
 		Timeout:   callerTimeout,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 32, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
 	}}
 }
 
+// balance checks the readiness of an entry like the platform's balancer does.
+func (c *callers) balance(ctx context.Context, entry int) {
+	const interval = 300 * time.Millisecond
+	for ctx.Err() == nil {
+		check, cancel := context.WithTimeout(ctx, interval)
+		_, err := c.f.d.Get(check, "http://"+c.f.d.Callers(entry)+"/readyz")
+		cancel()
+		c.ready[entry-1].Store(err == nil)
+		time.Sleep(interval)
+	}
+}
+
+// pick returns a ready entry, or any one if none is ready.
+func (c *callers) pick(rng *rand.Rand) int {
+	first := rng.IntN(len(c.ready))
+	for i := range c.ready {
+		if n := (first + i) % len(c.ready); c.ready[n].Load() {
+			return n + 1
+		}
+	}
+	return first + 1
+}
+
 // run sends bookings from several callers until the context ends, and returns
 // when all exchanges have ended.
 func (c *callers) run(ctx context.Context, seed uint64, count int) {
 	var running sync.WaitGroup
+	for entry := range c.f.o.Entries {
+		running.Go(func() { c.balance(ctx, entry+1) })
+	}
 	for i := range count {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		running.Go(func() {
@@ -119,7 +150,7 @@
 	c.bookings = append(c.bookings, b)
 	c.mu.Unlock()
 	for range tries {
-		a := c.send(b, rng.IntN(c.f.o.Entries)+1)
+		a := c.send(b, c.pick(rng))
 		if a.outcome == apperr.OutcomeDone {
 			break
 		}
@@ -129,14 +160,14 @@
 		time.Sleep(time.Duration(50+rng.IntN(300)) * time.Millisecond)
 	}
 	if b.keyed && b.is(apperr.OutcomeDone) && rng.IntN(10) == 0 {
-		c.send(b, rng.IntN(c.f.o.Entries)+1)
+		c.send(b, c.pick(rng))
 	}
 }
 
 // send makes one exchange.
 func (c *callers) send(b *booking, entry int) answer {
 	a := answer{entry: entry, from: time.Now()}
-	a.outcome, a.kind, a.whole, a.err = c.exchange(b, entry)
+	a.err = c.exchange(b, &a)
 	a.to = time.Now()
 	var op *net.OpError
 	a.refused = errors.As(a.err, &op) && op.Op == "dial"
@@ -146,15 +177,16 @@
 	return a
 }
 
-func (c *callers) exchange(b *booking, entry int) (apperr.Outcome, apperr.Kind, bool, error) {
+// exchange sends the booking and fills in the answer.
+func (c *callers) exchange(b *booking, a *answer) error {
 	body, err := json.Marshal(b.Booking)
 	if err != nil {
-		return "", "", false, err
+		return err
 	}
-	url := "http://" + c.f.d.Callers(entry) + "/v1/services/berth-check/bookings"
+	url := "http://" + c.f.d.Callers(a.entry) + "/v1/services/berth-check/bookings"
 	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return "", "", false, err
+		return err
 	}
 	// The transport must not repeat a booking on its own.
 	req.GetBody = nil
@@ -163,22 +195,24 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return "", "", false, err
+		return err
 	}
 	defer resp.Body.Close()
 	content, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return "", "", false, fmt.Errorf("body cut: %w", err)
+		return fmt.Errorf("body cut: %w", err)
 	}
-	outcome := apperr.Outcome(resp.Header.Get(apperr.HeaderOutcome))
-	if outcome == apperr.OutcomeDone && resp.StatusCode == http.StatusOK {
-		return outcome, "", true, standin.CheckBookingBody(b.ID, content)
+	a.outcome = apperr.Outcome(resp.Header.Get(apperr.HeaderOutcome))
+	if a.outcome == apperr.OutcomeDone && resp.StatusCode == http.StatusOK {
+		a.whole = true
+		return standin.CheckBookingBody(b.ID, content)
 	}
 	var e apperr.Body
 	if err := json.Unmarshal(content, &e); err != nil {
-		return outcome, "", false, fmt.Errorf("status %d without typed error: %w", resp.StatusCode, err)
+		return fmt.Errorf("status %d without typed error: %w", resp.StatusCode, err)
 	}
-	return outcome, e.Kind, false, nil
+	a.kind, a.problem = e.Kind, e.Message
+	return nil
 }
 
 // resolve repeats the keyed bookings whose outcome is open. Each has to become
@@ -218,8 +252,8 @@
 	c.f.t.Errorf("keyed booking %s stays open: %+v", b.ID, b.last())
 }
 
-// longestGap returns the longest time without a whole answer.
-func (c *callers) longestGap(from, to time.Time) time.Duration {
+// longestGap returns the longest time without a whole answer and its start.
+func (c *callers) longestGap(from, to time.Time) (time.Duration, time.Time) {
 	times := []time.Time{from, to}
 	for _, b := range c.bookings {
 		for _, a := range b.answers {
--- a/internal/e2e/chaos_test.go
+++ b/internal/e2e/chaos_test.go
@@ -11,7 +11,7 @@
 )
 
 // callerCount is the number of callers that book at the same time.
-const callerCount = 12
+const callerCount = 24
 
 // Guards against bookings that are lost, doubled, cut off or wrongly reported
 // as not run when entries, workers, shard owners and the platform are killed,
--- a/internal/e2e/reconcile_test.go
+++ b/internal/e2e/reconcile_test.go
@@ -9,13 +9,15 @@
 	"github.com/boragecrank/boragecrank/internal/localrun"
 )
 
-func widest(times []time.Time) time.Duration {
+// widest returns the longest time between two neighbours and its start.
+func widest(times []time.Time) (gap time.Duration, start time.Time) {
 	slices.SortFunc(times, time.Time.Compare)
-	var gap time.Duration
 	for i := 1; i < len(times); i++ {
-		gap = max(gap, times[i].Sub(times[i-1]))
+		if d := times[i].Sub(times[i-1]); d > gap {
+			gap, start = d, times[i-1]
+		}
 	}
-	return gap
+	return gap, start
 }
 
 // record is what one upstream ran.
@@ -117,11 +119,15 @@
 // figures logs what happened.
 func (c *callers) figures(records []record, from, to time.Time) {
 	outcomes := make(map[string]int)
+	problems := make(map[string]int)
 	exchanges, slowest := 0, time.Duration(0)
 	for _, b := range c.bookings {
 		exchanges += len(b.answers)
 		outcomes[c.verdict(b)]++
 		for _, a := range b.answers {
+			if a.problem != "" {
+				problems[string(a.outcome)+": "+a.problem]++
+			}
 			if a.whole {
 				slowest = max(slowest, a.to.Sub(a.from))
 			}
@@ -143,10 +149,14 @@
 	}
 	c.f.t.Logf("bookings %d, exchanges %d, runs %d, cut by killed workers %d", len(c.bookings), exchanges, runs, cut)
 	c.f.t.Logf("bookings by final outcome: %v", outcomes)
+	for p, n := range problems {
+		c.f.t.Logf("%5d times %s", n, p)
+	}
 	c.f.t.Logf("ran, never reported done, and one repeat reported not-run: %d", afterUnknown)
 	c.f.t.Logf("faults by kind: %v", c.f.faultCounts())
-	c.f.t.Logf("longest time without service %v, slowest whole answer %v",
-		c.longestGap(from, to).Round(time.Millisecond), slowest.Round(time.Millisecond))
+	gap, start := c.longestGap(from, to)
+	c.f.t.Logf("longest time without service %v from %.1f s on, slowest whole answer %v",
+		gap.Round(time.Millisecond), start.Sub(c.f.started).Seconds(), slowest.Round(time.Millisecond))
 }
 
 func (c *callers) verdict(b *booking) string {
