Measure memory, processor time, traffic and table calls of deployments

Control costs could not be read per process. Package benchsize starts deployments of several sizes and prints a table per role and slopes.

--- /dev/null
+++ b/internal/benchsize/cmd/main.go
@@ -0,0 +1,77 @@
+// Command cmd measures what control costs at several sizes; see package
+// benchsize. It prints tables and exits with 1 if a run failed.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/benchsize"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	b := &benchsize.Bench{Out: os.Stdout}
+	mode := flag.String("mode", "rest", "rest, wide, tasks, entry or churn")
+	sizes := flag.String("sizes", "1,2,4,8,16,32", "workers of the shard, for mode rest")
+	flag.StringVar(&b.Binary, "binary", "bin/boragecrank", "built command")
+	flag.IntVar(&b.Octet, "octet", 51, "second number of the loopback addresses")
+	flag.DurationVar(&b.Settle, "settle", 12*time.Second, "time before the first sample")
+	flag.DurationVar(&b.Window, "window", 20*time.Second, "time between the samples")
+	flag.Parse()
+	load, _ := os.ReadFile("/proc/loadavg")
+	fmt.Printf("mode %s, %s, load average %s", *mode, time.Now().Format(time.DateTime), load)
+	switch *mode {
+	case "rest":
+		return rest(ctx, b, *sizes)
+	case "wide":
+		return b.Wide(ctx)
+	case "tasks":
+		return b.Tasks(ctx)
+	case "entry":
+		return b.Entry(ctx)
+	case "churn":
+		return b.Churn(ctx)
+	default:
+		return fmt.Errorf("mode %q is not known", *mode)
+	}
+}
+
+// rest measures one shard of several sizes.
+func rest(ctx context.Context, b *benchsize.Bench, sizes string) error {
+	var workers []int
+	var lists [][]benchsize.Usage
+	for s := range strings.SplitSeq(sizes, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			return err
+		}
+		size := benchsize.Size{Entries: 1, Domains: 1, Workers: n}
+		list, err := b.Rest(ctx, size)
+		if err != nil {
+			return err
+		}
+		benchsize.Print(b.Out, size.String(), list)
+		workers, lists = append(workers, n), append(lists, list)
+	}
+	for _, role := range []benchsize.Role{benchsize.RoleEntry, benchsize.RoleMember, benchsize.RoleOwner, benchsize.RoleRelay} {
+		benchsize.PrintSlopes(b.Out, role, workers, lists)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/benchsize/usage.go
@@ -0,0 +1,128 @@
+package benchsize
+
+import (
+	"strings"
+)
+
+// Role of a process in the measurements.
+type Role string
+
+// Roles.
+const (
+	RoleEntry  Role = "entry"
+	RoleMember Role = "worker"
+	RoleOwner  Role = "owner"
+	RoleRelay  Role = "relay"
+)
+
+// Usage is what a process used between two samples. Rates are per second.
+type Usage struct {
+	Name string
+	Role Role
+	// Resident and Anonymous are bytes at the end.
+	Resident, Anonymous uint64
+	// Cores is the share of one core.
+	Cores float64
+	// Datagrams are those sent and received.
+	Datagrams float64
+	// DatagramBytes include the headers of UDP and IP, in both directions.
+	DatagramBytes float64
+	// CallBytes and TableBytes are bytes of calls between processes and to the
+	// table, in both directions, with HTTP headers and without those of TCP.
+	CallBytes, TableBytes float64
+	// RuntimeBytes stay on the VM.
+	RuntimeBytes float64
+	// Calls are successful and failed calls of the table by access and class.
+	Calls map[string]float64
+}
+
+// NetworkBytes is the traffic that leaves or reaches the VM.
+func (u *Usage) NetworkBytes() float64 {
+	return u.DatagramBytes + u.CallBytes + u.TableBytes
+}
+
+// Between returns the usage from one sample of a process to a later one.
+func Between(name string, a, b Sample) Usage {
+	seconds := b.At.Sub(a.At).Seconds()
+	rate := func(key string) float64 { return (b.Series[key] - a.Series[key]) / seconds }
+	channel := func(name string) float64 {
+		return rate(seriesName("network_bytes", map[string]string{"channel": name, "direction": "in"})) +
+			rate(seriesName("network_bytes", map[string]string{"channel": name, "direction": "out"}))
+	}
+	u := Usage{
+		Name: name, Role: roleOf(b), Resident: b.Resident, Anonymous: b.Anonymous,
+		Cores: (b.Processor - a.Processor).Seconds() / seconds,
+		Datagrams: rate(seriesName("datagrams", map[string]string{"direction": "in"})) +
+			rate(seriesName("datagrams", map[string]string{"direction": "out"})),
+		CallBytes: channel("calls"), TableBytes: channel("table"), RuntimeBytes: channel("runtime"),
+		Calls: make(map[string]float64),
+	}
+	u.DatagramBytes = channel("datagrams") + u.Datagrams*datagramHeaders
+	for key := range b.Series {
+		if r := rate(key); r > 0 && strings.HasPrefix(key, "store_calls") {
+			u.Calls[strings.TrimPrefix(key, "store_calls")] += r
+		}
+	}
+	return u
+}
+
+func roleOf(s Sample) Role {
+	role, worker := s.Series[seriesName("shard_role", nil)]
+	switch {
+	case !worker:
+		return RoleEntry
+	case role == 1:
+		return RoleOwner
+	case role == 2:
+		return RoleRelay
+	default:
+		return RoleMember
+	}
+}
+
+// Line is a least-squares fit of y = Base + Slope*x.
+type Line struct {
+	Base, Slope float64
+}
+
+// At returns the fitted value.
+func (l Line) At(x float64) float64 { return l.Base + l.Slope*x }
+
+// Fit returns the line through the points; with a single x the slope is 0.
+func Fit(x, y []float64) Line {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	spread := n*sxx - sx*sx
+	if n == 0 {
+		return Line{}
+	}
+	if spread == 0 {
+		return Line{Base: sy / n}
+	}
+	slope := (n*sxy - sx*sy) / spread
+	return Line{Base: (sy - slope*sx) / n, Slope: slope}
+}
+
+// Mean returns the mean of a quantity over the usages with a role, the largest
+// value, and their number.
+func Mean(list []Usage, role Role, quantity func(*Usage) float64) (mean, largest float64, n int) {
+	for i := range list {
+		if list[i].Role != role {
+			continue
+		}
+		v := quantity(&list[i])
+		mean += v
+		largest = max(largest, v)
+		n++
+	}
+	if n > 0 {
+		mean /= float64(n)
+	}
+	return mean, largest, n
+}
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/boragecrank/boragecrank/internal/settings"
 	"github.com/boragecrank/boragecrank/internal/store"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/traffic"
 	"github.com/boragecrank/boragecrank/internal/wire/datagram"
 	"github.com/boragecrank/boragecrank/internal/worker"
 )
@@ -99,7 +101,7 @@
 	if role == settings.RoleEntry {
 		limits = store.EntryLimits()
 	}
-	table := platform.NewHTTPTable(s.Platform.Table, platformClient())
+	table := platform.NewHTTPTable(s.Platform.Table, platformClient(&n.Traffic.Table))
 	p := &process{settings: s, node: n, store: store.New(table, store.Options{
 		Name: string(s.ID), Incarnation: n.Incarnation, Limits: limits, Scope: tel.Metrics, Logger: tel.Log,
 	})}
@@ -111,8 +113,8 @@
 	return tel.Close(closeCtx)
 }
 
-func platformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 60 * time.Second}}
+func platformClient(bytes *traffic.Counter) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: bytes.Dialer((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 16, IdleConnTimeout: 60 * time.Second}}
 }
 
 func addresses(list []netip.AddrPort) []string {
@@ -158,11 +160,10 @@
 	if err != nil {
 		return err
 	}
-	client := platformClient()
 	w := worker.New(p.node, worker.Options{
 		Local:      s.Listen.Announcements.String(),
-		Runtime:    platform.NewHTTPRuntime(s.Platform.Runtime, s.ID, client),
-		Objects:    platform.NewHTTPObjects(s.Platform.Objects, client),
+		Runtime:    platform.NewHTTPRuntime(s.Platform.Runtime, s.ID, platformClient(&p.node.Traffic.Runtime)),
+		Objects:    platform.NewHTTPObjects(s.Platform.Objects, platformClient(&p.node.Traffic.Table)),
 		DrainDelay: s.Drain.Delay,
 		Membership: owner.MembershipConfig(),
 	})
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -27,6 +27,9 @@
 	HeaderBytes int
 	// Connections bounds the open connections; further ones wait to be accepted.
 	Connections int
+	// Wrap is applied to each accepted connection, for example to count its
+	// bytes; nil leaves connections as they are.
+	Wrap func(net.Conn) net.Conn
 }
 
 // DefaultLimits suit an entry with a few thousand callers.
@@ -64,7 +67,7 @@
 			IdleTimeout:       l.Idle,
 			MaxHeaderBytes:    l.HeaderBytes,
 		},
-		listener: limitListener(inner, l.Connections),
+		listener: limitListener(wrapListener(inner, l.Wrap), l.Connections),
 		done:     make(chan error, 1),
 	}
 	go func() { s.done <- s.http.Serve(s.listener) }()
@@ -138,3 +141,24 @@
 	c.once.Do(c.release)
 	return err
 }
+
+// wrapListener applies a function to each accepted connection.
+func wrapListener(inner net.Listener, wrap func(net.Conn) net.Conn) net.Listener {
+	if wrap == nil {
+		return inner
+	}
+	return &wrapped{Listener: inner, wrap: wrap}
+}
+
+type wrapped struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (w *wrapped) Accept() (net.Conn, error) {
+	conn, err := w.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return w.wrap(conn), nil
+}
--- a/internal/localrun/localrun.go
+++ b/internal/localrun/localrun.go
@@ -113,6 +113,24 @@
 	return fmt.Sprintf("127.%d.%d.%d:7002", d.opts.Octet, domain, worker)
 }
 
+// Internal returns the internal address of a worker.
+func (d *Deployment) Internal(domain, worker int) string {
+	return fmt.Sprintf("127.%d.%d.%d:7001", d.opts.Octet, domain, worker)
+}
+
+// EntryMetrics returns the URL of an entry's metrics.
+func (d *Deployment) EntryMetrics(entry int) string {
+	return "http://" + d.Operators(entry) + "/metrics"
+}
+
+// WorkerMetrics returns the URL of a worker's metrics.
+func (d *Deployment) WorkerMetrics(domain, worker int) string {
+	return "http://" + d.announcements(domain, worker) + "/metrics"
+}
+
+// Options returns the options of the deployment.
+func (d *Deployment) Options() Options { return d.opts }
+
 // EntryName returns the name of an entry.
 func EntryName(entry int) string { return fmt.Sprintf("entry-%d", entry) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/httpserve"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
+	"github.com/boragecrank/boragecrank/internal/traffic"
 	"github.com/boragecrank/boragecrank/internal/udp"
 	"github.com/boragecrank/boragecrank/internal/wire/callauth"
 	"github.com/boragecrank/boragecrank/internal/wire/datagram"
@@ -62,6 +63,8 @@
 	Actors      *actors.System
 	// Calls signs and sends calls to other processes.
 	Calls *http.Client
+	// Traffic counts the bytes of calls and of the platform's services.
+	Traffic *Traffic
 	// Mux serves authenticated calls; roles add their services before Serve.
 	Mux    *http.ServeMux
 	server *httpserve.Server
@@ -85,8 +88,10 @@
 		Socket:      socket,
 		Actors:      actors.NewSystem(),
 		Mux:         http.NewServeMux(),
-		Calls:       newCallClient(o.Key),
+		Traffic:     &Traffic{},
 	}
+	n.Calls = newCallClient(o.Key, &n.Traffic.Calls)
+	n.registerTraffic()
 	n.Config.Watch(n.learnNames)
 	service := wirepb.NewConfigServiceServer(configService{n})
 	n.Mux.Handle(service.PathPrefix(), service)
@@ -95,9 +100,9 @@
 
 // newCallClient returns a client whose connections are kept per peer. Calls are
 // never repeated by the transport (package callauth).
-func newCallClient(key []byte) *http.Client {
+func newCallClient(key []byte, bytes *traffic.Counter) *http.Client {
 	base := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         bytes.Dialer((&net.Dialer{Timeout: time.Second}).DialContext),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     60 * time.Second,
 	}
@@ -107,6 +112,7 @@
 // Serve starts the server for calls and handles datagrams until Close.
 func (n *Node) Serve(handle udp.Handler) error {
 	limits := httpserve.DefaultLimits()
+	limits.Wrap = n.Traffic.Calls.Conn
 	limits.Read, limits.Write = 2*time.Minute, 2*time.Minute
 	// Calls also arrive for requests that run long at an upstream.
 	server, err := httpserve.Listen(n.Internal, callauth.Middleware(n.Key, MaxCallBody, n.Mux), limits)
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -88,6 +89,8 @@
 	node  *node.Node
 	tel   *telemetry.Telemetry
 	state *actors.Owner[*hostState]
+	// role is read by the metrics.
+	role atomic.Int32
 
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -146,6 +149,8 @@
 	h.state = owner
 	service := wirepb.NewOwnerServiceServer(rpc{h})
 	n.Mux.Handle(service.PathPrefix(), service)
+	n.Telemetry.GaugeFunc("shard_role", "0 for a member, 1 for the owner, 2 for the relay.", nil,
+		func() float64 { return float64(h.role.Load()) })
 	return h, nil
 }
 
@@ -218,6 +223,7 @@
 
 // tick does what is due.
 func (s *hostState) tick(now time.Duration) {
+	s.h.role.Store(s.roleNumber())
 	s.tickLease(now)
 	if s.term != nil {
 		s.poll(now)
@@ -240,3 +246,21 @@
 	}
 	return s.members
 }
+
+// Values of the metric shard_role.
+const (
+	roleMember = iota
+	roleOwner
+	roleRelay
+)
+
+func (s *hostState) roleNumber() int32 {
+	switch {
+	case s.term != nil:
+		return roleOwner
+	case s.relay != nil:
+		return roleRelay
+	default:
+		return roleMember
+	}
+}
--- a/internal/telemetry/setup.go
+++ b/internal/telemetry/setup.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"time"
@@ -20,6 +21,9 @@
 	"go.opentelemetry.io/otel/trace/noop"
 )
 
+// metricsPrefix starts the names of all metrics.
+const metricsPrefix = "boragecrank"
+
 // metricsInterval is how often tally reports counters to the reporter.
 const metricsInterval = time.Second
 
@@ -50,9 +54,38 @@
 	Tracer  trace.Tracer
 	// MetricsHandler serves the metrics in the text format of Prometheus.
 	MetricsHandler http.Handler
+	registry       *prometheus.Registry
+	role           string
 	closers        []func(context.Context) error
 }
 
+// Labels name the values of one series of a metric.
+type Labels map[string]string
+
+// CounterFunc registers a counter whose value is read when the metrics are, at
+// no cost in between. A series must be registered once.
+func (t *Telemetry) CounterFunc(name, help string, labels Labels, value func() uint64) {
+	t.register(prometheus.NewCounterFunc(prometheus.CounterOpts(t.opts(name, help, labels)),
+		func() float64 { return float64(value()) }))
+}
+
+// GaugeFunc registers a gauge in the same way as CounterFunc.
+func (t *Telemetry) GaugeFunc(name, help string, labels Labels, value func() float64) {
+	t.register(prometheus.NewGaugeFunc(prometheus.GaugeOpts(t.opts(name, help, labels)), value))
+}
+
+func (t *Telemetry) opts(name, help string, labels Labels) prometheus.Opts {
+	all := prometheus.Labels{"role": t.role}
+	maps.Copy(all, labels)
+	return prometheus.Opts{Namespace: metricsPrefix, Name: name, Help: help, ConstLabels: all}
+}
+
+func (t *Telemetry) register(c prometheus.Collector) {
+	if t.registry != nil {
+		t.registry.MustRegister(c)
+	}
+}
+
 // Setup builds the telemetry of a process.
 func Setup(o Options) (*Telemetry, error) {
 	log, err := newLogrus(o)
@@ -108,12 +141,13 @@
 
 func (t *Telemetry) setupMetrics(o Options) {
 	registry := prometheus.NewRegistry()
+	t.registry, t.role = registry, o.Role
 	reporter := tallyprom.NewReporter(tallyprom.Options{
 		Registerer: registry,
 		Gatherer:   registry,
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "boragecrank",
+		Prefix:                 metricsPrefix,
 		Tags:                   map[string]string{"role": o.Role},
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
