Read the lease row again after a lost takeover

A candidate that lost the race for a lease repeated its compare-and-set on the outdated row for ever and never learned who the owner is, so it sent no heartbeats.

--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -121,6 +121,8 @@
 	nextObserve time.Duration
 	ownerHeard  time.Duration
 	leaseBusy   bool
+	// rereadLease is set after a takeover that failed.
+	rereadLease bool
 
 	term  *term
 	relay *relay
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -25,7 +25,7 @@
 	if s.relay == nil && now-s.ownerHeard < ownerSilence {
 		return
 	}
-	if t, ok := s.observer.TryTakeover(now, s.live()); ok {
+	if t, ok := s.observer.TryTakeover(now, s.live()); ok && !s.rereadLease {
 		s.takeOver(t)
 		return
 	}
@@ -48,6 +48,7 @@
 			if err != nil {
 				return
 			}
+			s.rereadLease = false
 			h.node.Config.TableReached(at)
 			row, exists := decodeLease(rows[0])
 			s.observer.Observe(row, rows[0].Revision, exists, at, s.rng)
@@ -107,7 +108,11 @@
 			s.nextObserve = 0
 			if committed {
 				s.begin(row, revision, sentAt)
+				return
 			}
+			// The observed row is out of date or its state unknown. Another
+			// attempt on it would fail again, as often as the store allows.
+			s.rereadLease = true
 		}
 	})
 }
--- /dev/null
+++ b/internal/owner/takeover_test.go
@@ -0,0 +1,74 @@
+package owner
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/node"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/standin"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// racedTable lets another candidate take the lease just before the first
+// takeover arrives, and counts the takeovers.
+type racedTable struct {
+	*standin.Table
+	winner  []byte
+	commits atomic.Int32
+}
+
+func (r *racedTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if r.commits.Add(1) == 1 {
+		_, err := r.Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: lease.Key("s"), Value: r.winner}}})
+		if err != nil {
+			return platform.TxnResult{}, err
+		}
+	}
+	return r.Table.Commit(ctx, txn)
+}
+
+// Guards against a candidate that lost the race for the lease and repeats its
+// compare-and-set on the outdated row for ever, without learning the owner.
+func TestLostTakeoverReadsTheRowAgain(t *testing.T) {
+	winner := lease.Row{Shard: "s", Owner: "other", Incarnation: 7, Epoch: 1, Address: "127.51.250.2:7001"}
+	value, err := winner.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := &racedTable{Table: standin.NewTable(), winner: value}
+	n, err := node.New(node.Options{Name: "self", Internal: "127.51.250.1:0", Key: []byte("0123456789abcdef0123456789abcdef"), Telemetry: telemetry.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := make(chan netip.AddrPort, 16)
+	h, err := NewHost(n, Options{Shard: "s", Lease: table, Table: table, OwnerKnown: func(a netip.AddrPort) {
+		select {
+		case known <- a:
+		default:
+		}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Start(t.Context())
+	select {
+	case a := <-known:
+		if a.String() != winner.Address {
+			t.Errorf("owner at %s, want %s", a, winner.Address)
+		}
+	case <-time.After(ownerSilence + 4*time.Second):
+		t.Error("the owner is not known after a lost takeover")
+	}
+	if c := table.commits.Load(); c != 1 {
+		t.Errorf("%d takeovers were sent, want 1", c)
+	}
+	h.Shutdown(context.Background())
+	if err := n.Shutdown(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
