--- a/internal/benchsize/rest.go
+++ b/internal/benchsize/rest.go
@@ -105,8 +105,8 @@
 	// and reports exchanged by then.
 	Settle, Window time.Duration
 	Out            io.Writer
-	// Work replaces the default services and jobs.
-	Work string
+	// Work and Rules replace the default services, jobs and rules.
+	Work, Rules string
 }
 
 // With runs f on a started deployment and ends its processes.
@@ -118,7 +118,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	d, err := localrun.New(localrun.Options{
 		Binary: b.Binary, Dir: dir, Octet: b.Octet,
-		Entries: s.Entries, Domains: s.Domains, Workers: s.Workers, Work: b.Work,
+		Entries: s.Entries, Domains: s.Domains, Workers: s.Workers, Work: b.Work, Rules: b.Rules,
 	})
 	if err != nil {
 		return err
--- a/internal/localrun/localrun.go
+++ b/internal/localrun/localrun.go
@@ -118,6 +118,19 @@
 	return fmt.Sprintf("127.%d.%d.%d:7001", d.opts.Octet, domain, worker)
 }
 
+// AddressOf returns the internal address of the worker with the name.
+func AddressOf(d *Deployment, name string) string {
+	var domain, worker int
+	// A name of another form gives an address that cannot be bound.
+	_, _ = fmt.Sscanf(name, "d%d-%d", &domain, &worker)
+	return d.Internal(domain, worker)
+}
+
+// EntryInternal returns the internal address of an entry.
+func (d *Deployment) EntryInternal(entry int) string {
+	return fmt.Sprintf("127.%d.0.%d:7001", d.opts.Octet, entry)
+}
+
 // EntryMetrics returns the URL of an entry's metrics.
 func (d *Deployment) EntryMetrics(entry int) string {
 	return "http://" + d.Operators(entry) + "/metrics"
