--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS ?= $(CURDIR)/.tools
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test lint fmt generate check-examples clean
+.PHONY: build test lint fmt generate check-examples bench-policy clean
 
 build:
 	go build -o $(BIN) ./cmd/boragecrank
@@ -30,5 +30,9 @@
 generate:
 	cd internal/wire && go tool -modfile=$(CURDIR)/tools/go.mod buf generate
 
+# Policy core against baselines and ablations, 20 seeds; docs/POLICY.md.
+bench-policy:
+	go run ./internal/benchpolicy/cmd
+
 clean:
 	rm -rf bin
--- a/internal/benchpolicy/actions.go
+++ b/internal/benchpolicy/actions.go
@@ -16,9 +16,10 @@
 		t.failsAt = now + 5*time.Second + time.Duration(s.noise.IntN(15))*time.Second
 	}
 	s.vms[vm].running = append(s.vms[vm].running, t)
-	if t.urgent && t.failures == 0 && t.evictions == 0 {
+	if t.urgent && !t.started {
 		s.urgentStart = append(s.urgentStart, now-t.arrival+after+commitDelay)
 	}
+	t.started = true
 }
 
 // stop takes a task off its VM. Without a checkpoint its progress falls back.
@@ -84,7 +85,7 @@
 		r.UrgentStart = s.urgentStart[(n-1)*99/100]
 	}
 	for _, t := range s.w.tasks {
-		if t.urgent && t.state == waiting && t.failures == 0 && t.evictions == 0 {
+		if t.urgent && t.state == waiting && !t.started {
 			r.UrgentStart = max(r.UrgentStart, nightLength-t.arrival)
 		}
 	}
--- a/internal/benchpolicy/own.go
+++ b/internal/benchpolicy/own.go
@@ -132,6 +132,11 @@
 
 func (o *own) arrive(now time.Duration, t *task) {
 	o.byID[t.id] = t
+	declared := placement.Request{Task: t.id, Size: t.declared}
+	if c, _ := o.state.Feasible(&declared); c != placement.NoConstraint {
+		o.s.refuse(t)
+		return
+	}
 	if t.gang > 0 {
 		o.gangs[t.job] = append(o.gangs[t.job], t)
 		if len(o.gangs[t.job]) < t.gang {
--- a/internal/benchpolicy/run.go
+++ b/internal/benchpolicy/run.go
@@ -1,7 +1,6 @@
 package benchpolicy
 
 import (
-	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -135,18 +134,3 @@
 		fmt.Fprintln(w)
 	}
 }
-
-// bestBaseline returns the smallest (or largest) median among the baselines.
-func bestBaseline(series []Series, c *column) float64 {
-	var best []float64
-	for _, s := range series {
-		if s.Contender.Baseline {
-			mid, _ := c.summary(s.Results)
-			best = append(best, mid)
-		}
-	}
-	if c.worstHigh {
-		return slices.MinFunc(best, cmp.Compare[float64])
-	}
-	return slices.MaxFunc(best, cmp.Compare[float64])
-}
--- /dev/null
+++ b/internal/benchpolicy/targets.go
@@ -0,0 +1,79 @@
+package benchpolicy
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+)
+
+// ownName is the contender that the targets are for.
+const ownName = "boragecrank"
+
+func columnOf(name string) *column {
+	for i := range columns {
+		if columns[i].name == name {
+			return &columns[i]
+		}
+	}
+	panic("unknown column " + name)
+}
+
+// bestBaseline returns the best median of a column among the baselines.
+func bestBaseline(series []Series, c *column) float64 {
+	var medians []float64
+	for _, s := range series {
+		if s.Contender.Baseline {
+			mid, _ := c.summary(s.Results)
+			medians = append(medians, mid)
+		}
+	}
+	if c.worstHigh {
+		return slices.MinFunc(medians, cmp.Compare[float64])
+	}
+	return slices.MaxFunc(medians, cmp.Compare[float64])
+}
+
+// own returns the project's own median and worst of a column.
+func ownSummary(series []Series, c *column) (mid, worst float64) {
+	for _, s := range series {
+		if s.Contender.Name == ownName {
+			return c.summary(s.Results)
+		}
+	}
+	return 0, 0
+}
+
+// PrintTargets compares medians with the targets, each against the best
+// baseline in that measure, which may be another one for each line.
+func PrintTargets(w io.Writer, d *Deployment, series []Series) {
+	ratio := func(name string) (own, base float64) {
+		c := columnOf(name)
+		own, _ = ownSummary(series, c)
+		return own, bestBaseline(series, c)
+	}
+	line := func(ok bool, format string, args ...any) {
+		verdict := "met"
+		if !ok {
+			verdict = "MISSED"
+		}
+		fmt.Fprintf(w, "- %s: %s\n", verdict, fmt.Sprintf(format, args...))
+	}
+	fmt.Fprintln(w)
+	own, base := ratio("wave p99")
+	batch, batchBase := ratio("batch done")
+	if d.Weights.TailLatency > d.Weights.Eviction {
+		line(base/own >= 2, "p99 of urgent requests in waves lower by a factor of 2: %.2f s against %.2f s, factor %.2f", own, base, base/own)
+		line(batch >= 0.95*batchBase, "batch work within 5%% of the best baseline: %.1f%% against %.1f%%", batch, batchBase)
+	} else {
+		line(own <= base, "p99 of urgent requests in waves no worse: %.2f s against %.2f s", own, base)
+		own, base = ratio("evictions")
+		line(base >= 3*own, "evictions lower by a factor of 3: %.0f against %.0f", own, base)
+	}
+	mid, worst := ownSummary(series, columnOf("unfinished"))
+	line(worst == 0, "every task that can finish by morning finishes: unfinished median %.0f, worst %.0f", mid, worst)
+	_, worst = ownSummary(series, columnOf("overfilled"))
+	line(worst == 0, "no VM overfilled by reserved size: worst %.0f", worst)
+	_, worst = ownSummary(series, columnOf("urgent start"))
+	line(worst <= urgentLimit.Seconds(), "urgent work starts within %v: worst night's p99 %.1f s", urgentLimit, worst)
+}
--- a/internal/benchpolicy/workload.go
+++ b/internal/benchpolicy/workload.go
@@ -35,6 +35,16 @@
 	// ServiceSize is what the urgent service reserves on each VM; its slots
 	// use that much when all are busy.
 	ServiceSize types.Resources
+	// Load scales the amount of batch work, Waves what noisy kinds add in
+	// their waves; zero means 1.
+	Load, Waves float64
+}
+
+func orOne(v float64) float64 {
+	if v == 0 {
+		return 1
+	}
+	return v
 }
 
 const (
@@ -107,6 +117,7 @@
 	deadline time.Duration
 
 	state     taskState
+	started   bool // at least once
 	vm        int
 	startedAt time.Duration
 	readyAt   time.Duration // waits until then: back-off or a pause in a move
@@ -157,7 +168,7 @@
 	for i := range kindCount {
 		w.kinds = append(w.kinds, makeKind(rng, d, i))
 	}
-	bulk := batchLoad * float64(vmCount*d.Cores) * (nightLength - bulkArrives).Hours()
+	bulk := orOne(d.Load) * batchLoad * float64(vmCount*d.Cores) * (nightLength - bulkArrives).Hours()
 	for done := 0.0; done < bulk; {
 		done += w.addJob(rng, d)
 	}
@@ -185,7 +196,7 @@
 	if i < noisyKinds {
 		// A task on an eighth of a VM doubles or triples the service time. With
 		// 4 to 8, no policy showed more than a third of added tail latency.
-		k.waveHarm = 8 + 12*rng.Float64()
+		k.waveHarm = orOne(d.Waves) * (8 + 12*rng.Float64())
 		for at := exponential(rng, 30*time.Minute); at < nightLength; at += 20*time.Minute + exponential(rng, 30*time.Minute) {
 			length := 5*time.Minute + time.Duration(rng.Int64N(int64(10*time.Minute)))
 			k.waves = append(k.waves, span{at, at + length})
--- a/internal/core/interference/control.go
+++ b/internal/core/interference/control.go
@@ -115,7 +115,7 @@
 
 type vmControl struct {
 	services map[types.ServiceName]*reading
-	stage    map[string]int // throttle stage per kind
+	stage    map[string]int // throttle stage per kind, none at full speed
 	high     int
 	// pending is set when new measurements call for a decision.
 	escalate, relax bool
@@ -239,7 +239,7 @@
 	if !v.low {
 		v.low, v.lowSince = true, now
 	}
-	v.relax = now-v.lowSince >= relaxHold
+	v.relax = len(v.stage) > 0 && now-v.lowSince >= relaxHold
 }
 
 // Pressure returns the VM's last pressure: 0 for no slowdown, 1 for the
@@ -435,12 +435,15 @@
 		if pressure > c.low || gain[k] > harmless && now-v.lowSince < v.hold {
 			break
 		}
-		v.stage[k] = 0
+		delete(v.stage, k)
 		out = append(out, throttleKind(tasks, k, 1)...)
 	}
 	if len(out) == 0 && now-v.lowSince >= v.hold {
 		v.stage[kinds[0]]--
 		out = throttleKind(tasks, kinds[0], c.factor(v.stage[kinds[0]]))
+		if v.stage[kinds[0]] == 0 {
+			delete(v.stage, kinds[0])
+		}
 	}
 	if len(out) > 0 {
 		v.relaxedAt = now
--- a/internal/core/interference/model.go
+++ b/internal/core/interference/model.go
@@ -45,6 +45,9 @@
 	// history is how long occupancy is kept for late measurements, which are
 	// up to 30 s late and cover up to 10 s.
 	history = 60 * time.Second
+	// mergeWithin is the time within which changes of one kind count as one,
+	// which bounds the log when many short tasks start.
+	mergeWithin = time.Second
 	// priorMean and priorVar describe a pairing without measurements: the
 	// slowdown added by a VM full of the kind.
 	priorMean = 0.3
@@ -168,7 +171,12 @@
 	for drop < len(o.changes) && o.changes[drop].at < now-history {
 		drop++
 	}
-	o.changes = append(slices.Delete(o.changes, 0, drop), change{now, kind, delta})
+	o.changes = slices.Delete(o.changes, 0, drop)
+	if n := len(o.changes); n > 0 && o.changes[n-1].kind == kind && now-o.changes[n-1].at < mergeWithin {
+		o.changes[n-1].delta += delta
+		return
+	}
+	o.changes = append(o.changes, change{now, kind, delta})
 }
 
 // Forget drops what ran on a VM, for example when the VM died.
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -131,6 +131,21 @@
 	return share
 }
 
+// Feasible names the constraint that no VM of the state can ever meet for r,
+// with the most that allowed VMs offer, or returns NoConstraint. Call it with
+// the declared size when a job is submitted: sizes learned from other jobs of
+// the kind may be smaller.
+func (s *State) Feasible(r *Request) (Constraint, types.Resources) {
+	s.rebuild()
+	if r.Size.Negative() {
+		return ConstraintInvalid, types.Resources{}
+	}
+	if r.Quota.Limited && !r.Size.Fits(r.Quota.Total) {
+		return ConstraintQuota, r.Quota.Total
+	}
+	return s.infeasible(r)
+}
+
 // infeasible names the constraint that no VM of the state can ever meet, with
 // the most that allowed VMs offer. Unusable VMs count, since they may return.
 func (s *State) infeasible(r *Request) (Constraint, types.Resources) {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -71,6 +71,9 @@
 			if d.Outcome != Infeasible || d.Binding != c.want {
 				t.Fatalf("got %v bound by %v, want infeasible by %v", d.Outcome, d.Binding, c.want)
 			}
+			if got, _ := testState(11, Options{}).Feasible(&r); got != c.want {
+				t.Fatalf("Feasible says %v, want %v", got, c.want)
+			}
 		})
 	}
 }
@@ -217,3 +220,68 @@
 		t.Fatalf("%v allocations per decision, want 0", n)
 	}
 }
+
+// Guards against batch work filling the room that is kept for urgent work, and
+// against small shards giving up a large share of their VMs.
+func TestHeadroomIsKept(t *testing.T) {
+	s := testState(8, Options{})
+	s.SetHeadroom(size(6, 8), 2)
+	for i := 0; ; i++ {
+		r := batch(fmt.Sprint("b", i), size(2, 2))
+		d := s.Place(0, &r)
+		if d.Outcome != Placed {
+			break
+		}
+		start(t, s, 0, r, d.VM)
+	}
+	if got, want := s.Len(), 8*8-2*3; got != want {
+		t.Errorf("%d batch tasks placed, want %d", got, want)
+	}
+	for i := range 2 {
+		r := batch(fmt.Sprint("u", i), size(6, 8))
+		r.Urgent = true
+		d := s.Place(0, &r)
+		if d.Outcome != Placed {
+			t.Fatalf("urgent request %d: %+v", i, d)
+		}
+		start(t, s, 0, r, d.VM)
+	}
+	small := testState(3, Options{})
+	small.SetHeadroom(size(16, 60), 2)
+	r := batch("whole", size(16, 8))
+	for i := range 3 {
+		r.Task = types.TaskID(fmt.Sprint(i))
+		d := small.Place(0, &r)
+		if d.Outcome != Placed {
+			t.Fatalf("task %d on a shard of three: %+v", i, d)
+		}
+		start(t, small, 0, r, d.VM)
+	}
+}
+
+// Guards against parked requests being lost, returned before Unpark, or
+// returned after they were cancelled.
+func TestQueueParks(t *testing.T) {
+	var q Queue
+	for _, id := range []string{"a", "b", "c"} {
+		r := batch(id, size(1, 1))
+		r.Deadline = 9 * time.Hour
+		q.Push(r)
+	}
+	for range 3 {
+		r, _ := q.Pop(0)
+		q.Park(r)
+	}
+	if r, ok := q.Pop(0); ok {
+		t.Fatalf("parked request %s returned", r.Task)
+	}
+	q.Remove("b")
+	q.Unpark()
+	var got []types.TaskID
+	for r, ok := q.Pop(0); ok; r, ok = q.Pop(0) {
+		got = append(got, r.Task)
+	}
+	if !slices.Equal(got, []types.TaskID{"a", "c"}) {
+		t.Fatalf("after Unpark got %v", got)
+	}
+}
