--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS ?= $(CURDIR)/.tools
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build run test lint fmt generate events clean
+.PHONY: build run test lint fmt generate events bench-policy bench-size soak clean
 
 build:
 	go build -o $(BIN) ./cmd/boragecrank
@@ -39,5 +39,9 @@
 	go run ./cmd/boragecrank events --markdown > docs/EVENTS.md.new
 	mv docs/EVENTS.md.new docs/EVENTS.md
 
+# Policy core against baselines and ablations, 20 seeds; docs/POLICY.md.
+bench-policy:
+	go run ./internal/benchpolicy/cmd
+
 clean:
 	rm -rf bin
