Keep callers' paths escaped, type all edge errors, drop ended incarnations

A%2FB named another resource, and %0a or %25zz made every attempt fail as if the worker had failed, so one caller could get healthy workers ejected. It now stays escaped. - Unknown paths and headers over the limit got untyped errors.

--- /dev/null
+++ b/internal/e2e/edges_test.go
@@ -0,0 +1,181 @@
+package e2e
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/localrun"
+	"github.com/boragecrank/boragecrank/internal/wire/callauth"
+	"github.com/boragecrank/boragecrank/internal/wire/runcall"
+)
+
+const bookingPath = "/v1/services/berth-check/bookings"
+
+// plain sends a request and returns status, outcome and typed error.
+func plain(t *testing.T, method, url, body string, header ...string) (int, apperr.Outcome, apperr.Body) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return typed(t, resp)
+}
+
+func typed(t *testing.T, resp *http.Response) (int, apperr.Outcome, apperr.Body) {
+	t.Helper()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var e apperr.Body
+	outcome := apperr.Outcome(resp.Header.Get(apperr.HeaderOutcome))
+	// With the outcome done the body is the upstream's.
+	if resp.StatusCode >= http.StatusBadRequest && outcome != apperr.OutcomeDone {
+		if err := json.Unmarshal(content, &e); err != nil {
+			t.Errorf("status %d with untyped body %.200q", resp.StatusCode, content)
+		}
+	}
+	return resp.StatusCode, outcome, e
+}
+
+// Guards against input that gets an untyped error, is run in spite of an
+// error, or makes the entry take healthy workers for failed ones.
+func TestBadInput(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	f := startFleet(t, localrun.Options{Octet: octetEdges, Entries: 1, Domains: 1, Workers: 2, Upstreams: true})
+	c := newCallers(f)
+	awaitService(t, c)
+	before := f.totalRuns()
+	base := "http://" + f.d.Callers(1)
+	internal := "http://" + strings.Replace(f.d.Upstream(1, 1), ":8000", ":7001", 1)
+	api := "http://" + f.d.Operators(1)
+	auth := []string{"Authorization", "Bearer " + localrun.Token}
+	long := strings.Repeat("x", 9<<20)
+	cases := []struct {
+		name, method, url, body string
+		header                  []string
+		status                  int
+		kind                    apperr.Kind
+		outcome                 apperr.Outcome
+	}{
+		{"body over the limit", "POST", base + bookingPath, long, nil, 413, apperr.KindTooLarge, apperr.OutcomeNotRun},
+		{"headers over the limit", "POST", base + bookingPath, "{}", []string{"X-Long", long[:34<<10]}, 413, apperr.KindTooLarge, apperr.OutcomeNotRun},
+		{"unknown service", "POST", base + "/v1/services/none/bookings", "{}", nil, 404, apperr.KindNotFound, apperr.OutcomeNotRun},
+		{"long key", "POST", base + bookingPath, "{}", []string{"Idempotency-Key", long[:300]}, 400, apperr.KindInvalid, apperr.OutcomeNotRun},
+		{"unknown path", "POST", base + "/v2", "{}", nil, 404, apperr.KindNotFound, apperr.OutcomeNotRun},
+		{"no token", "GET", api + "/v1/status", "", nil, 401, apperr.KindUnauthorized, ""},
+		{"wrong token", "GET", api + "/v1/status", "", []string{"Authorization", "Bearer no"}, 401, apperr.KindUnauthorized, ""},
+		{"unknown operators' path", "GET", api + "/v1/none", "", auth, 404, apperr.KindNotFound, ""},
+		{"job that is not JSON", "POST", api + "/v1/jobs", "{", auth, 400, apperr.KindInvalid, ""},
+		{"configuration over the limit", "PUT", api + "/v1/config", long, append([]string{"If-Match", "1"}, auth...), 413, apperr.KindTooLarge, ""},
+		{"call without authentication", "POST", internal + runcall.PathPrefix + "berth-check", "{}", nil, 401, apperr.KindUnauthorized, ""},
+		{"call with wrong authentication", "POST", internal + runcall.PathPrefix + "berth-check", "{}", []string{callauth.Header, strings.Repeat("00", 32)}, 401, apperr.KindUnauthorized, ""},
+		{"call over the limit", "POST", internal + runcall.PathPrefix + "berth-check", long + long, nil, 413, apperr.KindTooLarge, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			status, outcome, e := plain(t, tc.method, tc.url, tc.body, tc.header...)
+			if status != tc.status || e.Kind != tc.kind || outcome != tc.outcome {
+				t.Errorf("status %d, kind %q, outcome %q (%s); want %d, %q, %q", status, e.Kind, outcome, e.Message, tc.status, tc.kind, tc.outcome)
+			}
+			if e.Object == "" || e.Message == "" || e.Remedy == "" {
+				t.Errorf("error without object, problem or remedy: %+v", e)
+			}
+		})
+	}
+	t.Run("cut body", func(t *testing.T) { cutBody(t, f) })
+	t.Run("long headers within the limit", func(t *testing.T) {
+		for range 20 {
+			if status, outcome, e := plain(t, "POST", base+bookingPath, "not JSON", "X-Long", long[:31<<10]); outcome != apperr.OutcomeDone || status != 400 {
+				t.Fatalf("status %d, outcome %q, %+v; want the upstream's answer 400", status, outcome, e)
+			}
+		}
+	})
+	t.Run("path with escapes", func(t *testing.T) {
+		for _, path := range []string{"%0a", "%25zz", "a%2Fb", "a%20b%3Fc"} {
+			for range 6 {
+				status, outcome, e := plain(t, "POST", base+"/v1/services/berth-check/"+path, "{}")
+				if outcome != apperr.OutcomeDone || status != 404 {
+					t.Fatalf("path %s: status %d, outcome %q, %+v; want the upstream's answer 404", path, status, outcome, e)
+				}
+			}
+		}
+	})
+	t.Run("slow callers", func(t *testing.T) { slowCallers(t, c) })
+	if got := f.totalRuns(); got != before+slowBookings {
+		t.Errorf("%d bookings ran, want %d", got-before, slowBookings)
+	}
+}
+
+func (f *fleet) totalRuns() int {
+	n := 0
+	for _, r := range f.records() {
+		n += len(r.runs)
+	}
+	return n
+}
+
+// open starts a booking of a declared length without sending its whole body.
+func open(t *testing.T, f *fleet, id string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.d.Callers(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{\"id\":%q", bookingPath, id); err != nil {
+		t.Fatal(err)
+	}
+	return conn.(*net.TCPConn)
+}
+
+func cutBody(t *testing.T, f *fleet) {
+	conn := open(t, f, "cut")
+	if err := conn.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	status, outcome, e := typed(t, resp)
+	if status != 400 || e.Kind != apperr.KindInvalid || outcome != apperr.OutcomeNotRun {
+		t.Errorf("status %d, outcome %q, %+v; want 400 invalid not-run", status, outcome, e)
+	}
+}
+
+// slowBookings are sent while slow callers are connected.
+const slowBookings = 20
+
+// slowCallers opens more unfinished requests than there are slots.
+func slowCallers(t *testing.T, c *callers) {
+	for i := range 60 {
+		open(t, c.f, fmt.Sprintf("slow-%d", i))
+	}
+	for i := range slowBookings {
+		b := &booking{}
+		b.ID = fmt.Sprintf("beside-slow-%d", i)
+		if a := c.send(b, 1); !a.whole || a.to.Sub(a.from) > time.Second {
+			t.Errorf("booking beside slow callers: %+v after %v", a, a.to.Sub(a.from))
+		}
+	}
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -94,9 +95,15 @@
 	}, nil
 }
 
-// upstreamPath is what follows the service's name, with the query.
+// upstreamPath is what follows the service's name, with the query. It stays
+// escaped: a decoded path could name another resource or hold characters that
+// no header carries.
 func upstreamPath(r *http.Request) string {
-	path := "/" + r.PathValue("path")
+	const partsBefore = 4 // "", "v1", "services" and the service's name
+	path := "/"
+	if parts := strings.SplitN(r.URL.EscapedPath(), "/", partsBefore+1); len(parts) > partsBefore {
+		path += parts[partsBefore]
+	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
@@ -107,6 +114,33 @@
 	return &apperr.Error{Kind: kind, Object: object, Problem: problem, Remedy: remedy, Outcome: apperr.OutcomeNotRun}
 }
 
+// limitHeaders refuses requests whose header is over the limit with a typed
+// error. The server itself refuses headers over headerSlack times the limit
+// without one.
+func (e *Entry) limitHeaders(next http.Handler) http.Handler {
+	const perField = len(": \r\n")
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+		for name, values := range r.Header {
+			for _, value := range values {
+				size += len(name) + len(value) + perField
+			}
+		}
+		if size > e.opts.Limits.HeaderBytes {
+			apperr.WriteHTTP(w, notRun(apperr.KindTooLarge, "request header",
+				"is larger than "+strconv.Itoa(e.opts.Limits.HeaderBytes)+" bytes", "send fewer or shorter headers"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serveUnknown answers requests for paths that the entry does not have.
+func serveUnknown(w http.ResponseWriter, r *http.Request) {
+	apperr.WriteHTTP(w, notRun(apperr.KindNotFound, "path "+r.URL.Path, "is not served here with method "+r.Method,
+		"call /v1/services/SERVICE/PATH"))
+}
+
 // perform runs the request, with a claim if the caller gave a key.
 func (e *Entry) perform(ctx context.Context, c *call) result {
 	if c.key == "" {
--- a/internal/entry/claims_test.go
+++ b/internal/entry/claims_test.go
@@ -242,6 +242,41 @@
 	}
 }
 
+// Guards against requests that are offered again and again to the ended
+// incarnation of a restarted worker until a digest tells of the new one.
+func TestEndedIncarnationGetsNoMoreRequests(t *testing.T) {
+	w := &fakeWorker{}
+	w.run = func(rw http.ResponseWriter, _ int) {
+		rw.Header().Set(runcall.HeaderReport, runcall.Report{Incarnation: 2}.String())
+		apperr.WriteHTTP(rw, notRun(apperr.KindRefused, "request", string(admission.ReasonWrongIncarnation), ""))
+	}
+	e := newTestEntry(t, nil, w)
+	for range 3 {
+		c := keyedCall(e)
+		c.key = ""
+		if res := e.perform(context.Background(), c); res.outcome != apperr.OutcomeNotRun {
+			t.Fatalf("outcome %q, want not-run", res.outcome)
+		}
+	}
+	if w.attempts != 1 {
+		t.Fatalf("%d offers to the ended incarnation, want 1", w.attempts)
+	}
+}
+
+// Guards against a path that reaches the upstream decoded: it would name
+// another resource, or be refused by every worker as if these had failed.
+func TestUpstreamPathStaysEscaped(t *testing.T) {
+	for in, want := range map[string]string{
+		"/v1/services/s/a%2Fb%3Fc%0a?q=%20": "/a%2Fb%3Fc%0a?q=%20",
+		"/v1/services/s%2Fx/a/b":            "/a/b",
+		"/v1/services/s/":                   "/",
+	} {
+		if got := upstreamPath(httptest.NewRequest(http.MethodGet, in, nil)); got != want {
+			t.Errorf("%s: %q, want %q", in, got, want)
+		}
+	}
+}
+
 // hangingTable takes the first commit into effect and never answers it.
 type hangingTable struct {
 	*standin.Table
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,10 +117,15 @@
 	return e, nil
 }
 
+// headerSlack is how far over the limit a header may be for a typed error.
+const headerSlack = 2
+
 // Start opens the APIs.
 func (e *Entry) Start() error {
+	limits := e.opts.Limits
+	limits.HeaderBytes *= headerSlack
 	var err error
-	e.callers, err = httpserve.Listen(e.opts.Callers, e.callersHandler(), e.opts.Limits)
+	e.callers, err = httpserve.Listen(e.opts.Callers, e.callersHandler(), limits)
 	if err != nil {
 		return err
 	}
@@ -148,7 +153,8 @@
 	mux.HandleFunc("/v1/services/{service}/{path...}", e.serveCall)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", e.serveReady)
-	return e.closeWhenStopping(mux)
+	mux.HandleFunc("/", serveUnknown)
+	return e.closeWhenStopping(e.limitHeaders(mux))
 }
 
 // closeWhenStopping asks callers of a stopping entry to connect again, which
@@ -175,6 +181,11 @@
 
 // heardWorker takes what a worker told about itself with a reply.
 func (e *Entry) heardWorker(t target, r runcall.Report) {
+	if r.Incarnation != t.Incarnation {
+		// The chosen incarnation is over. Its successor comes with a digest, which
+		// takes seconds if the shard's owner is gone too.
+		e.router.over(t.VM, t.Incarnation)
+	}
 	e.router.report(t.VM, r.Incarnation, r.Clock, r.InFlight, r.Draining)
 	e.node.Config.Heard(e.domainOf(t.VM), r.ConfigVersion, 0, false)
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -43,6 +43,10 @@
 	mux.HandleFunc("GET /v1/jobs/{id}", e.authorized(e.getJob))
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.authorized(e.deleteJob))
 	mux.HandleFunc("POST /v1/vms/{vm}/drain", e.authorized(e.drainVM))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		apperr.WriteHTTP(w, apperr.New(apperr.KindNotFound, "path "+r.URL.Path, "is not part of the operators' API with method "+r.Method,
+			"use the boragecrank command of the same release"))
+	})
 	return mux
 }
 
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -151,6 +151,11 @@
 	})
 }
 
+// over stops new requests to an incarnation that has ended.
+func (r *router) over(vm types.VMID, inc types.Incarnation) {
+	r.owner.Tell(func(s *routerState) { s.router.Drain(r.now(), vm, inc) })
+}
+
 // Update takes the state of a worker from a digest.
 func (r *router) update(state routing.WorkerState, address string) {
 	r.owner.Tell(func(s *routerState) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,9 @@
 	// MaxCallBody bounds the body of a call between processes: the largest
 	// request or response body of a caller and some room for JSON.
 	MaxCallBody = 9 << 20
+	// maxCallHeader bounds the header of a call: the largest header that settings
+	// allow for callers (1 MB) and the system's own fields.
+	maxCallHeader = 1<<20 + 64<<10
 	// callTimeout bounds calls that carry no request of a caller.
 	callTimeout = 3 * time.Second
 	// neverConfirmed is the age of a version that was never confirmed.
@@ -108,6 +111,7 @@
 func (n *Node) Serve(handle udp.Handler) error {
 	limits := httpserve.DefaultLimits()
 	limits.Read, limits.Write = 2*time.Minute, 2*time.Minute
+	limits.HeaderBytes = maxCallHeader
 	// Calls also arrive for requests that run long at an upstream.
 	server, err := httpserve.Listen(n.Internal, callauth.Middleware(n.Key, MaxCallBody, n.Mux), limits)
 	if err != nil {
