--- a/internal/core/interference/control.go
+++ b/internal/core/interference/control.go
@@ -273,7 +273,7 @@
 	var out []Action
 	switch {
 	case v.escalate:
-		out = c.escalate(now, vm, v, tasks)
+		out = c.escalate(now, v, tasks)
 	case v.relax:
 		out = c.relaxStage(now, v, tasks)
 	}
@@ -288,7 +288,7 @@
 // blamed returns the fewest kinds, most harmful first, whose part of the
 // predicted slowdown explains what pressure exceeds the low mark. A kind at
 // the last stage holds little and drops out.
-func (c *Controller) blamed(_ types.VMID, v *vmControl, tasks []TaskInfo) []string {
+func (c *Controller) blamed(v *vmControl, tasks []TaskInfo) []string {
 	share := make(map[string]float64)
 	var kinds []string
 	for i := range tasks {
@@ -332,7 +332,7 @@
 
 // escalate throttles blamed kinds further; when all are at the last stage it
 // moves or evicts one task, if the weights favour that.
-func (c *Controller) escalate(now time.Duration, vm types.VMID, v *vmControl, tasks []TaskInfo) []Action {
+func (c *Controller) escalate(now time.Duration, v *vmControl, tasks []TaskInfo) []Action {
 	if now-v.relaxedAt < relapse && v.relaxedAt > 0 {
 		v.hold = min(2*v.hold, relaxHoldMax)
 	} else if now-v.relaxedAt > 4*relaxHoldMax {
@@ -343,7 +343,7 @@
 		step = 2
 	}
 	var out []Action
-	blamed := c.blamed(vm, v, tasks)
+	blamed := c.blamed(v, tasks)
 	for _, k := range blamed {
 		before := v.stage[k]
 		v.stage[k] = min(before+step, len(c.opt.Steps))
