--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -109,6 +109,9 @@
 			now += time.Duration(rapid.IntRange(0, 120).Draw(rt, "s")) * time.Second
 			w := rapid.SampledFrom(ids).Draw(rt, "worker")
 			tr.Report(now, w, fmt.Sprint(rapid.IntRange(0, 4).Draw(rt, "kind")), rapid.IntRange(0, 3).Draw(rt, "ok") == 0)
+			if rapid.Bool().Draw(rt, "batched") {
+				continue // Several workers become suspect before a decision.
+			}
 			tr.Decide(now)
 			if q := tr.quarantinedCount(); q > max(n/5, min(1, n-1)) {
 				rt.Fatalf("%d of %d workers quarantined", q, n)
@@ -116,3 +119,16 @@
 		}
 	})
 }
+
+// Guards against one decision that quarantines more workers than allowed.
+func TestQuarantineBoundedInOneDecision(t *testing.T) {
+	tr, ids := tracker(10)
+	for i, id := range ids {
+		for range 8 {
+			tr.Report(time.Second, id, "k", i >= 3)
+		}
+	}
+	if got := len(tr.Decide(2 * time.Second)); got != 2 {
+		t.Fatalf("%d of 10 workers quarantined at once, want 2", got)
+	}
+}
