Reserve addresses for each e2e deployment

Two runs of the tests on one machine shared addresses, so that one run read the records of the other's upstreams. Each deployment now reserves its octet with a listener, and localrun fails if a process ends at its start.

--- a/internal/e2e/batch_test.go
+++ b/internal/e2e/batch_test.go
@@ -48,7 +48,7 @@
 	if testing.Short() {
 		t.Skip("starts real processes for about a minute")
 	}
-	f := startFleet(t, localrun.Options{Octet: octetBatch, Entries: 2, Domains: 2, Workers: 3, Work: batchWork})
+	f := startFleet(t, localrun.Options{Entries: 2, Domains: 2, Workers: 3, Work: batchWork})
 	f.setCapacities()
 	ctx, stop := context.WithCancel(t.Context())
 	jobs := make(map[types.JobID]bool)
--- a/internal/e2e/chaos_test.go
+++ b/internal/e2e/chaos_test.go
@@ -21,7 +21,7 @@
 		t.Skip("starts real processes for about a minute")
 	}
 	f := startFleet(t, localrun.Options{
-		Octet: octetBookings, Entries: 3, Domains: 3, Workers: 2, Upstreams: true, ServiceTime: 20 * time.Millisecond,
+		Entries: 3, Domains: 3, Workers: 2, Upstreams: true, ServiceTime: 20 * time.Millisecond,
 	})
 	c := newCallers(f)
 	awaitService(t, c)
@@ -50,7 +50,7 @@
 		t.Skip("starts real processes for half a minute")
 	}
 	f := startFleet(t, localrun.Options{
-		Octet: octetGraceful, Entries: 2, Domains: 3, Workers: 1, Upstreams: true, ServiceTime: 20 * time.Millisecond,
+		Entries: 2, Domains: 3, Workers: 1, Upstreams: true, ServiceTime: 20 * time.Millisecond,
 	})
 	c := newCallers(f)
 	awaitService(t, c)
--- a/internal/e2e/edges_test.go
+++ b/internal/e2e/edges_test.go
@@ -60,7 +60,7 @@
 	if testing.Short() {
 		t.Skip("starts real processes")
 	}
-	f := startFleet(t, localrun.Options{Octet: octetEdges, Entries: 1, Domains: 1, Workers: 2, Upstreams: true})
+	f := startFleet(t, localrun.Options{Entries: 1, Domains: 1, Workers: 2, Upstreams: true})
 	c := newCallers(f)
 	awaitService(t, c)
 	before := f.totalRuns()
--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,14 +29,11 @@
 	envKeep = "BORAGECRANK_E2E_KEEP"
 )
 
-// Second numbers of the addresses of each test's deployment.
+// Second numbers of the addresses of deployments. Each deployment takes one
+// that no other run on this machine uses.
 const (
-	octetBookings = 41 + iota
-	octetGraceful
-	octetBatch
-	octetTrace
-	octetEdges
-	octetUpstream
+	firstOctet = 41
+	lastOctet  = 49
 )
 
 // binary is the command under test, built once.
@@ -92,6 +90,7 @@
 func startFleet(t *testing.T, o localrun.Options) *fleet {
 	t.Helper()
 	o.Binary = binary
+	o.Octet = freeOctet(t)
 	o.Dir = t.TempDir()
 	if keep := os.Getenv(envKeep); keep != "" {
 		o.Dir = filepath.Join(keep, t.Name())
@@ -112,6 +111,30 @@
 	return f
 }
 
+// freeOctet reserves an octet until the test ends. A listener on an address
+// that no process uses is the lock.
+func freeOctet(t *testing.T) int {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Minute); time.Now().Before(end); time.Sleep(time.Second) {
+		for octet := firstOctet; octet <= lastOctet; octet++ {
+			lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.200.200:7999", octet))
+			if err != nil {
+				continue
+			}
+			platform, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.100:9000", octet))
+			if err != nil {
+				_ = lock.Close()
+				continue
+			}
+			_ = platform.Close()
+			t.Cleanup(func() { _ = lock.Close() })
+			return octet
+		}
+	}
+	t.Fatal("all addresses for deployments are in use")
+	return 0
+}
+
 // checkLogs fails the test if a process crashed or found a data race.
 func (f *fleet) checkLogs() {
 	logs, err := filepath.Glob(filepath.Join(f.o.Dir, "*.log"))
--- a/internal/e2e/reconcile_test.go
+++ b/internal/e2e/reconcile_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
@@ -142,7 +144,12 @@
 			ran[id] = true
 		}
 	}
+	shown := 0
 	for _, b := range c.bookings {
+		if b.keyed && !ran[b.ID] && b.last().outcome == apperr.OutcomeUnknown && shown < 5 {
+			shown++
+			c.f.t.Logf("open although never run: %s: %s", b.ID, history(b))
+		}
 		if ran[b.ID] && b.is(apperr.OutcomeNotRun) && !b.is(apperr.OutcomeDone) {
 			afterUnknown++
 		}
@@ -159,6 +166,15 @@
 		gap.Round(time.Millisecond), start.Sub(c.f.started).Seconds(), slowest.Round(time.Millisecond))
 }
 
+// history tells the answers to a booking in order.
+func history(b *booking) string {
+	var parts []string
+	for _, a := range b.answers {
+		parts = append(parts, fmt.Sprintf("entry-%d %s %s %v", a.entry, a.outcome, a.problem, a.err))
+	}
+	return strings.Join(parts, " | ")
+}
+
 func (c *callers) verdict(b *booking) string {
 	keyed := "plain "
 	if b.keyed {
--- a/internal/e2e/trace_test.go
+++ b/internal/e2e/trace_test.go
@@ -105,7 +105,7 @@
 	if testing.Short() {
 		t.Skip("starts real processes")
 	}
-	f := startFleet(t, localrun.Options{Octet: octetTrace, Entries: 1, Domains: 1, Workers: 1, Trace: true})
+	f := startFleet(t, localrun.Options{Entries: 1, Domains: 1, Workers: 1, Trace: true})
 	u := &ownUpstream{}
 	startUpstream(t, f, f.d.Upstream(1, 1), strings.Replace(f.d.Upstream(1, 1), ":8000", ":7002", 1), u)
 	const traceID, callerSpan = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
--- a/internal/localrun/localrun.go
+++ b/internal/localrun/localrun.go
@@ -173,7 +173,7 @@
 	if err := d.start(ctx, "platform", "dev", "platform", "--listen", d.Platform()); err != nil {
 		return err
 	}
-	return d.await(ctx, "http://"+d.Platform()+"/admin/witness")
+	return d.await(ctx, "platform", "http://"+d.Platform()+"/admin/witness")
 }
 
 // StartEntry starts an entry and waits until it answers.
@@ -185,7 +185,7 @@
 	if err := d.start(ctx, EntryName(entry), "entry", "--settings", file); err != nil {
 		return err
 	}
-	return d.await(ctx, "http://"+d.Operators(entry)+"/healthz")
+	return d.await(ctx, EntryName(entry), "http://"+d.Operators(entry)+"/healthz")
 }
 
 // StartWorker starts a worker and waits until it answers.
@@ -197,7 +197,7 @@
 	if err := d.start(ctx, WorkerName(domain, worker), "worker", "--settings", file); err != nil {
 		return err
 	}
-	return d.await(ctx, "http://"+d.announcements(domain, worker)+"/healthz")
+	return d.await(ctx, WorkerName(domain, worker), "http://"+d.announcements(domain, worker)+"/healthz")
 }
 
 // StartUpstream starts the upstream beside a worker.
@@ -208,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	return d.await(ctx, "http://"+d.Upstream(domain, worker)+"/record")
+	return d.await(ctx, UpstreamName(domain, worker), "http://"+d.Upstream(domain, worker)+"/record")
 }
 
 // start starts a process of the built binary and logs to a file.
@@ -258,18 +258,30 @@
 	return string(out), err
 }
 
-// await polls a URL until it answers with success.
-func (d *Deployment) await(ctx context.Context, url string) error {
+// await polls a URL until it answers with success. It fails if the process has
+// ended, because another one may answer at its address.
+func (d *Deployment) await(ctx context.Context, name, url string) error {
+	p := d.Process(name)
 	deadline := time.Now().Add(startTimeout)
 	for time.Now().Before(deadline) {
+		select {
+		case <-p.done:
+			return fmt.Errorf("process %q ended at its start: %w", name, errors.Join(p.err, errors.New(d.lastLine(name))))
+		case <-time.After(pollInterval):
+		}
 		if _, err := d.Get(ctx, url); err == nil {
 			return nil
 		}
-		time.Sleep(pollInterval)
 	}
 	return fmt.Errorf("%s does not answer after %v", url, startTimeout)
 }
 
+// lastLine returns the last line of a process's log.
+func (d *Deployment) lastLine(name string) string {
+	log := strings.TrimSpace(d.Log(name))
+	return log[strings.LastIndex(log, "\n")+1:]
+}
+
 // Get reads a URL.
 func (d *Deployment) Get(ctx context.Context, url string) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
