Spread configuration through the relay too

Entries announced a new version to owners only, so the workers of a shard whose owner had died got it after the takeover.

--- a/internal/benchsize/scenarios.go
+++ b/internal/benchsize/scenarios.go
@@ -215,6 +215,3 @@
 	}
 	return operatorapi.New(operatorapi.Options{Entries: urls, Token: localrun.Token})
 }
-
-// Churn is in churn.go.
-func (b *Bench) Churn(context.Context) error { return fmt.Errorf("not here yet") }
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -33,6 +33,8 @@
 	owner     netip.AddrPort
 	epoch     types.Epoch
 	heardAt   time.Duration
+	relay     netip.AddrPort
+	relayAt   time.Duration
 	fetching  [2]bool
 }
 
@@ -91,6 +93,7 @@
 		role := membership.RoleOwner
 		if copied.Relay {
 			role = membership.RoleRelay
+			v.relay, v.relayAt = from, now
 		} else if types.Epoch(copied.Epoch) >= v.epoch {
 			v.owner, v.epoch, v.heardAt = from, types.Epoch(copied.Epoch), now
 		}
@@ -247,3 +250,20 @@
 	})
 	return out
 }
+
+// listeners returns the owners and relays that were heard lately.
+func (d *directory) listeners() []netip.AddrPort {
+	var out []netip.AddrPort
+	_ = d.state.Do(func(s *directoryState) {
+		now := d.e.node.Clock()
+		for _, v := range s.shards {
+			if v.owner.IsValid() && now-v.heardAt < ownerFresh {
+				out = append(out, v.owner)
+			}
+			if v.relay.IsValid() && now-v.relayAt < ownerFresh {
+				out = append(out, v.relay)
+			}
+		}
+	})
+	return out
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -142,11 +142,12 @@
 	return http.StatusOK, Accepted{Version: next.Version(), Changed: true}, nil
 }
 
-// announceVersion tells the shard owners of a newer version at once; they tell
-// their workers. Who misses it sees the version in the next message.
+// announceVersion tells the owners and relays of shards of a newer version at
+// once; they tell their workers. Relays do so because a dead owner is replaced
+// only after more than 6 s. Who misses it sees the version in the next message.
 func (e *Entry) announceVersion() {
 	m := &datagram.VersionNotice{Header: e.node.Header()}
-	for _, address := range e.directory.owners() {
+	for _, address := range e.directory.listeners() {
 		e.node.Socket.Send(m, address)
 	}
 }
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -213,6 +213,8 @@
 	}
 	if s.term != nil {
 		s.term.machine.SetVMs(vms)
+	}
+	if s.term != nil || s.relay != nil {
 		s.notifyMembers()
 	}
 }
