--- a/internal/benchsize/churn.go
+++ b/internal/benchsize/churn.go
@@ -13,20 +13,38 @@
 
 var errNoOwner = errors.New("the shard has no owner")
 
-// Owner returns the worker that owns the shard of a failure domain, as an entry
-// sees it.
-func Owner(ctx context.Context, d *localrun.Deployment, domain int) (string, error) {
+// Owner returns the worker that owns the first shard of a failure domain, and
+// the shard, as an entry sees it.
+func Owner(ctx context.Context, d *localrun.Deployment, domain int) (owner, shard string, err error) {
 	status, err := statusOf(ctx, d)
 	if err != nil {
-		return "", err
+		return "", "", err
 	}
 	for _, s := range status.Shards {
 		var number, worker int
-		if scanWorker(s.GetOwner(), &number, &worker) == nil && number == domain {
-			return s.GetOwner(), nil
+		known := scanWorker(s.GetOwner(), &number, &worker) == nil && number == domain
+		if known && (shard == "" || s.GetShard() < shard) {
+			owner, shard = s.GetOwner(), s.GetShard()
 		}
 	}
-	return "", errNoOwner
+	if shard == "" {
+		return "", "", errNoOwner
+	}
+	return owner, shard, nil
+}
+
+// ownerOf returns the owner of a shard, empty if none answers.
+func ownerOf(ctx context.Context, d *localrun.Deployment, shard string) string {
+	status, err := statusOf(ctx, d)
+	if err != nil {
+		return ""
+	}
+	for _, s := range status.Shards {
+		if s.GetShard() == shard {
+			return s.GetOwner()
+		}
+	}
+	return ""
 }
 
 func statusOf(ctx context.Context, d *localrun.Deployment) (operatorapi.Status, error) {
@@ -49,11 +67,11 @@
 	spread *Spread
 }
 
-// Churn fails an owner, a rack and the table in turn in a deployment of 99
+// Churn fails an owner, a rack and the table in turn in a deployment of 102
 // workers while configuration changes, and prints the times to convergence and
 // the traffic of each role.
 func (b *Bench) Churn(ctx context.Context) error {
-	s := Size{Entries: 3, Domains: 3, Workers: 33}
+	s := Size{Entries: 3, Domains: 3, Workers: 34}
 	return b.With(ctx, s, true, func(d *localrun.Deployment) error {
 		if err := Sleep(ctx, b.Settle); err != nil {
 			return err
@@ -61,8 +79,18 @@
 		watch, cancel := context.WithCancel(ctx)
 		defer cancel()
 		c := &churn{b: b, d: d, spread: NewSpread(d)}
+		targets := Targets(d)
+		before, err := readAll(ctx, d, targets)
+		if err != nil {
+			return err
+		}
 		go c.spread.Watch(watch)
-		return c.run(ctx)
+		if err := c.run(ctx); err != nil {
+			return err
+		}
+		cancel()
+		c.traffic(ctx, targets, before)
+		return nil
 	})
 }
 
@@ -111,7 +139,7 @@
 }
 
 func (c *churn) killOwner(ctx context.Context) error {
-	before, err := Owner(ctx, c.d, 1)
+	before, shard, err := Owner(ctx, c.d, 1)
 	if err != nil {
 		return err
 	}
@@ -120,8 +148,8 @@
 	}
 	at := time.Now()
 	return errors.Join(c.changes(ctx, 2, 0.02), c.until(ctx, "new owner known to an entry", at, func() bool {
-		owner, err := Owner(ctx, c.d, 1)
-		return err == nil && owner != before
+		owner := ownerOf(ctx, c.d, shard)
+		return owner != "" && owner != before
 	}), c.changes(ctx, 2, 0.03))
 }
 
@@ -133,7 +161,7 @@
 // killRack ends three members of the second domain that neither own nor start
 // its shard's list.
 func (c *churn) killRack(ctx context.Context) error {
-	owner, err := Owner(ctx, c.d, 2)
+	owner, _, err := Owner(ctx, c.d, 2)
 	if err != nil {
 		return err
 	}
@@ -200,3 +228,14 @@
 	fmt.Fprintf(c.b.Out, "  %s after %v\n", what, time.Since(since).Round(time.Millisecond))
 	return nil
 }
+
+// traffic prints what the processes that still run used since the start.
+func (c *churn) traffic(ctx context.Context, targets []Target, before []Sample) {
+	var list []Usage
+	for i, t := range targets {
+		if after, err := Read(ctx, c.d, t); err == nil {
+			list = append(list, Between(t.Name, before[i], after))
+		}
+	}
+	Print(c.b.Out, "during all of it, processes that were not killed", list)
+}
--- a/internal/benchsize/spread_test.go
+++ b/internal/benchsize/spread_test.go
@@ -79,7 +79,7 @@
 	}
 	must(s.Change(ctx, budget+0.001))
 	must(s.Await(ctx))
-	owner, err := Owner(ctx, d, 1)
+	owner, _, err := Owner(ctx, d, 1)
 	must(err)
 	s.Drop(owner)
 	must(d.Kill(owner))
