--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS ?= $(CURDIR)/.tools
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build run test lint fmt generate events clean
+.PHONY: build run test bench-size lint fmt generate events clean
 
 build:
 	go build -o $(BIN) ./cmd/boragecrank
@@ -17,6 +17,14 @@
 test:
 	go test -race -count=1 -timeout 10m ./...
 
+# Starts up to 107 processes on the loopback interface for about six minutes in
+# all; docs/CAPACITY.md holds the output of one run.
+bench-size: build
+	go build -o bin/benchsize ./internal/benchsize/cmd
+	go test -count=1 -v -run 'FullShardMemory|TargetSize' ./internal/core/shard ./internal/core/config
+	go test -run '^$$' -bench 'FullShard|TargetSize' -benchtime 200x ./internal/core/shard ./internal/core/config
+	for mode in rest wide tasks entry churn; do timeout 400 bin/benchsize -mode $$mode || exit 1; done
+
 # The linter is built by version here: its requirements cannot be resolved as
 # a tool of go.mod (docs/design.md, section 7).
 $(GOLANGCI):
--- /dev/null
+++ b/internal/core/shard/size_test.go
@@ -0,0 +1,82 @@
+package shard
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// fullShard returns an owner with 32 VMs and 450 running tasks.
+func fullShard(t testing.TB) *sim {
+	s := newSim(t, 32, 64)
+	s.submit(job("hold", 450, 1))
+	s.run(15 * time.Second)
+	if s.starts != 450 {
+		t.Fatalf("%d of 450 tasks started", s.starts)
+	}
+	return s
+}
+
+// Guards against an owner's state that outgrows the memory of a daemon.
+func TestFullShardMemory(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := fullShard(t)
+	table, workers := s.table, s.workers
+	s.table, s.workers = nil, nil
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	all := after.HeapAlloc - min(after.HeapAlloc, before.HeapAlloc)
+	s.owner = nil
+	runtime.GC()
+	runtime.GC()
+	var rest runtime.MemStats
+	runtime.ReadMemStats(&rest)
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(workers)
+	held := after.HeapAlloc - min(after.HeapAlloc, rest.HeapAlloc)
+	t.Logf("owner with 32 VMs and 450 tasks: %d KB; with table and workers of the simulation: %d KB", held>>10, all>>10)
+	if held == 0 || held > 4<<20 {
+		t.Errorf("owner holds %d bytes, want 1 to 4 MB", held)
+	}
+}
+
+// BenchmarkFullShardTick is one poll of an owner of 450 running tasks at rest;
+// there are ten a second.
+func BenchmarkFullShardTick(b *testing.B) {
+	s := fullShard(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.now += 10 * time.Microsecond
+		s.owner.Poll(s.now)
+	}
+}
+
+// BenchmarkFullShardStarts is the submission, placement and start of a job of
+// 24 tasks in a shard of 450, with reports and heartbeats of all VMs.
+func BenchmarkFullShardStarts(b *testing.B) {
+	s := fullShard(b)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		before := s.starts
+		s.submit(job(fmt.Sprintf("burst%d", n), 24, 1))
+		s.run(time.Second)
+		if s.starts-before != 24 {
+			b.Fatalf("%d starts", s.starts-before)
+		}
+		b.StopTimer()
+		for _, w := range s.workers {
+			for _, id := range w.ids() {
+				if id[0] == 'b' {
+					w.tasks[id].Phase = PhaseDone
+				}
+			}
+		}
+		s.run(3 * time.Second)
+		b.StartTimer()
+	}
+}
