--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,14 @@
 test:
 	go test -race -count=1 -timeout 10m ./...
 
+# Starts up to 107 processes on the loopback interface for about six minutes in
+# all; docs/CAPACITY.md holds the output of one run.
+bench-size: build
+	go build -o bin/benchsize ./internal/benchsize/cmd
+	go test -count=1 -v -run 'FullShardMemory|TargetSize' ./internal/core/shard ./internal/core/config
+	go test -run '^$$' -bench 'FullShard|TargetSize' -benchtime 200x ./internal/core/shard ./internal/core/config
+	for mode in rest wide tasks entry churn; do timeout 400 bin/benchsize -mode $$mode || exit 1; done
+
 # The linter is built by version here: its requirements cannot be resolved as
 # a tool of go.mod (docs/design.md, section 7).
 $(GOLANGCI):
