Place by the policy core in production, and back off after failed attempts

The owner feeds it usage with its age and the ends of attempts. Failures on a VM in quarantine are blameless.

Without preemption TestUrgentStartsOnFullShard's urgent tasks are pending after 2.3 s; with it they run. Learned sizes apply to new attempts only.

--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -188,7 +188,6 @@
 		Shard:      vm.Shard,
 		Lease:      p.store.View(store.Lease),
 		Table:      p.store.View(store.Placement),
-		Placer:     owner.WorstFit{},
 		OwnerKnown: w.SetOwner,
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/core/scheduler/scheduler.go
@@ -0,0 +1,178 @@
+// Package scheduler decides where the tasks of one shard run. It implements
+// shard.Placer and shard.Learner on top of the policy packages: sizes come
+// from core/estimate, VMs in quarantine from core/health, the cost of a pairing
+// from core/interference, and the choice from core/placement.
+//
+// The placement state is kept between decisions: a decision compares the
+// owner's candidates with what it has seen and applies the differences. A
+// Scheduler serves one ownership term and is not safe for concurrent use.
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/estimate"
+	"github.com/boragecrank/boragecrank/internal/core/health"
+	"github.com/boragecrank/boragecrank/internal/core/interference"
+	"github.com/boragecrank/boragecrank/internal/core/placement"
+	"github.com/boragecrank/boragecrank/internal/core/shard"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+const (
+	// reviewInterval is how often quarantines and probes are reviewed.
+	reviewInterval = time.Second
+	// sweepInterval is how often learned sizes are brought up to date.
+	sweepInterval = time.Minute
+	// recentUrgent is the number of urgent tasks that headroom is sized by.
+	recentUrgent = 8
+	// maxKinds bounds the learned kinds, at 15 KB each.
+	maxKinds = 256
+	// runTimeQuantile is the share of tasks that end within the expected time.
+	runTimeQuantile = 0.9
+)
+
+// Options configure a Scheduler.
+type Options struct {
+	// Weights are the operators' weights of tail latency and evictions.
+	Weights interference.Weights
+	// Rand decides between equal VMs.
+	Rand *rand.Rand
+}
+
+// Scheduler chooses VMs for the tasks of one shard.
+type Scheduler struct {
+	opt     Options
+	state   *placement.State
+	est     *estimate.Estimator
+	health  *health.Tracker
+	control *interference.Controller
+	model   *interference.Model
+	now     time.Duration
+
+	views map[types.VMID]*view
+	ids   []types.VMID
+	// probes are the VMs in quarantine that are due for a probe task, and
+	// probing the tasks that are on one.
+	probes   map[types.VMID]bool
+	probing  map[types.TaskID]types.VMID
+	reviewed time.Duration
+	swept    time.Duration
+	// urgentSizes are those of the last urgent tasks.
+	urgentSizes map[types.TaskID]types.Resources
+	urgentOrder []types.TaskID
+}
+
+// New returns a scheduler that knows nothing yet.
+func New(opt Options) *Scheduler {
+	s := &Scheduler{
+		opt:         opt,
+		est:         estimate.New(estimate.Options{MaxKinds: maxKinds}),
+		health:      health.New(health.Options{}),
+		model:       interference.NewModel(),
+		views:       make(map[types.VMID]*view),
+		probes:      make(map[types.VMID]bool),
+		probing:     make(map[types.TaskID]types.VMID),
+		urgentSizes: make(map[types.TaskID]types.Resources),
+	}
+	s.control = interference.NewController(interference.Options{Weights: opt.Weights}, s.model)
+	s.state = placement.New(placement.Options{Cost: s.cost}, opt.Rand)
+	return s
+}
+
+func (s *Scheduler) cost(vm types.VMID, r *placement.Request) float64 {
+	return s.control.Cost(s.now, vm, r.Kind, s.views[vm].share(r.Size))
+}
+
+// Place implements shard.Placer.
+func (s *Scheduler) Place(d shard.Demand, candidates []shard.Candidate) shard.Decision {
+	s.now = d.Now
+	s.sync(candidates)
+	s.review()
+	r := s.request(d)
+	if vm, ok := s.probe(d, &r); ok {
+		s.probing[r.Task] = vm
+		return shard.Decision{VM: vm, Reserved: r.Size}
+	}
+	if r.Urgent {
+		s.keepHeadroom(&r)
+	}
+	answer := s.state.Place(d.Now, &r)
+	if answer.Outcome == placement.Infeasible && r.Avoid != "" {
+		r.Avoid = "" // To be avoided for a while does not make a task infeasible.
+		if s.state.Place(d.Now, &r).Outcome != placement.Infeasible {
+			return shard.Decision{}
+		}
+	}
+	return s.decision(&r, answer)
+}
+
+func (s *Scheduler) decision(r *placement.Request, a placement.Decision) shard.Decision {
+	switch a.Outcome {
+	case placement.Placed:
+		return shard.Decision{VM: a.VM, Reserved: r.Size}
+	case placement.Preempt:
+		// The victims' slice is reused by the next decision.
+		return shard.Decision{VM: a.VM, Reserved: r.Size, Evict: append([]types.TaskID(nil), a.Victims...)}
+	case placement.Infeasible:
+		return shard.Decision{Infeasible: "no VM of the shard can hold the task: bound by " + a.Binding.String() +
+			", needs " + r.Size.String() + ", the most on offer is " + a.Limit.String()}
+	default:
+		return shard.Decision{}
+	}
+}
+
+// request describes a task to the placement. A learned size never exceeds the
+// largest VM unless the declared one does.
+func (s *Scheduler) request(d shard.Demand) placement.Request {
+	j := d.Job
+	size := s.est.Size(d.Now, j.Kind, j.Demand)
+	if largest := s.largest(); j.Demand.Fits(largest) {
+		size = least(size, largest)
+	}
+	r := placement.Request{
+		Task: d.Task, Job: j.ID, Kind: j.Kind, Class: j.Class,
+		Priority: j.Priority, Urgent: j.Urgent, Size: size,
+		RunTime: s.est.RunTime(d.Now, j.Kind, j.RunTime, 0, runTimeQuantile),
+		Domains: j.FailureDomains, Avoid: d.Avoid,
+	}
+	r.Service = serviceOf(j)
+	return r
+}
+
+// serviceOf returns the service whose replica a job is; empty for batch.
+func serviceOf(j *types.Job) types.ServiceName {
+	if j.Class != types.ClassLatencyCritical {
+		return ""
+	}
+	return types.ServiceName(j.Kind)
+}
+
+// keepHeadroom reserves room for urgent work like the last tasks: on two VMs
+// where the operators give evictions the larger weight, else on one.
+func (s *Scheduler) keepHeadroom(r *placement.Request) {
+	if _, known := s.urgentSizes[r.Task]; !known {
+		s.urgentOrder = append(s.urgentOrder, r.Task)
+	}
+	s.urgentSizes[r.Task] = r.Size
+	if len(s.urgentOrder) > recentUrgent {
+		delete(s.urgentSizes, s.urgentOrder[0])
+		s.urgentOrder = s.urgentOrder[1:]
+	}
+	var most types.Resources
+	for _, size := range s.urgentSizes {
+		most = most.Max(size)
+	}
+	vms := 1
+	if s.opt.Weights.Eviction > s.opt.Weights.TailLatency {
+		vms = 2
+	}
+	s.state.SetHeadroom(most, vms)
+}
+
+func least(a, b types.Resources) types.Resources {
+	a.MilliCPU = min(a.MilliCPU, b.MilliCPU)
+	a.MemoryBytes = min(a.MemoryBytes, b.MemoryBytes)
+	return a
+}
--- /dev/null
+++ b/internal/core/scheduler/sync.go
@@ -0,0 +1,216 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/boragecrank/boragecrank/internal/core/placement"
+	"github.com/boragecrank/boragecrank/internal/core/shard"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// view is what the scheduler last saw of one VM.
+type view struct {
+	vm        types.VM
+	available bool
+	free      types.Resources
+	running   []shard.Running
+	// kinds are the processors held by job kind.
+	kinds  map[string]int64
+	hosted map[types.ServiceName]bool
+}
+
+// share returns the part of the VM's processors that a size is.
+func (v *view) share(size types.Resources) float64 {
+	if v == nil || v.vm.Capacity.MilliCPU <= 0 {
+		return 0
+	}
+	return float64(size.MilliCPU) / float64(v.vm.Capacity.MilliCPU)
+}
+
+// heldID names the allocation that stands for what a VM holds beside its
+// listed attempts: promises, and attempts that must end. It is never evicted.
+func heldID(vm types.VMID) types.TaskID { return types.TaskID("\x00held/" + string(vm)) }
+
+// sync brings the placement state in line with the owner's candidates.
+func (s *Scheduler) sync(candidates []shard.Candidate) {
+	members := false
+	for i := range candidates {
+		c := &candidates[i]
+		v := s.views[c.VM.ID]
+		if c.VM.Capacity.IsZero() {
+			// The configuration no longer has the VM.
+			members = s.drop(c.VM.ID) || members
+			continue
+		}
+		if v == nil {
+			v = &view{kinds: make(map[string]int64), hosted: make(map[types.ServiceName]bool)}
+			s.views[c.VM.ID] = v
+			members = true
+		}
+		if v.vm != c.VM {
+			v.vm = c.VM
+			s.state.SetVM(c.VM)
+			v.available = false
+			s.usable(c.VM.ID, false)
+		}
+		if v.available != c.Available {
+			v.available = c.Available
+			s.usable(c.VM.ID, c.Available && !s.health.Quarantined(c.VM.ID))
+		}
+		if v.free != c.Free || !slices.Equal(v.running, c.Running) {
+			s.syncTasks(v, c)
+		}
+	}
+	if members {
+		s.setMembers()
+	}
+}
+
+func (s *Scheduler) drop(id types.VMID) bool {
+	if s.views[id] == nil {
+		return false
+	}
+	delete(s.views, id)
+	s.state.RemoveVM(id)
+	s.control.Forget(id)
+	return true
+}
+
+func (s *Scheduler) setMembers() {
+	s.ids = s.ids[:0]
+	for id := range s.views {
+		s.ids = append(s.ids, id)
+	}
+	slices.Sort(s.ids)
+	s.health.SetWorkers(s.ids)
+}
+
+func (s *Scheduler) usable(id types.VMID, usable bool) {
+	s.must(s.state.SetUsable(id, usable))
+}
+
+// syncTasks replaces the allocations of one VM that differ.
+func (s *Scheduler) syncTasks(v *view, c *shard.Candidate) {
+	before := make(map[types.TaskID]*shard.Running, len(v.running))
+	for i := range v.running {
+		before[v.running[i].Task] = &v.running[i]
+	}
+	held := c.VM.Capacity.Sub(c.Free)
+	var added []*shard.Running
+	for i := range c.Running {
+		r := &c.Running[i]
+		held = held.Sub(r.Reserved)
+		old := before[r.Task]
+		if old != nil && *old == *r {
+			delete(before, r.Task)
+			continue
+		}
+		added = append(added, r)
+	}
+	for _, old := range before {
+		s.remove(v, old)
+	}
+	for _, r := range added {
+		s.add(v, r, before[r.Task])
+	}
+	s.setHeld(v.vm.ID, held.Max(types.Resources{}))
+	s.setShares(v, c)
+	v.free = c.Free
+	v.running = append(v.running[:0], c.Running...)
+}
+
+// add records an attempt. One that only changed keeps what is known of it.
+func (s *Scheduler) add(v *view, r, old *shard.Running) {
+	id := v.vm.ID
+	if other, ok := s.state.Get(r.Task); ok && other.VM != id {
+		// The VM of the former attempt has not been compared yet.
+		_, err := s.state.Remove(r.Task)
+		s.must(err)
+	}
+	s.must(s.state.Adopt(placement.Running{
+		Allocation: types.Allocation{Task: r.Task, Attempt: r.Attempt, VM: id, Reserved: r.Reserved, Class: r.Job.Class},
+		Job:        r.Job.ID, Kind: r.Job.Kind, Service: serviceOf(r.Job), Priority: r.Job.Priority,
+		// The owner refuses to evict the others; placement treats them as urgent.
+		Urgent: r.Job.Urgent || !r.Evictable,
+		Gang:   r.Job.Gang, Started: r.Started, Evictions: r.Evictions,
+	}))
+	if old == nil || old.Attempt != r.Attempt {
+		s.est.Start(r.Started, r.Task, r.Job.Kind, r.Job.Demand, r.Reserved, 0)
+		s.control.Placed(s.now, id, r.Job.Kind)
+	}
+}
+
+func (s *Scheduler) remove(v *view, old *shard.Running) {
+	if run, ok := s.state.Get(old.Task); ok && run.VM == v.vm.ID {
+		_, err := s.state.Remove(old.Task)
+		s.must(err)
+	}
+}
+
+func (s *Scheduler) setHeld(vm types.VMID, held types.Resources) {
+	id := heldID(vm)
+	now, ok := s.state.Get(id)
+	if now.Reserved == held {
+		return
+	}
+	if ok {
+		_, err := s.state.Remove(id)
+		s.must(err)
+	}
+	if !held.IsZero() {
+		s.must(s.state.Adopt(placement.Running{
+			Allocation: types.Allocation{Task: id, VM: vm, Reserved: held, Class: types.ClassBatch}, Urgent: true,
+		}))
+	}
+}
+
+// setShares tells the interference model what kinds and services a VM has.
+func (s *Scheduler) setShares(v *view, c *shard.Candidate) {
+	kinds := make(map[string]int64)
+	hosted := make(map[types.ServiceName]bool)
+	for i := range c.Running {
+		r := &c.Running[i]
+		if service := serviceOf(r.Job); service != "" {
+			hosted[service] = true
+			continue
+		}
+		kinds[r.Job.Kind] += r.Reserved.MilliCPU
+	}
+	for kind := range v.kinds {
+		if _, still := kinds[kind]; !still {
+			s.model.SetShare(s.now, v.vm.ID, kind, 0)
+		}
+	}
+	for kind, cpu := range kinds {
+		if v.kinds[kind] != cpu {
+			s.model.SetShare(s.now, v.vm.ID, kind, v.share(types.Resources{MilliCPU: cpu}))
+		}
+	}
+	for service := range v.hosted {
+		if !hosted[service] {
+			s.control.SetHosted(v.vm.ID, service, false)
+		}
+	}
+	for service := range hosted {
+		s.control.SetHosted(v.vm.ID, service, true)
+	}
+	v.kinds, v.hosted = kinds, hosted
+}
+
+// largest returns the largest amount of each kind that one VM has.
+func (s *Scheduler) largest() types.Resources {
+	var most types.Resources
+	for _, v := range s.views {
+		most = most.Max(v.vm.Capacity)
+	}
+	return most
+}
+
+// must stops on an inconsistency between the views and the placement state,
+// which would lead to wrong decisions from then on.
+func (s *Scheduler) must(err error) {
+	if err != nil {
+		panic(fmt.Sprintf("scheduler and placement state differ: %v", err))
+	}
+}
--- a/internal/core/shard/jobs.go
+++ b/internal/core/shard/jobs.go
@@ -121,6 +121,7 @@
 	t.revision = r.Revision
 	t.row = row
 	if row.State.Live() {
+		t.started = o.now
 		o.ensureVM(row.VM).add(t, row.Reserved)
 	}
 	if row.State.Terminal() {
--- a/internal/core/shard/messages.go
+++ b/internal/core/shard/messages.go
@@ -47,9 +47,14 @@
 	Checkpoint string
 	// CheckpointFailed tells that the last checkpoint command failed.
 	CheckpointFailed bool
-	// Blameless tells that a failure is not held against the task.
+	// Blameless tells that the worker refused the attempt: its end is not held
+	// against the task, and says nothing about the worker.
 	Blameless bool
 	Error     string
+	// Usage is the latest measurement; zero if there is none. It was taken
+	// UsageAge before the report.
+	Usage    types.Resources
+	UsageAge time.Duration
 }
 
 // Report is what a worker has in its runtime, finished attempts included
--- a/internal/core/shard/owner.go
+++ b/internal/core/shard/owner.go
@@ -82,6 +82,14 @@
 	seenBy    types.Incarnation
 	commandAt time.Duration
 	commanded CommandKind
+	// started is when the present attempt was placed.
+	started time.Duration
+	// tries counts attempts in a row that failed or were refused.
+	tries     int
+	notBefore time.Duration
+	// avoid is the VM of the last such attempt, until avoidUntil.
+	avoid      types.VMID
+	avoidUntil time.Duration
 }
 
 // Owner is the state machine of a shard's owner for one term. Its methods must
@@ -89,11 +97,14 @@
 type Owner struct {
 	cfg        Config
 	placer     Placer
+	learner    Learner
 	detector   *membership.Detector
 	takeoverAt time.Duration
 	leaseUntil time.Duration
-	lost       bool
-	recovered  bool
+	// now is the time of the present input.
+	now       time.Duration
+	lost      bool
+	recovered bool
 
 	vms     map[types.VMID]*vmState
 	vmOrder []*vmState
@@ -124,6 +135,8 @@
 	return &Owner{
 		cfg:        cfg,
 		placer:     placer,
+		learner:    learnerOf(placer),
+		now:        takeoverAt,
 		detector:   membership.NewDetector(members, cfg.Incarnation),
 		takeoverAt: takeoverAt,
 		lastBatch:  takeoverAt - cfg.BatchInterval,
@@ -205,6 +218,7 @@
 	if o.lost || now >= o.leaseUntil {
 		return HeartbeatReply{}, false
 	}
+	o.now = now
 	ack, change, verdict := o.detector.Heartbeat(now, hb)
 	reply := HeartbeatReply{Ack: ack, Epoch: o.cfg.Epoch}
 	v := o.vms[hb.VM]
@@ -281,6 +295,7 @@
 		o.out = Output{}
 		return out
 	}
+	o.now = now
 	for _, c := range o.detector.Tick(now, nil) {
 		o.changed(now, c)
 	}
@@ -316,9 +331,24 @@
 	}
 	o.setRow(t, next)
 	o.markDirty(t)
+	if old.State.Live() && !next.State.Live() {
+		o.learner.Ended(o.now, old.VM, next.Task, t.job.row.Job.Kind, ending(ev))
+	}
 	return task.Accepted
 }
 
+// ending classifies the event that ended an attempt.
+func ending(ev task.Event) Ending {
+	switch {
+	case ev.Kind == task.EventFinished:
+		return EndedDone
+	case ev.Kind == task.EventFailed && !ev.Refused:
+		return EndedFailed
+	default:
+		return EndedCut
+	}
+}
+
 // setRow replaces the newest row and updates reservations, lists and counts.
 func (o *Owner) setRow(t *taskState, next task.Row) {
 	old := t.row
@@ -336,6 +366,9 @@
 		t.job.countEnded(next.State.Terminal())
 		o.finishJob(t.job)
 	}
+	if next.State.Live() && next.Attempt != old.Attempt {
+		t.started = o.now
+	}
 	if !next.State.Live() {
 		t.clearAttempt()
 	}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -28,7 +28,7 @@
 			o.placeDue = true
 			break
 		}
-		if !t.row.State.Waiting() || t.row.Cancel || failed[t.job] {
+		if !t.row.State.Waiting() || t.row.Cancel || failed[t.job] || !t.ready(now) {
 			continue
 		}
 		tries--
@@ -70,9 +70,13 @@
 func (o *Owner) placeGang(now time.Duration, j *jobState) bool {
 	var gang []*taskState
 	for _, t := range j.tasks {
-		if t.row.State.Waiting() {
-			gang = append(gang, t)
+		if !t.row.State.Waiting() {
+			continue
+		}
+		if !t.ready(now) {
+			return false
 		}
+		gang = append(gang, t)
 	}
 	if len(gang) > o.cfg.BatchRows {
 		for _, t := range gang {
@@ -169,9 +173,13 @@
 	if v := t.promisedOn; v != nil {
 		return o.redeem(t, v)
 	}
-	d := o.placer.Place(Demand{
-		Task: t.row.Task, Job: &t.job.row.Job, Failures: t.row.Failures, LastVM: t.row.VM,
-	}, o.candidates)
+	demand := Demand{
+		Now: o.now, Task: t.row.Task, Job: &t.job.row.Job, Failures: t.row.Failures, LastVM: t.row.VM,
+	}
+	if o.now < t.avoidUntil {
+		demand.Avoid = t.avoid
+	}
+	d := o.placer.Place(demand, o.candidates)
 	if d.Infeasible != "" {
 		o.apply(t, task.Event{Kind: task.EventInfeasible, Reason: d.Infeasible})
 		return d, false
@@ -200,7 +208,6 @@
 	if !v.occupied().Add(reservation(t, d)).Fits(v.vm.Capacity) {
 		return false
 	}
-	kept := t.promisedOn != nil
 	verdict := o.apply(t, task.Event{
 		Kind: task.EventPlace, Attempt: t.row.Attempt + 1,
 		VM: d.VM, Incarnation: entry.Incarnation, Reserved: reservation(t, d),
@@ -208,9 +215,7 @@
 	if verdict != task.Accepted {
 		return false
 	}
-	if !kept {
-		o.take(t, d, -1)
-	}
+	o.refresh(v)
 	return true
 }
 
@@ -221,13 +226,13 @@
 		t.promisedOn = v
 		t.promised = reservation(t, d)
 		v.promised = v.promised.Add(t.promised)
-		o.take(t, d, -1)
 	}
 	for _, id := range d.Evict {
 		if victim := o.tasks[id]; victim != nil && victim.row.VM == d.VM {
 			o.evict(now, victim)
 		}
 	}
+	o.refresh(v)
 }
 
 func (o *Owner) unpromise(t *taskState) {
@@ -282,16 +287,30 @@
 		o.candidates = make([]Candidate, len(o.vmOrder))
 	}
 	for i, v := range o.vmOrder {
-		c := &o.candidates[i]
-		c.VM = v.vm
-		c.Available = o.accepts(v)
-		c.Free = v.vm.Capacity.Sub(v.occupied()).Sub(v.promised)
-		c.Running = c.Running[:0]
-		for _, t := range v.tasks {
-			c.Running = append(c.Running, Running{
-				Task: t.row.Task, Job: &t.job.row.Job, Reserved: t.row.Reserved,
-				Evictable: t.row.State == task.Running && !t.evicting && !t.row.Cancel,
-			})
+		o.describe(v, &o.candidates[i])
+	}
+}
+
+// refresh describes one VM again, after a decision of the present pass.
+func (o *Owner) refresh(v *vmState) {
+	for i := range o.candidates {
+		if o.candidates[i].VM.ID == v.vm.ID {
+			o.describe(v, &o.candidates[i])
+			return
 		}
 	}
 }
+
+func (o *Owner) describe(v *vmState, c *Candidate) {
+	c.VM = v.vm
+	c.Available = o.accepts(v)
+	c.Free = v.vm.Capacity.Sub(v.occupied()).Sub(v.promised)
+	c.Running = c.Running[:0]
+	for _, t := range v.tasks {
+		c.Running = append(c.Running, Running{
+			Task: t.row.Task, Attempt: t.row.Attempt, Job: &t.job.row.Job, Reserved: t.row.Reserved,
+			Evictable: t.row.State == task.Running && !t.evicting && !t.row.Cancel,
+			Started:   t.started, Evictions: t.evictions,
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/shard/policy_test.go
@@ -0,0 +1,152 @@
+package shard_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/scheduler"
+	"github.com/boragecrank/boragecrank/internal/core/shard"
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+func policy() *scheduler.Scheduler {
+	return scheduler.New(scheduler.Options{Rand: rand.New(rand.NewPCG(1, 2))})
+}
+
+// noPreemption drops decisions that evict.
+type noPreemption struct{ *scheduler.Scheduler }
+
+func (n noPreemption) Place(d shard.Demand, c []shard.Candidate) shard.Decision {
+	a := n.Scheduler.Place(d, c)
+	if len(a.Evict) > 0 {
+		return shard.Decision{}
+	}
+	return a
+}
+
+// urgentOnFullShard returns the states of two urgent tasks 2.3 s after their
+// submission to a shard that is full of batch work.
+func urgentOnFullShard(t *testing.T, p shard.Placer) []task.State {
+	s := shard.NewSim(t, 4, 4, p)
+	s.Submit(shard.BatchJob("low", 16, 1))
+	s.Run(8 * time.Second)
+	for i := range 16 {
+		if r := s.Row(types.TaskID(fmt.Sprintf("low/%d", i))); r.State != task.Running {
+			t.Fatalf("task %d of the batch job is %s", i, r.State)
+		}
+	}
+	high := shard.BatchJob("high", 2, 4)
+	high.Urgent = true
+	s.Submit(high)
+	s.Run(2300 * time.Millisecond)
+	return []task.State{s.Row("high/0").State, s.Row("high/1").State}
+}
+
+// Guards against urgent work that waits for batch work on a full shard.
+func TestUrgentStartsOnFullShard(t *testing.T) {
+	for _, state := range urgentOnFullShard(t, policy()) {
+		if state != task.Running {
+			t.Errorf("urgent task is %s after 2.3 s", state)
+		}
+	}
+	// The shard must be so full that only preemption makes room.
+	for _, state := range urgentOnFullShard(t, noPreemption{policy()}) {
+		if state != task.Pending {
+			t.Errorf("without preemption the urgent task is %s", state)
+		}
+	}
+}
+
+// Guards against tasks that can never run and do not tell why.
+func TestInfeasibleNamesConstraint(t *testing.T) {
+	s := shard.NewSim(t, 2, 4, policy())
+	s.Submit(shard.BatchJob("big", 1, 64))
+	s.Run(6 * time.Second)
+	if r := s.Row("big/0"); r.State != task.Infeasible || !strings.Contains(r.Reason, "processors") {
+		t.Fatalf("task is %s: %q", r.State, r.Reason)
+	}
+}
+
+// Guards against a refused task that is started again without pause: 1,064
+// attempts in ten minutes were seen.
+func TestRefusedTaskBacksOff(t *testing.T) {
+	s := shard.NewSim(t, 1, 4, policy())
+	s.OnStart(0, func(r *shard.TaskReport) { r.Phase, r.Blameless = shard.PhaseFailed, true })
+	s.Submit(shard.BatchJob("j", 1, 1))
+	s.Run(10 * time.Minute)
+	if n := s.Row("j/0").Attempt; n < 4 || n > 12 {
+		t.Fatalf("%d attempts in ten minutes", n)
+	}
+}
+
+// Guards against a task that is sent back to the VM that refused it.
+func TestRefusingVMIsAvoided(t *testing.T) {
+	s := shard.NewSim(t, 2, 4, policy())
+	refused := 0
+	refuse := func(r *shard.TaskReport) {
+		if refused == 0 {
+			refused++
+			r.Phase, r.Blameless = shard.PhaseFailed, true
+		}
+	}
+	s.OnStart(0, refuse)
+	s.OnStart(1, refuse)
+	s.Run(4 * time.Second)
+	s.Submit(shard.BatchJob("j", 1, 1))
+	s.Run(1 * time.Second)
+	first := s.Row("j/0").VM
+	s.Run(4 * time.Second)
+	if r := s.Row("j/0"); r.State != task.Running || r.VM == first || r.Attempt != 2 {
+		t.Fatalf("refused on %s, now %s on %s, attempt %d", first, r.State, r.VM, r.Attempt)
+	}
+}
+
+// Guards against a worker that fails every task and makes jobs fail, and
+// against results that do not reach the tracker.
+func TestFailingWorkerIsQuarantined(t *testing.T) {
+	p := policy()
+	s := shard.NewSim(t, 6, 4, p)
+	s.OnStart(2, func(r *shard.TaskReport) { r.Phase, r.Error = shard.PhaseFailed, "broken disk" })
+	for i := range 40 {
+		s.Submit(shard.BatchJob(fmt.Sprintf("j%02d", i), 6, 1))
+		s.Run(4 * time.Second)
+		for k := range 6 {
+			if r := s.Row(types.TaskID(fmt.Sprintf("j%02d/%d", i, k))); r.State == task.Failed {
+				t.Fatalf("task %s failed: %s", r.Task, r.Reason)
+			}
+		}
+		s.Finish()
+	}
+	if !p.Quarantined("vm02") {
+		t.Fatal("the failing worker is not in quarantine")
+	}
+	if p.Quarantined("vm01") {
+		t.Fatal("a good worker is in quarantine")
+	}
+}
+
+// Guards against usage that does not lower the reservations of later tasks.
+func TestReservationFollowsUsage(t *testing.T) {
+	s := shard.NewSim(t, 2, 8, policy())
+	for i := range 2 {
+		s.OnStart(i, func(r *shard.TaskReport) { r.Usage = types.Resources{MilliCPU: 500} })
+	}
+	for i := range 20 {
+		j := shard.BatchJob(fmt.Sprintf("j%02d", i), 2, 4)
+		j.Kind = "plan"
+		s.Submit(j)
+		s.Run(2 * time.Minute)
+		s.Finish()
+	}
+	j := shard.BatchJob("last", 1, 4)
+	j.Kind = "plan"
+	s.Submit(j)
+	s.Run(5 * time.Second)
+	if r := s.Row("last/0"); r.Reserved.MilliCPU == 0 || r.Reserved.MilliCPU > 2000 {
+		t.Fatalf("task is %s (%s), reserved %s for a kind that uses half a core", r.State, r.Reason, r.Reserved)
+	}
+}
--- a/internal/core/shard/report.go
+++ b/internal/core/shard/report.go
@@ -28,6 +28,7 @@
 	if !r.Complete && v.reportedBy != r.Incarnation {
 		return false
 	}
+	o.now = now
 	v.reportSeq = r.Seq
 	if r.Complete {
 		v.reportedBy = r.Incarnation
@@ -67,6 +68,9 @@
 	if tr.Checkpoint != "" {
 		t.latest = tr.Checkpoint
 	}
+	if !tr.Usage.IsZero() {
+		o.learner.Usage(o.now, o.now-tr.UsageAge, tr.Task, tr.Usage)
+	}
 	if tr.Phase.over() {
 		o.ended(t, tr)
 		return true
@@ -111,9 +115,10 @@
 	case PhaseDone:
 		o.apply(t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
 	case PhaseFailed:
+		o.backOff(t)
 		o.apply(t, task.Event{
 			Kind: task.EventFailed, Attempt: tr.Attempt, Checkpoint: t.latest,
-			Blameless: tr.Blameless, Reason: tr.Error,
+			Blameless: tr.Blameless || o.learner.Quarantined(t.row.VM), Refused: tr.Blameless, Reason: tr.Error,
 		})
 	default:
 		o.stopped(t, tr.Checkpoint)
--- a/internal/core/shard/sim_test.go
+++ b/internal/core/shard/sim_test.go
@@ -119,11 +119,15 @@
 
 // takeOver writes a new fence row and returns an owner that has recovered.
 func (s *simTable) takeOver(now time.Duration, cfg Config, epoch types.Epoch, vms []types.VM) *Owner {
+	return s.takeOverWith(now, cfg, epoch, vms, firstFit{})
+}
+
+func (s *simTable) takeOverWith(now time.Duration, cfg Config, epoch types.Epoch, vms []types.VM, p Placer) *Owner {
 	cfg.Shard = testShard
 	cfg.Epoch = epoch
 	cfg.Incarnation = types.Incarnation(1000 + epoch)
 	cfg.FenceRevision = s.put(lease.FenceKey(testShard), []byte(fmt.Sprint(epoch))).Revision
-	o := NewOwner(cfg, membership.DefaultConfig(), firstFit{}, now)
+	o := NewOwner(cfg, membership.DefaultConfig(), p, now)
 	o.SetLease(now + time.Hour)
 	o.SetVMs(vms)
 	o.Recover(s.scan(task.JobPrefix(testShard)), s.scan(task.Prefix(testShard)))
@@ -142,6 +146,8 @@
 	echo   membership.Echo
 	seq    uint64
 	report uint64
+	// onStart sets how an attempt begins; nil lets it run.
+	onStart func(*TaskReport)
 }
 
 func newSimWorker(cfg Config, vm types.VMID, i types.Incarnation) *simWorker {
@@ -224,6 +230,9 @@
 			w.tasks[c.Task] = &TaskReport{
 				Task: c.Task, Attempt: c.Attempt, Class: c.Class, Phase: PhaseRunning, Reserved: c.Reserved,
 			}
+			if w.onStart != nil {
+				w.onStart(w.tasks[c.Task])
+			}
 		}
 	case CommandStop:
 		if tr == nil || tr.Attempt < c.Attempt {
@@ -266,11 +275,15 @@
 }
 
 func newSim(t testing.TB, vms, cores int) *sim {
+	return newSimWith(t, vms, cores, firstFit{})
+}
+
+func newSimWith(t testing.TB, vms, cores int, p Placer) *sim {
 	s := &sim{t: t, now: time.Minute, table: newSimTable()}
 	for i, vm := range vmsOf(vms, int64(cores)) {
 		s.workers = append(s.workers, newSimWorker(DefaultConfig(), vm.ID, types.Incarnation(i+1)))
 	}
-	s.owner = s.table.takeOver(s.now, DefaultConfig(), 1, vmsOf(vms, int64(cores)))
+	s.owner = s.table.takeOverWith(s.now, DefaultConfig(), 1, vmsOf(vms, int64(cores)), p)
 	return s
 }
 
--- a/internal/core/task/machine.go
+++ b/internal/core/task/machine.go
@@ -59,6 +59,8 @@
 	Checkpoint string
 	// Blameless failures are not held against the task.
 	Blameless bool
+	// Refused tells that the worker never started the attempt.
+	Refused bool
 	// Reason tells why the task failed or is infeasible.
 	Reason string
 }
--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -115,6 +115,8 @@
 			CheckpointFailed: t.GetCheckpointFailed(),
 			Blameless:        t.GetBlameless(),
 			Error:            t.GetError(),
+			Usage:            convert.FromWire(t.GetUsage()),
+			UsageAge:         time.Duration(t.GetUsageAgeMs()) * time.Millisecond,
 		})
 	}
 	return r
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -18,7 +18,6 @@
 	"github.com/boragecrank/boragecrank/internal/core/config"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/membership"
-	"github.com/boragecrank/boragecrank/internal/core/shard"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/node"
 	"github.com/boragecrank/boragecrank/internal/platform"
@@ -69,9 +68,8 @@
 type Options struct {
 	Shard types.ShardID
 	// Lease is the table as used for leases, Table for everything else.
-	Lease  platform.Table
-	Table  platform.Table
-	Placer shard.Placer
+	Lease platform.Table
+	Table platform.Table
 	// OwnerKnown is called with the call address of the shard's owner when it
 	// is read from the lease row.
 	OwnerKnown func(address netip.AddrPort)
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
+	"github.com/boragecrank/boragecrank/internal/core/interference"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/membership"
+	"github.com/boragecrank/boragecrank/internal/core/scheduler"
 	"github.com/boragecrank/boragecrank/internal/core/shard"
 	"github.com/boragecrank/boragecrank/internal/core/task"
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -57,7 +60,7 @@
 	t := &term{
 		epoch:   row.Epoch,
 		holder:  lease.NewHolder(lease.DefaultConfig(), row, revision, sentAt),
-		machine: shard.NewOwner(cfg, MembershipConfig(), s.h.opts.Placer, sentAt),
+		machine: shard.NewOwner(cfg, MembershipConfig(), s.newScheduler(), sentAt),
 		valid:   true,
 		links:   make(map[types.VMID]*link),
 	}
@@ -71,6 +74,16 @@
 	s.scanDue = 0
 }
 
+// newScheduler returns the placement policy of a term. What it learns ends with
+// the term.
+func (s *hostState) newScheduler() *scheduler.Scheduler {
+	var w interference.Weights
+	if c := s.h.node.Config.Current(); c != nil {
+		w.TailLatency, w.Eviction = c.Rules().Weights.TailLatency, c.Rules().Weights.Evictions
+	}
+	return scheduler.New(scheduler.Options{Weights: w, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64()))})
+}
+
 // end stops acting as owner.
 func (s *hostState) end() {
 	if s.term == nil {
