Run declared services, rescan job rows and delete those of finished jobs

Declared services had no replicas, a job whose notification was lost waited for the next owner, and rows of finished jobs stayed for ever.

Package core/replicas gives each shard its part of a service as a pure function of the configuration (Sainte-Lague over failure domains, then shards) and reconciles it with the job rows. An owner reads its job rows every 10 s, submits and cancels replicas, and deletes the job, index and task rows of jobs it has seen finished for 24 h, 64 rows at a time in class report. A replica that ends or fails is started again after the back-off of its task.

--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -188,6 +188,7 @@
 		Shard:      vm.Shard,
 		Lease:      p.store.View(store.Lease),
 		Table:      p.store.View(store.Placement),
+		Report:     p.store.View(store.Report),
 		OwnerKnown: w.SetOwner,
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/core/replicas/replicas.go
@@ -0,0 +1,182 @@
+// Package replicas decides which replicas of the declared services each shard
+// runs, and with which jobs.
+//
+// Each replica is a job of one latency-critical task without an end. A shard's
+// part of a service is a pure function of the configuration, so that owners
+// agree without talking to each other. Divisor methods are used, because one
+// replica more or less then changes one shard's part by one.
+package replicas
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+const (
+	// Endless is the run time of a replica: the runtime takes the run time of a
+	// task as its real one, and must not end a replica.
+	Endless = 10 * 365 * 24 * time.Hour
+	// prefix of the job IDs of replicas.
+	prefix = "service."
+)
+
+// part is a failure domain or a shard that gets replicas.
+type part struct {
+	name   string
+	weight int
+	count  int
+	order  uint64
+}
+
+// Shares returns how many replicas of a service each shard runs. Domains get
+// parts by their number of VMs, or equal ones where the service asks to be
+// spread; the shards of a domain get parts by their number of VMs. Racks are
+// left to placement.
+func Shares(c *config.Config, s types.Service) map[types.ShardID]int {
+	shards := make(map[types.FailureDomain]map[types.ShardID]int)
+	var domains []part
+	for _, d := range c.Content().Domains {
+		fill := make(map[types.ShardID]int)
+		for i := range d.VMs {
+			if s.Demand.Fits(d.VMs[i].Capacity) {
+				fill[d.VMs[i].Shard]++
+			}
+		}
+		weight := 0
+		for _, n := range fill {
+			weight += n
+		}
+		if weight == 0 {
+			continue
+		}
+		if s.SpreadDomains {
+			weight = 1
+		}
+		shards[d.Name] = fill
+		domains = append(domains, newPart(s.Name, string(d.Name), weight))
+	}
+	out := make(map[types.ShardID]int)
+	divide(domains, s.Replicas)
+	for _, d := range domains {
+		var parts []part
+		for id, n := range shards[types.FailureDomain(d.name)] {
+			parts = append(parts, newPart(s.Name, string(id), n))
+		}
+		divide(parts, d.count)
+		for _, p := range parts {
+			out[types.ShardID(p.name)] = p.count
+		}
+	}
+	return out
+}
+
+func newPart(service types.ServiceName, name string, weight int) part {
+	return part{name: name, weight: weight, order: xxhash.Sum64String(string(service) + "\x00" + name)}
+}
+
+// divide gives out n replicas by the Sainte-Lague method. Equal claims go by
+// hash, so that services with few replicas do not all use the same shards.
+func divide(parts []part, n int) {
+	slices.SortFunc(parts, func(a, b part) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.name, b.name))
+	})
+	for range n {
+		best := -1
+		for i := range parts {
+			if best < 0 || claim(&parts[i], &parts[best]) {
+				best = i
+			}
+		}
+		if best >= 0 {
+			parts[best].count++
+		}
+	}
+}
+
+// claim reports whether a comes before b: weight/(2*count+1) is larger.
+func claim(a, b *part) bool {
+	return a.weight*(2*b.count+1) > b.weight*(2*a.count+1)
+}
+
+// job returns the job of a replica. The ID changes with what the replica is.
+func job(s *types.Service, shard types.ShardID, index int) types.Job {
+	h := xxhash.New()
+	for _, n := range []int64{s.Demand.MilliCPU, s.Demand.MemoryBytes, s.Demand.Accelerators} {
+		// Writing to a hash never fails.
+		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(n)))
+	}
+	_, _ = h.WriteString(string(s.Team))
+	return types.Job{
+		ID:   types.JobID(fmt.Sprintf("%s%s.%s.%08x.%d", prefix, s.Name, shard, uint32(h.Sum64()), index)),
+		Kind: string(s.Name), Team: s.Team, Class: types.ClassLatencyCritical,
+		Urgent: s.Urgent, Demand: s.Demand, RunTime: Endless, Tasks: 1,
+	}
+}
+
+// Plan is what has to change in the rows of a shard.
+type Plan struct {
+	// Submit are jobs to submit; no row of their IDs was given.
+	Submit []types.Job
+	// Cancel are replicas that are no longer wanted.
+	Cancel []types.JobID
+}
+
+// Reconcile compares the job rows of a shard with its parts of the declared
+// services. A replica whose row has finished gets the next generation, the
+// last number of the ID: a finished job's task rows still exist.
+func Reconcile(c *config.Config, shard types.ShardID, rows []task.JobRow) Plan {
+	wanted := make(map[types.JobID]types.Job)
+	for i := range c.Content().Services {
+		s := &c.Content().Services[i]
+		for k := range Shares(c, *s)[shard] {
+			j := job(s, shard, k)
+			wanted[j.ID] = j
+		}
+	}
+	next := make(map[types.JobID]int)
+	var plan Plan
+	for i := range rows {
+		row := &rows[i]
+		base, generation, ok := parse(row.Job.ID)
+		if !ok || row.Job.Class != types.ClassLatencyCritical {
+			continue
+		}
+		next[base] = max(next[base], generation+1)
+		if row.Finished || row.Cancel {
+			continue
+		}
+		if _, ok := wanted[base]; ok {
+			delete(wanted, base)
+			continue
+		}
+		plan.Cancel = append(plan.Cancel, row.Job.ID)
+	}
+	for base, j := range wanted {
+		j.ID = types.JobID(string(base) + "." + strconv.Itoa(next[base]))
+		plan.Submit = append(plan.Submit, j)
+	}
+	slices.Sort(plan.Cancel)
+	slices.SortFunc(plan.Submit, func(a, b types.Job) int { return cmp.Compare(a.ID, b.ID) })
+	return plan
+}
+
+// parse splits the ID of a replica's job into base and generation.
+func parse(id types.JobID) (types.JobID, int, bool) {
+	at := strings.LastIndexByte(string(id), '.')
+	if !strings.HasPrefix(string(id), prefix) || at < len(prefix) {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(string(id[at+1:]))
+	return id[:at], n, err == nil
+}
--- /dev/null
+++ b/internal/core/replicas/replicas_test.go
@@ -0,0 +1,87 @@
+package replicas
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+func fleet(t *testing.T, replicas int, spread bool, vms ...int) *config.Config {
+	t.Helper()
+	var content config.Content
+	for d, n := range vms {
+		domain := config.Domain{Name: types.FailureDomain(fmt.Sprint("d", d)), Racks: []types.Rack{"r"}}
+		for i := range n {
+			domain.VMs = append(domain.VMs, types.VM{
+				ID: types.VMID(fmt.Sprintf("d%d-%02d", d, i)), Rack: "r", Capacity: types.Resources{MilliCPU: 8000},
+			})
+		}
+		config.AssignShards(&domain, nil)
+		content.Domains = append(content.Domains, domain)
+	}
+	content.Services = []types.Service{{Name: "check", Replicas: replicas, SpreadDomains: spread, Demand: types.Resources{MilliCPU: 500}}}
+	c, err := config.New(1, content, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func shares(c *config.Config) map[types.ShardID]int {
+	s, _ := c.Service("check")
+	return Shares(c, s)
+}
+
+// Guards against replicas that no shard or two shards run, parts that are not
+// proportional, and parts that move when the number of replicas changes by one.
+func TestShares(t *testing.T) {
+	var before map[types.ShardID]int
+	for n := range 60 {
+		now := shares(fleet(t, n, false, 40, 20, 10))
+		sum, moved := 0, 0
+		for id, k := range now {
+			sum += k
+			moved += max(k-before[id], before[id]-k)
+		}
+		if sum != n || (n > 0 && moved != 1) {
+			t.Fatalf("%d replicas: sum %d, %d moved", n, sum, moved)
+		}
+		before = now
+	}
+	c := fleet(t, 70, false, 40, 20, 10)
+	if got := shares(c); got["d1-s00"] != 20 || got["d2-s00"] != 10 {
+		t.Fatalf("parts %v", got)
+	}
+	got := shares(fleet(t, 6, true, 40, 20, 10))
+	if got["d0-s00"]+got["d0-s01"] != 2 || got["d1-s00"] != 2 || got["d2-s00"] != 2 {
+		t.Fatalf("parts of a spread service %v", got)
+	}
+}
+
+// Guards against replicas that are submitted twice, kept after they were
+// removed from the configuration, or replaced under an ID that was used.
+func TestReconcile(t *testing.T) {
+	c := fleet(t, 3, false, 4)
+	plan := Reconcile(c, "d0-s00", nil)
+	if len(plan.Submit) != 3 || len(plan.Cancel) != 0 {
+		t.Fatalf("plan %+v", plan)
+	}
+	var rows []task.JobRow
+	for _, j := range plan.Submit {
+		rows = append(rows, task.JobRow{Job: j})
+	}
+	if p := Reconcile(c, "d0-s00", rows); len(p.Submit)+len(p.Cancel) != 0 {
+		t.Fatalf("a second plan %+v", p)
+	}
+	if p := Reconcile(fleet(t, 1, false, 4), "d0-s00", rows); len(p.Submit) != 0 || len(p.Cancel) != 2 {
+		t.Fatalf("plan for fewer replicas %+v", p)
+	}
+	rows[1].Finished = true
+	p := Reconcile(c, "d0-s00", rows)
+	if len(p.Submit) != 1 || p.Submit[0].ID == rows[1].Job.ID {
+		t.Fatalf("plan for a finished replica %+v", p)
+	}
+}
--- a/internal/core/shard/command.go
+++ b/internal/core/shard/command.go
@@ -76,7 +76,7 @@
 		return CommandStop
 	case t.committed.State == task.Checkpointed:
 		return CommandStop
-	case t.evicting && t.job.row.Job.Class == types.ClassLatencyCritical:
+	case t.evicting && t.replica():
 		return CommandStop
 	case t.committed.Incarnation != t.row.Incarnation:
 		return "" // an adoption is not committed yet
--- a/internal/core/shard/policy_test.go
+++ b/internal/core/shard/policy_test.go
@@ -150,3 +150,24 @@
 		t.Fatalf("task is %s (%s), reserved %s for a kind that uses half a core", r.State, r.Reason, r.Reserved)
 	}
 }
+
+// Guards against a replica that stays away after it ended, ends its job, or is
+// started again without pause.
+func TestEndedReplicaIsReplaced(t *testing.T) {
+	s := shard.NewSim(t, 2, 4, policy())
+	j := shard.BatchJob("replica", 1, 1)
+	j.Class = types.ClassLatencyCritical
+	s.Submit(j)
+	s.Run(5 * time.Second)
+	for attempt := types.Attempt(1); attempt <= 5; attempt++ {
+		if r := s.Row("replica/0"); r.State != task.Running || r.Attempt != attempt {
+			t.Fatalf("replica is %s, attempt %d; want attempt %d", r.State, r.Attempt, attempt)
+		}
+		s.Finish()
+		s.Run(600 * time.Millisecond)
+		if r := s.Row("replica/0"); r.State.Live() {
+			t.Fatalf("attempt %d ended and the next began without pause", attempt)
+		}
+		s.Run(20 * time.Second)
+	}
+}
--- a/internal/core/shard/report.go
+++ b/internal/core/shard/report.go
@@ -111,6 +111,12 @@
 
 // ended applies the report of a present attempt that is over.
 func (o *Owner) ended(t *taskState, tr TaskReport) {
+	if t.replica() && tr.Phase != PhaseStopped {
+		// A replica has no end of its own: it is replaced.
+		o.backOff(t)
+		o.stopped(t, "")
+		return
+	}
 	switch tr.Phase {
 	case PhaseDone:
 		o.apply(t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
@@ -125,11 +131,16 @@
 	}
 }
 
+// replica reports whether the task is a replica of a service.
+func (t *taskState) replica() bool {
+	return t.job.row.Job.Class == types.ClassLatencyCritical
+}
+
 // endedEarlier applies the report of the last attempt of a task that has no
 // live one. A completion still counts; a stop is known and may be forgotten
 // once the table has it.
 func (o *Owner) endedEarlier(v *vmState, from types.Incarnation, t *taskState, tr TaskReport) {
-	if tr.Phase == PhaseDone {
+	if tr.Phase == PhaseDone && !t.replica() {
 		o.apply(t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
 	}
 	if tr.Phase.over() {
--- a/internal/core/task/row.go
+++ b/internal/core/task/row.go
@@ -124,6 +124,10 @@
 	return JobPrefix(shard) + string(id)
 }
 
+// IndexKey returns the key of the row that names the shard of a job. It makes
+// job IDs unique over all shards.
+func IndexKey(id types.JobID) string { return "jobindex/" + string(id) }
+
 // JobPrefix returns the prefix of the keys of a shard's job rows.
 func JobPrefix(shard types.ShardID) string {
 	return "jobs/" + string(shard) + "/"
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -98,7 +98,7 @@
 }
 
 func (e *Entry) submit(ctx context.Context, cfg *config.Config, job types.Job) (*JobStatus, error) {
-	index := jobIndexKey(job.ID)
+	index := task.IndexKey(job.ID)
 	rows, err := e.opts.Table.Get(ctx, index)
 	if err != nil {
 		return nil, tableDown(job.ID, err)
@@ -135,10 +135,6 @@
 	return e.jobStatus(ctx, job.ID)
 }
 
-// jobIndexKey is the key of the row that names the shard of a job. It makes
-// job IDs unique over all shards.
-func jobIndexKey(id types.JobID) string { return "jobindex/" + string(id) }
-
 func tableDown(id types.JobID, cause error) error {
 	return &apperr.Error{Kind: apperr.KindUnavailable, Object: "job " + string(id), Problem: "the table does not answer",
 		Remedy: "try again when it answers", Outcome: apperr.OutcomeNotRun, RetryAfter: retryAfter, Cause: cause}
@@ -266,7 +262,7 @@
 
 // jobRow reads a job's row through the index.
 func (e *Entry) jobRow(ctx context.Context, id types.JobID) (platform.Row, types.ShardID, error) {
-	rows, err := e.opts.Table.Get(ctx, jobIndexKey(id))
+	rows, err := e.opts.Table.Get(ctx, task.IndexKey(id))
 	if err != nil {
 		return platform.Row{}, "", tableDown(id, err)
 	}
--- /dev/null
+++ b/internal/localrun/replicas_test.go
@@ -0,0 +1,182 @@
+package localrun_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/localrun"
+	"github.com/boragecrank/boragecrank/internal/platform"
+)
+
+const work = `[[team]]
+name = "bookings"
+quota_cores = 20000
+quota_memory = "60TB"
+
+[[service]]
+name = "berth-check"
+team = "bookings"
+replicas = 2
+cores = 1
+memory = "1GB"
+deadline = "2s"
+
+[[job]]
+name = "night-allocation"
+team = "bookings"
+tasks = 1
+cores = 4
+memory = "8GB"
+run_time = "1s"
+`
+
+type jobList []struct {
+	ID       string `json:"id"`
+	Kind     string `json:"kind"`
+	Finished bool   `json:"finished"`
+	Cancel   bool   `json:"cancel"`
+	Done     int    `json:"done"`
+	States   []struct {
+		State string `json:"state"`
+		VM    string `json:"vm"`
+	} `json:"states"`
+}
+
+// replicas returns the VMs of running replicas.
+func replicas(ctx context.Context, d *localrun.Deployment) []string {
+	var list jobList
+	body, err := d.Get(ctx, "http://"+d.Operators(1)+"/v1/jobs")
+	if err != nil || json.Unmarshal(body, &list) != nil {
+		return nil
+	}
+	var vms []string
+	for _, j := range list {
+		if j.Kind != "berth-check" || j.Finished {
+			continue
+		}
+		var one jobList
+		body, err := d.Get(ctx, "http://"+d.Operators(1)+"/v1/jobs/"+j.ID)
+		if err != nil || json.Unmarshal([]byte("["+string(body)+"]"), &one) != nil {
+			return nil
+		}
+		for _, s := range one[0].States {
+			if s.State == string(task.Running) {
+				vms = append(vms, s.VM)
+			}
+		}
+	}
+	return vms
+}
+
+func await(t *testing.T, what string, limit time.Duration, done func() bool) {
+	t.Helper()
+	begun := time.Now()
+	for time.Since(begun) < limit {
+		if done() {
+			t.Logf("%s after %v", what, time.Since(begun).Round(100*time.Millisecond))
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within %v", what, limit)
+}
+
+func deploy(ctx context.Context, t *testing.T) *localrun.Deployment {
+	t.Helper()
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "boragecrank")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "../../cmd/boragecrank").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	d, err := localrun.New(localrun.Options{
+		Binary: binary, Dir: dir, Octet: 61, Entries: 1, Domains: 1, Workers: 3, Work: work,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			for i := 1; i <= 3; i++ {
+				t.Log(d.Log(localrun.WorkerName(1, i)))
+			}
+			out, _ := d.Command(context.Background(), "status")
+			t.Log(out)
+		}
+	})
+	if err := d.StartAll(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// Guards against declared replicas that do not run, are not replaced when
+// their VM dies, or run on after the configuration dropped them; and against
+// a job row whose notification was lost and that is never run.
+func TestReplicasFollowConfiguration(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	d := deploy(ctx, t)
+	var vms []string
+	await(t, "two replicas run", 30*time.Second, func() bool {
+		vms = replicas(ctx, d)
+		return len(vms) == 2
+	})
+	if vms[0] == vms[1] {
+		t.Errorf("both replicas are on %s", vms[0])
+	}
+	lostNotification(ctx, t, d)
+	dead := vms[0]
+	if err := d.Kill(dead); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the replica of the dead VM is replaced", 40*time.Second, func() bool {
+		vms = replicas(ctx, d)
+		return len(vms) == 2 && vms[0] != dead && vms[1] != dead
+	})
+	fewer := strings.Replace(work, "replicas = 2", "replicas = 1", 1)
+	if err := os.WriteFile(filepath.Join(d.InventoryDir(), "work.toml"), []byte(fewer), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := d.Command(ctx, "apply", d.InventoryDir()); err != nil {
+		t.Fatalf("apply: %v: %s", err, out)
+	}
+	await(t, "one replica is left", 30*time.Second, func() bool { return len(replicas(ctx, d)) == 1 })
+}
+
+// lostNotification writes the rows of a job and tells nobody.
+func lostNotification(ctx context.Context, t *testing.T, d *localrun.Deployment) {
+	t.Helper()
+	table := platform.NewHTTPTable("http://"+d.Platform(), http.DefaultClient)
+	leases, err := table.Scan(ctx, "lease/", "", 1)
+	if err != nil || len(leases) != 1 {
+		t.Fatalf("%d leases, %v", len(leases), err)
+	}
+	id := types.ShardID(strings.TrimPrefix(leases[0].Key, "lease/"))
+	job := types.Job{ID: "quiet", Kind: "night-allocation", Team: "bookings", Class: types.ClassBatch, Tasks: 1,
+		Demand: types.Resources{MilliCPU: 1000}, RunTime: time.Second}
+	value, err := task.JobRow{Job: job}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = table.Commit(ctx, platform.Txn{Writes: []platform.Write{
+		{Key: task.IndexKey(job.ID), Value: []byte(id)}, {Key: task.JobKey(id, job.ID), Value: value},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the job without notification is done", 30*time.Second, func() bool {
+		var one jobList
+		body, err := d.Get(ctx, "http://"+d.Operators(1)+"/v1/jobs/quiet")
+		return err == nil && json.Unmarshal([]byte("["+string(body)+"]"), &one) == nil && one[0].Done == 1
+	})
+}
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -70,6 +70,8 @@
 	// Lease is the table as used for leases, Table for everything else.
 	Lease platform.Table
 	Table platform.Table
+	// Report is the table as used for the deletion of old rows.
+	Report platform.Table
 	// OwnerKnown is called with the call address of the shard's owner when it
 	// is read from the lease row.
 	OwnerKnown func(address netip.AddrPort)
@@ -211,6 +213,7 @@
 	}
 	if s.term != nil {
 		s.term.machine.SetVMs(vms)
+		s.term.rows.due = 0
 		s.notifyMembers()
 	}
 }
@@ -221,6 +224,7 @@
 	s.tickLease(now)
 	if s.term != nil {
 		s.poll(now)
+		s.tickRows(now)
 	}
 	if s.relay != nil {
 		s.relay.tick(s, now)
--- /dev/null
+++ b/internal/owner/rows.go
@@ -0,0 +1,198 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/replicas"
+	"github.com/boragecrank/boragecrank/internal/core/shard"
+	"github.com/boragecrank/boragecrank/internal/core/task"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+var eventReplicas = telemetry.Define(517, logrus.InfoLevel, "replicas changed",
+	"The owner submitted or cancelled replicas of services after a change of the configuration. No action.")
+
+const (
+	// rescanInterval is how often an owner reads its job rows, for those whose
+	// notification was lost. At 30 shards of at most 500 rows this is 3 reads/s.
+	rescanInterval = 10 * time.Second
+	// Retention is how long the rows of a finished job are kept, counted from
+	// when the present owner first saw it finished.
+	Retention = 24 * time.Hour
+	// deleteRows bounds the rows that one transaction deletes, and planRows the
+	// jobs that one transaction submits or cancels.
+	deleteRows = 64
+	planRows   = 16
+	rowTimeout = 5 * time.Second
+)
+
+// upkeep is the state of the periodic work on job rows.
+type upkeep struct {
+	busy bool
+	due  time.Duration
+	// finished tells when jobs were first seen finished.
+	finished map[types.JobID]time.Duration
+}
+
+// tickRows starts a rescan if one is due.
+func (s *hostState) tickRows(now time.Duration) {
+	t, h := s.term, s.h
+	c := h.node.Config.Current()
+	if !t.recovered || t.rows.busy || now < t.rows.due || c == nil {
+		return
+	}
+	t.rows.busy = true
+	h.async(rowTimeout, func(ctx context.Context) func(*hostState) {
+		found, err := h.scan(ctx, task.JobPrefix(h.opts.Shard))
+		return func(s *hostState) {
+			t.rows.busy = false
+			t.rows.due = h.node.Clock() + rescanInterval
+			if s.term != t || err != nil {
+				return
+			}
+			s.scanned(t, c, found)
+		}
+	})
+}
+
+// scanned hands the rows to the state machine, then brings the replicas of
+// services and the rows of finished jobs up to date.
+func (s *hostState) scanned(t *term, c *config.Config, found []shard.TableRow) {
+	rows := make([]task.JobRow, 0, len(found))
+	revisions := make(map[types.JobID]uint64, len(found))
+	var ended []finishedRow
+	for _, r := range found {
+		row, err := task.DecodeJob(r.Value)
+		if err != nil {
+			continue // recovery has reported it
+		}
+		rows = append(rows, row)
+		revisions[row.Job.ID] = r.Revision
+		if row.Finished {
+			ended = append(ended, finishedRow{row: row, key: r.Key, revision: r.Revision})
+			continue
+		}
+		t.machine.Submit(r)
+	}
+	s.applyPlan(t, replicas.Reconcile(c, s.h.opts.Shard, rows), rows, revisions)
+	s.deleteExpired(t, t.rows.expired(s.h.node.Clock(), ended))
+}
+
+// finishedRow is the row of a finished job.
+type finishedRow struct {
+	row      task.JobRow
+	key      string
+	revision uint64
+}
+
+// expired returns the rows first seen finished a retention period ago, and
+// remembers when the others were.
+func (u *upkeep) expired(now time.Duration, ended []finishedRow) []finishedRow {
+	seen := make(map[types.JobID]time.Duration, len(ended))
+	var out []finishedRow
+	for _, r := range ended {
+		at, known := u.finished[r.row.Job.ID]
+		if !known {
+			at = now
+		}
+		seen[r.row.Job.ID] = at
+		if now-at >= Retention {
+			out = append(out, r)
+		}
+	}
+	u.finished = seen
+	return out
+}
+
+// applyPlan commits the jobs of replicas and hands them to the state machine.
+// What one transaction does not hold follows with the next scan, at once.
+func (s *hostState) applyPlan(t *term, p replicas.Plan, rows []task.JobRow, revisions map[types.JobID]uint64) {
+	h := s.h
+	txn := platform.Txn{Conditions: []platform.Condition{{Key: lease.FenceKey(h.opts.Shard), Revision: t.fence}}}
+	put := func(row task.JobRow, revision uint64) {
+		value, err := row.Encode()
+		if err != nil || len(txn.Reads) >= planRows {
+			return
+		}
+		key := task.JobKey(h.opts.Shard, row.Job.ID)
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Revision: revision})
+		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: value})
+		txn.Reads = append(txn.Reads, key)
+		if revision == 0 {
+			index := task.IndexKey(row.Job.ID)
+			txn.Conditions = append(txn.Conditions, platform.Condition{Key: index})
+			txn.Writes = append(txn.Writes, platform.Write{Key: index, Value: []byte(h.opts.Shard)})
+		}
+	}
+	for _, id := range p.Cancel {
+		for i := range rows {
+			if rows[i].Job.ID == id {
+				row := rows[i]
+				row.Cancel = true
+				put(row, revisions[id])
+			}
+		}
+	}
+	for _, j := range p.Submit {
+		put(task.JobRow{Job: j, SubmittedUnix: time.Now().Unix()}, 0)
+	}
+	if len(txn.Writes) == 0 {
+		return
+	}
+	h.tel.Log.Log(eventReplicas, nil, telemetry.Fields{"submitted": len(p.Submit), "cancelled": len(p.Cancel)})
+	t.rows.busy = true
+	h.async(rowTimeout, func(ctx context.Context) func(*hostState) {
+		result, err := h.opts.Table.Commit(ctx, txn)
+		return func(s *hostState) {
+			t.rows.busy = false
+			if s.term != t || err != nil || !result.Committed {
+				return // the next scan shows what became of it
+			}
+			t.rows.due = 0
+			for _, r := range tableRows(result.Rows) {
+				t.machine.Submit(r)
+			}
+		}
+	})
+}
+
+// deleteExpired deletes the rows of finished jobs.
+func (s *hostState) deleteExpired(t *term, expired []finishedRow) {
+	h := s.h
+	if len(expired) == 0 {
+		return
+	}
+	txn := deletion(h.opts.Shard, t.fence, expired)
+	h.async(rowTimeout, func(ctx context.Context) func(*hostState) {
+		// A failed deletion is tried again after the next scan.
+		_, _ = h.opts.Report.Commit(ctx, txn)
+		return func(*hostState) {}
+	})
+}
+
+// deletion returns the transaction that deletes the job, index and task rows
+// of as many jobs as it may hold, but of one at least.
+func deletion(id types.ShardID, fence uint64, expired []finishedRow) platform.Txn {
+	txn := platform.Txn{Conditions: []platform.Condition{{Key: lease.FenceKey(id), Revision: fence}}}
+	for _, r := range expired {
+		if n := len(txn.Writes); n > 0 && n+r.row.Job.Tasks+2 > deleteRows {
+			break
+		}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: r.key, Revision: r.revision})
+		keys := []string{r.key, task.IndexKey(r.row.Job.ID)}
+		for i := range r.row.Job.Tasks {
+			keys = append(keys, task.Key(id, r.row.Job.TaskID(i)))
+		}
+		for _, k := range keys {
+			txn.Writes = append(txn.Writes, platform.Write{Key: k, Delete: true})
+		}
+	}
+	return txn
+}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -35,6 +35,9 @@
 	appointment uint64
 	relay       types.VMID
 	links       map[types.VMID]*link
+	// fence is the revision of the fence row, on which effects are conditional.
+	fence uint64
+	rows  upkeep
 }
 
 // link is the exchange with one worker. Commands and reports take turns, so
@@ -63,6 +66,7 @@
 		machine: shard.NewOwner(cfg, MembershipConfig(), s.newScheduler(), sentAt),
 		valid:   true,
 		links:   make(map[types.VMID]*link),
+		fence:   revision,
 	}
 	t.machine.SetLease(t.holder.Until())
 	s.term, s.relay = t, nil
