--- a/internal/core/shard/report.go
+++ b/internal/core/shard/report.go
@@ -28,6 +28,7 @@
 	if !r.Complete && v.reportedBy != r.Incarnation {
 		return false
 	}
+	o.now = now
 	v.reportSeq = r.Seq
 	if r.Complete {
 		v.reportedBy = r.Incarnation
@@ -67,6 +68,9 @@
 	if tr.Checkpoint != "" {
 		t.latest = tr.Checkpoint
 	}
+	if !tr.Usage.IsZero() {
+		o.learner.Usage(o.now, o.now-tr.UsageAge, tr.Task, tr.Usage)
+	}
 	if tr.Phase.over() {
 		o.ended(t, tr)
 		return true
@@ -107,24 +111,36 @@
 
 // ended applies the report of a present attempt that is over.
 func (o *Owner) ended(t *taskState, tr TaskReport) {
+	if t.replica() && tr.Phase != PhaseStopped {
+		// A replica has no end of its own: it is replaced.
+		o.backOff(t)
+		o.stopped(t, "")
+		return
+	}
 	switch tr.Phase {
 	case PhaseDone:
 		o.apply(t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
 	case PhaseFailed:
+		o.backOff(t)
 		o.apply(t, task.Event{
 			Kind: task.EventFailed, Attempt: tr.Attempt, Checkpoint: t.latest,
-			Blameless: tr.Blameless, Reason: tr.Error,
+			Blameless: tr.Blameless || o.learner.Quarantined(t.row.VM), Refused: tr.Blameless, Reason: tr.Error,
 		})
 	default:
 		o.stopped(t, tr.Checkpoint)
 	}
 }
 
+// replica reports whether the task is a replica of a service.
+func (t *taskState) replica() bool {
+	return t.job.row.Job.Class == types.ClassLatencyCritical
+}
+
 // endedEarlier applies the report of the last attempt of a task that has no
 // live one. A completion still counts; a stop is known and may be forgotten
 // once the table has it.
 func (o *Owner) endedEarlier(v *vmState, from types.Incarnation, t *taskState, tr TaskReport) {
-	if tr.Phase == PhaseDone {
+	if tr.Phase == PhaseDone && !t.replica() {
 		o.apply(t, task.Event{Kind: task.EventFinished, Attempt: tr.Attempt})
 	}
 	if tr.Phase.over() {
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -18,7 +18,6 @@
 	"github.com/boragecrank/boragecrank/internal/core/config"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/membership"
-	"github.com/boragecrank/boragecrank/internal/core/shard"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/node"
 	"github.com/boragecrank/boragecrank/internal/platform"
@@ -69,9 +68,10 @@
 type Options struct {
 	Shard types.ShardID
 	// Lease is the table as used for leases, Table for everything else.
-	Lease  platform.Table
-	Table  platform.Table
-	Placer shard.Placer
+	Lease platform.Table
+	Table platform.Table
+	// Report is the table as used for the deletion of old rows.
+	Report platform.Table
 	// OwnerKnown is called with the call address of the shard's owner when it
 	// is read from the lease row.
 	OwnerKnown func(address netip.AddrPort)
@@ -213,6 +213,7 @@
 	}
 	if s.term != nil {
 		s.term.machine.SetVMs(vms)
+		s.term.rows.due = 0
 	}
 	if s.term != nil || s.relay != nil {
 		s.notifyMembers()
@@ -225,6 +226,7 @@
 	s.tickLease(now)
 	if s.term != nil {
 		s.poll(now)
+		s.tickRows(now)
 	}
 	if s.relay != nil {
 		s.relay.tick(s, now)
