--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -52,6 +53,8 @@
 	e     *Entry
 	cfg   membership.Config
 	state *actors.Owner[*directoryState]
+	// heard is set when members of a shard were first received.
+	heard atomic.Bool
 }
 
 func newDirectory(e *Entry, cfg membership.Config) (*directory, error) {
@@ -167,6 +170,9 @@
 			s.members[types.VMID(m.GetVm())] = m
 		}
 	}
+	if len(delta.Entries) > 0 {
+		d.heard.Store(true)
+	}
 	changed, _ := v.directory.Delta(d.e.node.Clock(), delta, nil)
 	for _, e := range changed {
 		d.changed(s, e)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,9 +86,11 @@
 	callers   *httpserve.Server
 	operators *httpserve.Server
 	stopping  atomic.Bool
-	running   sync.WaitGroup
-	ctx       context.Context
-	stop      context.CancelFunc
+	// started is when the entry was made.
+	started time.Duration
+	running sync.WaitGroup
+	ctx     context.Context
+	stop    context.CancelFunc
 }
 
 // New prepares an entry on the node. Start begins its work.
@@ -103,6 +105,7 @@
 		tel:     n.Telemetry,
 		router:  r,
 		active:  newAttemptSet(),
+		started: n.Clock(),
 		metrics: newMetrics(n.Telemetry.Metrics),
 	}
 	e.directory, err = newDirectory(e, o.Membership)
@@ -171,7 +174,7 @@
 // serveReady fails while the entry takes no new work, so that the balancer
 // moves callers away.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || !e.node.Config.MayTakeNew() {
+	if e.stopping.Load() || !e.node.Config.MayTakeNew() || !e.informed() {
 		apperr.WriteHTTP(w, apperr.New(apperr.KindUnavailable, "entry "+e.node.Name,
 			"takes no new requests", "use another entry"))
 		return
@@ -179,6 +182,17 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// informed tells whether a fresh entry has heard of workers, without which it
+// would refuse every request. An entry that hears of none for long serves all
+// the same: its refusals then say what is wrong.
+func (e *Entry) informed() bool {
+	return e.directory.heard.Load() || e.node.Clock() >= e.started+informedWithin
+}
+
+// informedWithin covers the entry's row, the owners' next scan of the rows and
+// the fetch of members.
+const informedWithin = 10 * time.Second
+
 // heardWorker takes what a worker told about itself with a reply.
 func (e *Entry) heardWorker(t target, r runcall.Report) {
 	if r.Incarnation != t.Incarnation {
