Store a proven not-run before it is answered

A keyed request refused by a restarted worker was answered not-run while its claim row still named the attempt. Ruled out: cut or lost requests (no run in the record).

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -155,10 +155,30 @@
 		return *answer
 	}
 	res := e.dispatch(ctx, c, claim)
-	e.background(func() { claim.settle(context.WithoutCancel(ctx), res) })
+	settled := make(chan struct{})
+	e.background(func() {
+		defer close(settled)
+		claim.settle(context.WithoutCancel(ctx), res)
+	})
+	if res.outcome == apperr.OutcomeNotRun {
+		// A caller repeats at once what was not run. Before the proof is stored, a
+		// repeat at another entry would seal the attempt, and get unknown if the
+		// target's incarnation is over.
+		awaitSettled(ctx, settled)
+	}
 	return res
 }
 
+// awaitSettled waits for the stored outcome, as long as for a claim.
+func awaitSettled(ctx context.Context, settled <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+	}
+}
+
 // writeResult answers the caller with a whole response or a typed error.
 func writeResult(w http.ResponseWriter, c *call, res result) {
 	if res.response == nil {
