Wait longer than a heartbeat interval before workers become candidates

With heartbeats every 2 s and candidates after 2 s of silence, workers tried takeovers between two acknowledgements, on lease rows read long before.

--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -54,8 +54,10 @@
 	// observeInterval is how often a candidate reads the lease row.
 	observeInterval = time.Second
 	// ownerSilence is how long no acknowledgement of an owner makes every
-	// worker of the shard a candidate; until then only the relay is one.
-	ownerSilence = 2 * time.Second
+	// worker of the shard a candidate; until then only the relay is one. It is
+	// longer than the interval of heartbeats: at 2 s, workers became candidates
+	// between two acknowledgements and tried takeovers on rows read long before.
+	ownerSilence = 3 * time.Second
 	// tableTimeout bounds one call to the table.
 	tableTimeout = 2 * time.Second
 	// commandTimeout bounds one call to a worker.
