--- a/internal/e2e/trace_test.go
+++ b/internal/e2e/trace_test.go
@@ -63,7 +63,7 @@
 }
 
 // startUpstream serves an upstream inside the test and announces it.
-func startUpstream(t *testing.T, f *fleet, address, announcements string, handler http.Handler) {
+func startUpstream(t *testing.T, address, announcements string, handler http.Handler) {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -105,7 +105,7 @@
 	}
 	f := startFleet(t, localrun.Options{Entries: 1, Domains: 1, Workers: 1, Trace: true})
 	u := &ownUpstream{}
-	startUpstream(t, f, f.d.Upstream(1, 1), strings.Replace(f.d.Upstream(1, 1), ":8000", ":7002", 1), u)
+	startUpstream(t, f.d.Upstream(1, 1), strings.Replace(f.d.Upstream(1, 1), ":8000", ":7002", 1), u)
 	const traceID, callerSpan = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
 	book := func(key string) bool {
 		req, err := http.NewRequest(http.MethodPost, "http://"+f.d.Callers(1)+"/v1/services/berth-check/x", strings.NewReader("{}"))
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -186,7 +186,8 @@
 			break
 		}
 		txn.Conditions = append(txn.Conditions, platform.Condition{Key: r.key, Revision: r.revision})
-		keys := []string{r.key, task.IndexKey(r.row.Job.ID)}
+		keys := make([]string, 0, r.row.Job.Tasks+2)
+		keys = append(keys, r.key, task.IndexKey(r.row.Job.ID))
 		for i := range r.row.Job.Tasks {
 			keys = append(keys, task.Key(id, r.row.Job.TaskID(i)))
 		}
