--- a/internal/e2e/batch_test.go
+++ b/internal/e2e/batch_test.go
@@ -82,7 +82,8 @@
 		t.Errorf("violations: %+v", w)
 	}
 	if want := tasksPerJob * len(jobs); w.Completed != want {
-		t.Errorf("%d tasks ended, want %d", w.Completed, want)
+		known, err := f.operators().Jobs(t.Context())
+		t.Errorf("%d tasks ended, want %d; jobs known to the system: %+v, %v", w.Completed, want, known, err)
 	}
 }
 
