Report a key that cannot be looked up as unknown, and apply two limits

The test of the entry failed before; the reconciliation of the fault runs now fails when a key's last answer is not-run and it ran. The settings limits.response and limits.queue were read and not applied, and bodies above the 8 MB that calls between processes carry were allowed.

--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -154,6 +154,7 @@
 		Membership:    owner.MembershipConfig(),
 		Token:         []byte(s.Credentials.OperatorsToken.Reveal()),
 		MaxBody:       s.Limits.BodyBytes,
+		Queue:         s.Limits.Queue,
 		Limits:        limits,
 		BalancerDelay: s.Drain.Delay,
 	})
@@ -178,11 +179,12 @@
 		return err
 	}
 	w := worker.New(p.node, worker.Options{
-		Local:      s.Listen.Announcements.String(),
-		Runtime:    platform.NewHTTPRuntime(s.Platform.Runtime, s.ID, platformClient(&p.node.Traffic.Runtime)),
-		Objects:    platform.NewHTTPObjects(s.Platform.Objects, platformClient(&p.node.Traffic.Table)),
-		DrainDelay: s.Drain.Delay,
-		Membership: owner.MembershipConfig(),
+		Local:       s.Listen.Announcements.String(),
+		Runtime:     platform.NewHTTPRuntime(s.Platform.Runtime, s.ID, platformClient(&p.node.Traffic.Runtime)),
+		Objects:     platform.NewHTTPObjects(s.Platform.Objects, platformClient(&p.node.Traffic.Table)),
+		MaxResponse: s.Limits.ResponseBytes,
+		DrainDelay:  s.Drain.Delay,
+		Membership:  owner.MembershipConfig(),
 	})
 	host, err := owner.NewHost(p.node, owner.Options{
 		Shard:      vm.Shard,
--- a/internal/e2e/reconcile_test.go
+++ b/internal/e2e/reconcile_test.go
@@ -74,6 +74,8 @@
 			t.Errorf("booking %s (keyed %v) is reported done and did not run: %+v", b.ID, b.keyed, b.answers)
 		case n == 1 && b.certainlyNotRun():
 			t.Errorf("booking %s (keyed %v) is reported not run and ran: %+v", b.ID, b.keyed, b.answers)
+		case n == 1 && b.keyed && b.last().outcome == apperr.OutcomeNotRun:
+			t.Errorf("key of booking %s is reported not run in the end and ran: %+v", b.ID, b.answers)
 		}
 		c.checkAnswers(b)
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -200,21 +200,25 @@
 }
 
 func writeFailure(w http.ResponseWriter, c *call, res result) {
-	var e *apperr.Error
+	answer := *apperr.From(failure(c, res))
+	answer.Outcome = res.outcome
+	apperr.WriteHTTP(w, &answer)
+}
+
+// failure returns the error that explains a result without a response.
+func failure(c *call, res result) error {
+	var typed *apperr.Error
+	known := errors.As(res.err, &typed)
 	switch {
 	case res.outcome == apperr.OutcomeDone:
-		e = apperr.From(errResponseNotKept(c))
-	case res.outcome == apperr.OutcomeUnknown && !errors.As(res.err, &e):
-		e = apperr.From(errOutcomeUnknown(c))
-	case res.err != nil:
-		e = apperr.From(res.err)
+		return errResponseNotKept(c)
+	case known && typed.Outcome == res.outcome:
+		return typed
+	case res.outcome == apperr.OutcomeUnknown:
+		return errOutcomeUnknown(c)
+	case known:
+		return typed
 	default:
-		e = apperr.From(errUnreachable(c, target{}, nil))
+		return errUnreachable(c, target{}, nil)
 	}
-	answer := *e
-	answer.Outcome = res.outcome
-	if res.outcome == apperr.OutcomeUnknown && answer.Kind != apperr.KindConflict {
-		answer = *apperr.From(errOutcomeUnknown(c))
-	}
-	apperr.WriteHTTP(w, &answer)
 }
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -70,7 +70,7 @@
 	}
 	for ctx.Err() == nil {
 		if err := cl.load(ctx); err != nil {
-			return nil, &result{outcome: apperr.OutcomeNotRun, err: errClaimUnavailable(c)}
+			return nil, &result{outcome: apperr.OutcomeUnknown, err: errKeyUnreadable(c)}
 		}
 		active := cl.row != nil && e.active.has(cl.row.Attempt)
 		decision := claim.Decide(cl.row, cl.fingerprint, active)
--- a/internal/entry/claims_test.go
+++ b/internal/entry/claims_test.go
@@ -265,6 +265,25 @@
 	}
 }
 
+// Guards against a repeat that is reported as not run while the table is down,
+// although the first request with its key has run.
+func TestUnreadableKeyIsNotReportedNotRun(t *testing.T) {
+	claims := &tableClaims{TableClaims: TableClaims{standin.NewTable()}}
+	e := newTestEntry(t, claims, &fakeWorker{run: answerDone})
+	c := keyedCall(e)
+	if res := e.perform(context.Background(), c); res.outcome != apperr.OutcomeDone {
+		t.Fatalf("outcome %q of the first request, want done", res.outcome)
+	}
+	claims.beforeGet = func(string, uint64, []byte) error { return platform.ErrUnavailable }
+	res := e.perform(context.Background(), c)
+	if res.outcome != apperr.OutcomeUnknown {
+		t.Fatalf("outcome %q of the repeat, want unknown", res.outcome)
+	}
+	if kind := apperr.KindOf(failure(c, res)); kind != apperr.KindUnavailable {
+		t.Fatalf("error of kind %q, want unavailable, which tells the caller to repeat", kind)
+	}
+}
+
 // Guards against requests that are offered again and again to the ended
 // incarnation of a restarted worker until a digest tells of the new one.
 func TestEndedIncarnationGetsNoMoreRequests(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,7 +46,10 @@
 	Token []byte
 	// MaxBody bounds the body of a caller's request in bytes.
 	MaxBody int64
-	Limits  httpserve.Limits
+	// Queue bounds the requests of one service that wait for a slot; 0 takes
+	// the router's default.
+	Queue  int
+	Limits httpserve.Limits
 	// BalancerDelay is how long a stopping entry serves on after its readiness
 	// check fails.
 	BalancerDelay time.Duration
@@ -95,7 +98,11 @@
 
 // New prepares an entry on the node. Start begins its work.
 func New(n *node.Node, o Options) (*Entry, error) {
-	r, err := newRouter(n.Actors, n.Clock, routing.DefaultConfig(n.FailureDomain))
+	rules := routing.DefaultConfig(n.FailureDomain)
+	if o.Queue > 0 {
+		rules.QueueLimit = o.Queue
+	}
+	r, err := newRouter(n.Actors, n.Clock, rules)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// errKeyUnreadable has an unknown outcome: this request was not run, but an
+// earlier one with its key may have been, and the caller asks for the key.
+func errKeyUnreadable(c *call) error {
+	return &apperr.Error{
+		Kind: apperr.KindUnavailable, Object: requestObject(c), Problem: "its Idempotency-Key cannot be looked up, because the table does not answer; this request was not run, but an earlier one with the key may have been",
+		Remedy: "repeat the request with the same key later", Outcome: apperr.OutcomeUnknown, RetryAfter: retryAfter,
+	}
+}
+
 func errClaimTaken(c *call) error {
 	return &apperr.Error{
 		Kind: apperr.KindConflict, Object: requestObject(c), Problem: "another request with the same Idempotency-Key is in progress",
@@ -79,8 +88,13 @@
 }
 
 func errUnconfirmed(c *call) error {
+	outcome := apperr.OutcomeNotRun
+	if c.key != "" {
+		// An earlier request with the key may have run elsewhere.
+		outcome = apperr.OutcomeUnknown
+	}
 	return &apperr.Error{
 		Kind: apperr.KindUnavailable, Object: requestObject(c), Problem: "this entry cannot confirm its configuration and takes no new work",
-		Remedy: "repeat the request; the balancer will use another entry", Outcome: apperr.OutcomeNotRun, RetryAfter: retryAfter,
+		Remedy: "repeat the request; the balancer will use another entry", Outcome: outcome, RetryAfter: retryAfter,
 	}
 }
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -62,8 +62,8 @@
 		Name: tableLimits,
 		Doc:  "Bounds of what one process accepts.",
 		Fields: []tomlcheck.Field{
-			{Key: "body", Type: tomlcheck.Size, Default: "1MB", Min: "1KB", Max: "1GB", Doc: "Body of one request."},
-			{Key: "response", Type: tomlcheck.Size, Default: "4MB", Min: "1KB", Max: "1GB", Doc: "Body of one response. Each hop holds the whole response before it sends the first byte."},
+			{Key: "body", Type: tomlcheck.Size, Default: "1MB", Min: "1KB", Max: "8MB", Doc: "Body of one request. Each hop holds it as a whole."},
+			{Key: "response", Type: tomlcheck.Size, Default: "4MB", Min: "1KB", Max: "8MB", Doc: "Body of one response. Each hop holds the whole response before it sends the first byte."},
 			{Key: "header", Type: tomlcheck.Size, Default: "32KB", Min: "1KB", Max: "1MB", Doc: "Header of one request."},
 			{Key: "connections", Type: tomlcheck.Int, Default: "1024", Min: "1", Max: "100000", Doc: "Open connections of callers or, for a worker, of entries."},
 			{Key: "queue", Type: tomlcheck.Int, Default: "512", Min: "1", Max: "100000", Doc: "Requests that wait for a worker or a slot."},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -95,7 +95,7 @@
 		{"trace without path", "[platform]", "[trace]\nexporter = \"file\"\n[platform]",
 			`s.toml:13: [trace]: path: exporter file has no path; add path = "trace.json"`},
 		{"limit out of range", "[platform]", "[limits]\nbody = \"2GB\"\n[platform]",
-			`s.toml:14: [limits]: body: 2GB is out of range; use a value from 1KB to 1GB`},
+			`s.toml:14: [limits]: body: 2GB is out of range; use a value from 1KB to 8MB`},
 		{"missing table", "[platform]\ntable = \"http://10.9.0.1:9000\"\nobjects = \"http://10.9.0.2:9001\"\n", "",
 			`s.toml: platform: the required table is missing; add [platform]`},
 	}
--- a/internal/worker/requests.go
+++ b/internal/worker/requests.go
@@ -25,8 +25,6 @@
 )
 
 const (
-	// maxResponseBytes bounds the response of an upstream.
-	maxResponseBytes = 8 << 20
 	// maxRunTimeout bounds how long one request may run at an upstream.
 	maxRunTimeout = 90 * time.Second
 	// maxKeptResponse bounds a response that is kept for a late seal.
@@ -129,7 +127,7 @@
 		return nil, apperr.OutcomeUnknown
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := readWhole(resp)
+	body, err := readWhole(resp, w.opts.MaxResponse)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
 		return nil, apperr.OutcomeUnknown
@@ -171,17 +169,17 @@
 )
 
 // readWhole reads the body and fails unless it is complete.
-func readWhole(resp *http.Response) ([]byte, error) {
+func readWhole(resp *http.Response, limit int64) ([]byte, error) {
 	chunked := len(resp.TransferEncoding) > 0
 	bodyless := resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if resp.ContentLength < 0 && !chunked && !bodyless && !resp.Uncompressed {
 		return nil, errNoLength
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maxResponseBytes {
+	if int64(len(body)) > limit {
 		return nil, errTooLarge
 	}
 	if resp.ContentLength >= 0 && resp.Request.Method != http.MethodHead && int64(len(body)) != resp.ContentLength {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -48,6 +48,8 @@
 	Local   string
 	Runtime platform.Runtime
 	Objects platform.Objects
+	// MaxResponse bounds the response of an upstream in bytes.
+	MaxResponse int64
 	// DrainDelay is how long a stopping worker waits after it has told that it
 	// leaves, so that requests under way still arrive.
 	DrainDelay time.Duration
