Hold team quotas in shares of the shards' owners

Quotas were declared and not applied. Each owner holds a share of a team's quota (core/quota), charges it when a task is placed or has room promised, settles it when the attempt ends, and takes from or returns to the team's row by compare-and-set under the fence of its lease. The rows of active teams are read every 10 s, and every 300 ms while work waits for a larger share. A row names the configuration of its total, so that an owner with an older one does not revert it.

--- a/internal/core/scheduler/learn.go
+++ b/internal/core/scheduler/learn.go
@@ -23,6 +23,7 @@
 		end = estimate.Done
 	}
 	s.est.End(now, id, end)
+	s.Withdrawn(id)
 	if how != shard.EndedCut {
 		s.health.Report(now, vm, kind, how == shard.EndedDone)
 	} else if s.probing[id] == vm {
--- /dev/null
+++ b/internal/core/scheduler/quota.go
@@ -0,0 +1,140 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/placement"
+	"github.com/boragecrank/boragecrank/internal/core/quota"
+	"github.com/boragecrank/boragecrank/internal/core/shard"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// wantedKey stands for all tasks that the share has no room for.
+const wantedKey = types.TaskID("\x00wanted")
+
+// team is the shard's share of one team's quota.
+type team struct {
+	total   types.Resources
+	limited bool
+	holder  *quota.Holder
+	// refused are the tasks that wait for a larger share.
+	refused map[types.TaskID]types.Resources
+}
+
+// SetTeams sets the quotas of the configuration. The shares themselves come
+// from LoadQuota; a limited team without one starts nothing.
+func (s *Scheduler) SetTeams(teams []config.Team) {
+	for _, t := range s.teams {
+		t.limited = false
+	}
+	for i := range teams {
+		t := s.team(teams[i].ID)
+		t.total, t.limited = teams[i].Quota, !teams[i].Quota.IsZero()
+	}
+}
+
+func (s *Scheduler) team(id types.TeamID) *team {
+	t := s.teams[id]
+	if t == nil {
+		t = &team{holder: quota.NewHolder(s.opt.Shard), refused: make(map[types.TaskID]types.Resources)}
+		s.teams[id] = t
+	}
+	return t
+}
+
+// checkQuota reports whether the share has room for a task, or for its whole
+// gang. Otherwise it returns the answer to the owner.
+func (s *Scheduler) checkQuota(j *types.Job, r *placement.Request) (shard.Decision, bool) {
+	t := s.team(j.Team)
+	if !t.limited {
+		return shard.Decision{}, true
+	}
+	// The owner asks only for tasks that are neither placed nor promised room:
+	// a charge is left from a decision that it did not carry out.
+	t.holder.Settle(r.Task)
+	need := t.uncharged(j, r)
+	if !need.Fits(t.total) {
+		return shard.Decision{Infeasible: "bound by team quota: needs " + need.String() + ", the quota is " + t.total.String()}, false
+	}
+	if !need.Fits(t.holder.Left()) {
+		t.refused[r.Task] = need
+		return shard.Decision{}, false
+	}
+	delete(t.refused, r.Task)
+	return shard.Decision{}, true
+}
+
+// uncharged returns what the task needs, or all tasks of its gang that are not
+// charged yet.
+func (t *team) uncharged(j *types.Job, r *placement.Request) types.Resources {
+	if !j.Gang {
+		return r.Size
+	}
+	var need types.Resources
+	for i := range j.Tasks {
+		id := j.TaskID(i)
+		if held := t.holder.Settle(id); !held.IsZero() {
+			t.holder.Adopt(id, held)
+			continue
+		}
+		need = need.Add(r.Size)
+	}
+	return need
+}
+
+// charge counts a task that runs or has room promised. Decisions are checked
+// before, and a predecessor's tasks were charged by it.
+func (s *Scheduler) charge(id types.TeamID, task types.TaskID, size types.Resources) {
+	t := s.team(id)
+	delete(t.refused, task)
+	t.holder.Adopt(task, size)
+}
+
+func (s *Scheduler) settle(id types.TeamID, task types.TaskID) {
+	s.team(id).holder.Settle(task)
+}
+
+// Withdrawn implements shard.Learner.
+func (s *Scheduler) Withdrawn(id types.TaskID) {
+	for _, t := range s.teams {
+		t.holder.Settle(id)
+	}
+}
+
+// QuotaTeams returns the limited teams that hold or want a share, in order,
+// and whether any wants a larger one.
+func (s *Scheduler) QuotaTeams() (active []types.TeamID, short bool) {
+	for id, t := range s.teams {
+		if !t.limited {
+			continue
+		}
+		if len(t.refused) > 0 || !t.holder.Charged().IsZero() || !t.holder.Left().IsZero() {
+			active = append(active, id)
+		}
+		short = short || len(t.refused) > 0
+	}
+	slices.Sort(active)
+	return active, short
+}
+
+// PlanQuota loads a team's row and returns the row to write by compare-and-set,
+// if it has to change. LoadQuota follows the write.
+func (s *Scheduler) PlanQuota(row *quota.Row) (quota.Row, bool) {
+	t := s.team(row.Team)
+	t.holder.Load(row)
+	var want types.Resources
+	for _, size := range t.refused {
+		want = want.Add(size)
+	}
+	clear(t.refused) // Tasks that still wait are counted again.
+	if !want.IsZero() && t.holder.Reserve(wantedKey, want) == nil {
+		t.holder.Settle(wantedKey)
+	}
+	return t.holder.Plan(row)
+}
+
+// LoadQuota sets the share from a committed row.
+func (s *Scheduler) LoadQuota(row *quota.Row) {
+	s.team(row.Team).holder.Load(row)
+}
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -35,6 +35,7 @@
 
 // Options configure a Scheduler.
 type Options struct {
+	Shard types.ShardID
 	// Weights are the operators' weights of tail latency and evictions.
 	Weights interference.Weights
 	// Rand decides between equal VMs.
@@ -51,6 +52,8 @@
 	model   *interference.Model
 	now     time.Duration
 
+	teams map[types.TeamID]*team
+
 	views map[types.VMID]*view
 	ids   []types.VMID
 	// probes are the VMs in quarantine that are due for a probe task, and
@@ -71,6 +74,7 @@
 		est:         estimate.New(estimate.Options{MaxKinds: maxKinds}),
 		health:      health.New(health.Options{}),
 		model:       interference.NewModel(),
+		teams:       make(map[types.TeamID]*team),
 		views:       make(map[types.VMID]*view),
 		probes:      make(map[types.VMID]bool),
 		probing:     make(map[types.TaskID]types.VMID),
@@ -91,8 +95,12 @@
 	s.sync(candidates)
 	s.review()
 	r := s.request(d)
+	if a, ok := s.checkQuota(d.Job, &r); !ok {
+		return a
+	}
 	if vm, ok := s.probe(d, &r); ok {
 		s.probing[r.Task] = vm
+		s.charge(d.Job.Team, r.Task, r.Size)
 		return shard.Decision{VM: vm, Reserved: r.Size}
 	}
 	if r.Urgent {
@@ -105,6 +113,10 @@
 			return shard.Decision{}
 		}
 	}
+	if answer.Outcome == placement.Placed || answer.Outcome == placement.Preempt {
+		// A VM's attempts list the task only later, if it has to wait for victims.
+		s.charge(d.Job.Team, r.Task, r.Size)
+	}
 	return s.decision(&r, answer)
 }
 
--- a/internal/core/scheduler/sync.go
+++ b/internal/core/scheduler/sync.go
@@ -71,6 +71,9 @@
 	if s.views[id] == nil {
 		return false
 	}
+	for i := range s.views[id].running {
+		s.remove(s.views[id], &s.views[id].running[i])
+	}
 	delete(s.views, id)
 	s.state.RemoveVM(id)
 	s.control.Forget(id)
@@ -135,6 +138,7 @@
 		Urgent: r.Job.Urgent || !r.Evictable,
 		Gang:   r.Job.Gang, Started: r.Started, Evictions: r.Evictions,
 	}))
+	s.charge(r.Job.Team, r.Task, r.Reserved)
 	if old == nil || old.Attempt != r.Attempt {
 		s.est.Start(r.Started, r.Task, r.Job.Kind, r.Job.Demand, r.Reserved, 0)
 		s.control.Placed(s.now, id, r.Job.Kind)
@@ -143,6 +147,7 @@
 
 func (s *Scheduler) remove(v *view, old *shard.Running) {
 	if run, ok := s.state.Get(old.Task); ok && run.VM == v.vm.ID {
+		s.settle(old.Job.Team, old.Task)
 		_, err := s.state.Remove(old.Task)
 		s.must(err)
 	}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -39,6 +39,12 @@
 	o.dropPlaced()
 }
 
+// PlaceAgain makes a placement pass due, after something other than the owner's
+// own state has changed.
+func (o *Owner) PlaceAgain() {
+	o.placeDue = true
+}
+
 // placeTask places a task, or its whole gang, and returns whether it did.
 func (o *Owner) placeTask(now time.Duration, t *taskState) bool {
 	if t.job.row.Job.Gang && len(t.job.tasks) > 1 && t.job.gangWaits() {
@@ -242,6 +248,9 @@
 	t.promisedOn.promised = t.promisedOn.promised.Sub(t.promised)
 	t.promisedOn = nil
 	t.promised = types.Resources{}
+	if !t.row.State.Live() {
+		o.learner.Withdrawn(t.row.Task)
+	}
 	o.placeDue = true
 }
 
--- a/internal/core/shard/placer.go
+++ b/internal/core/shard/placer.go
@@ -83,6 +83,8 @@
 	Usage(now, takenAt time.Duration, id types.TaskID, use types.Resources)
 	// Ended tells the end of an attempt on a VM.
 	Ended(now time.Duration, vm types.VMID, id types.TaskID, kind string, how Ending)
+	// Withdrawn tells that room is no longer promised to a task.
+	Withdrawn(id types.TaskID)
 	// Quarantined reports whether failures on the VM are blamed on it.
 	Quarantined(vm types.VMID) bool
 }
@@ -94,6 +96,8 @@
 
 func (noLearner) Ended(time.Duration, types.VMID, types.TaskID, string, Ending) {}
 
+func (noLearner) Withdrawn(types.TaskID) {}
+
 func (noLearner) Quarantined(types.VMID) bool { return false }
 
 func learnerOf(p Placer) Learner {
--- a/internal/core/shard/policy_test.go
+++ b/internal/core/shard/policy_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/quota"
 	"github.com/boragecrank/boragecrank/internal/core/scheduler"
 	"github.com/boragecrank/boragecrank/internal/core/shard"
 	"github.com/boragecrank/boragecrank/internal/core/task"
@@ -171,3 +173,61 @@
 		s.Run(20 * time.Second)
 	}
 }
+
+// Guards against shards that together give a team more than its quota, and
+// against a share that a shard keeps without work while another has some.
+func TestQuotaOverShards(t *testing.T) {
+	teams := []config.Team{{ID: "team", Quota: types.Resources{MilliCPU: 6000}}}
+	row := quota.Row{Team: "team", Total: teams[0].Quota}
+	var sims [2]shard.Sim
+	var policies [2]*scheduler.Scheduler
+	for i := range sims {
+		policies[i] = scheduler.New(scheduler.Options{
+			Shard: types.ShardID(fmt.Sprint("s", i)), Rand: rand.New(rand.NewPCG(1, 2)),
+		})
+		policies[i].SetTeams(teams)
+		sims[i] = shard.NewSim(t, 2, 8, policies[i])
+		j := shard.BatchJob("j", 8, 1)
+		j.Team = "team"
+		sims[i].Submit(j)
+	}
+	count := func(s shard.Sim) (n int) {
+		for k := range 8 {
+			if s.Row(types.TaskID(fmt.Sprint("j/", k))).State.Live() {
+				n++
+			}
+		}
+		return n
+	}
+	step := func() {
+		for i, p := range policies {
+			sims[i].Run(500 * time.Millisecond)
+			if active, _ := p.QuotaTeams(); len(active) > 0 {
+				if next, changed := p.PlanQuota(&row); changed {
+					next.Revision = row.Revision + 1
+					row = next
+					p.LoadQuota(&row)
+				}
+			}
+		}
+		if a, b := count(sims[0]), count(sims[1]); a+b > 6 {
+			t.Fatalf("%d and %d tasks run, the quota holds 6", a, b)
+		}
+	}
+	for range 30 {
+		step()
+	}
+	if a, b := count(sims[0]), count(sims[1]); a+b != 6 {
+		t.Fatalf("%d and %d tasks run, the quota holds 6", a, b)
+	}
+	// Shard 0 has nothing left to do after its eight tasks.
+	for range 4 {
+		sims[0].Finish()
+		for range 10 {
+			step()
+		}
+	}
+	if a, b := count(sims[0]), count(sims[1]); a != 0 || b != 6 {
+		t.Fatalf("%d and %d tasks run; the second shard has eight to do", a, b)
+	}
+}
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -214,6 +214,7 @@
 	if s.term != nil {
 		s.term.machine.SetVMs(vms)
 		s.term.rows.due = 0
+		s.term.policy.SetTeams(c.Content().Teams)
 	}
 	if s.term != nil || s.relay != nil {
 		s.notifyMembers()
@@ -227,6 +228,7 @@
 	if s.term != nil {
 		s.poll(now)
 		s.tickRows(now)
+		s.tickQuota(now)
 	}
 	if s.relay != nil {
 		s.relay.tick(s, now)
--- /dev/null
+++ b/internal/owner/quota.go
@@ -0,0 +1,127 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/quota"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+const (
+	// quotaInterval is how often shares are compared with the rows, to give
+	// back what others want; quotaShort is the interval while work waits for a
+	// larger share.
+	quotaInterval = 10 * time.Second
+	quotaShort    = 300 * time.Millisecond
+)
+
+// quotaWork is the state of the exchange of quota shares.
+type quotaWork struct {
+	busy bool
+	last time.Duration
+}
+
+// quotaRow is the value of a team's row. Version is the configuration that
+// Total is from, so that an owner with an older one does not revert it.
+type quotaRow struct {
+	Version types.Version   `json:"version"`
+	Total   types.Resources `json:"total"`
+	Shares  []quota.Share   `json:"shares"`
+}
+
+func quotaKey(team types.TeamID) string { return "quota/" + string(team) }
+
+// decodeQuota reads a team's row as the configuration has it, and the version
+// to write it with.
+func decodeQuota(c *config.Config, team config.Team, r platform.Row) (quota.Row, types.Version, error) {
+	v := quotaRow{Version: c.Version(), Total: team.Quota}
+	if r.Revision != 0 {
+		var held quotaRow
+		if err := json.Unmarshal(r.Value, &held); err != nil {
+			return quota.Row{}, 0, err
+		}
+		v.Shares = held.Shares
+		if held.Version > c.Version() {
+			v.Version, v.Total = held.Version, held.Total
+		}
+	}
+	return quota.Row{Team: team.ID, Revision: r.Revision, Total: v.Total, Shares: v.Shares}, v.Version, nil
+}
+
+// tickQuota reads the rows of active teams when that is due.
+func (s *hostState) tickQuota(now time.Duration) {
+	t, h := s.term, s.h
+	c := h.node.Config.Current()
+	if c == nil || !t.recovered || t.quota.busy || now < t.quota.last+quotaShort {
+		return
+	}
+	teams, short := t.policy.QuotaTeams()
+	if len(teams) == 0 || !short && now < t.quota.last+quotaInterval {
+		return
+	}
+	keys := make([]string, len(teams))
+	for i, id := range teams {
+		keys[i] = quotaKey(id)
+	}
+	t.quota.busy, t.quota.last = true, now
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		rows, err := h.opts.Table.Get(ctx, keys...)
+		return func(s *hostState) {
+			t.quota.busy = false
+			if s.term == t && err == nil {
+				s.planQuota(t, c, teams, rows)
+			}
+		}
+	})
+}
+
+// planQuota writes the shares that have to change, each by itself: shards race
+// for one team's row, and a lost race must not hold up the other teams.
+func (s *hostState) planQuota(t *term, c *config.Config, teams []types.TeamID, rows []platform.Row) {
+	for i, id := range teams {
+		team, ok := c.Team(id)
+		if !ok || i >= len(rows) {
+			continue
+		}
+		row, version, err := decodeQuota(c, team, rows[i])
+		if err != nil {
+			s.h.tel.Log.Log(eventRowProblem, err, telemetry.Fields{"key": quotaKey(id)})
+			continue
+		}
+		if next, changed := t.policy.PlanQuota(&row); changed {
+			s.writeQuota(t, next, version)
+		}
+	}
+}
+
+func (s *hostState) writeQuota(t *term, next quota.Row, version types.Version) {
+	h := s.h
+	value, err := json.Marshal(quotaRow{Version: version, Total: next.Total, Shares: next.Shares})
+	if err != nil {
+		return
+	}
+	key := quotaKey(next.Team)
+	txn := platform.Txn{
+		Conditions: []platform.Condition{
+			{Key: lease.FenceKey(h.opts.Shard), Revision: t.fence}, {Key: key, Revision: next.Revision},
+		},
+		Writes: []platform.Write{{Key: key, Value: value}},
+	}
+	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
+		result, err := h.opts.Table.Commit(ctx, txn)
+		return func(s *hostState) {
+			if s.term == t && err == nil && result.Committed {
+				next.Revision = result.Revision
+				t.policy.LoadQuota(&next)
+				t.machine.PlaceAgain()
+			}
+			// After a lost race or answer the row is read again.
+		}
+	})
+}
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -29,6 +29,7 @@
 	epoch       types.Epoch
 	holder      *lease.Holder
 	machine     *shard.Owner
+	policy      *scheduler.Scheduler
 	valid       bool
 	recovering  bool
 	recovered   bool
@@ -38,6 +39,7 @@
 	// fence is the revision of the fence row, on which effects are conditional.
 	fence uint64
 	rows  upkeep
+	quota quotaWork
 }
 
 // link is the exchange with one worker. Commands and reports take turns, so
@@ -61,10 +63,12 @@
 		cfg.RunRight = c.Rules().BatchRunRight
 		cfg.Unguarded = !c.Rules().Guards
 	}
+	policy := s.newScheduler()
 	t := &term{
+		policy:  policy,
 		epoch:   row.Epoch,
 		holder:  lease.NewHolder(lease.DefaultConfig(), row, revision, sentAt),
-		machine: shard.NewOwner(cfg, MembershipConfig(), s.newScheduler(), sentAt),
+		machine: shard.NewOwner(cfg, MembershipConfig(), policy, sentAt),
 		valid:   true,
 		links:   make(map[types.VMID]*link),
 		fence:   revision,
@@ -86,7 +90,7 @@
 	if c := s.h.node.Config.Current(); c != nil {
 		w.TailLatency, w.Eviction = c.Rules().Weights.TailLatency, c.Rules().Weights.Evictions
 	}
-	return scheduler.New(scheduler.Options{Weights: w, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64()))})
+	return scheduler.New(scheduler.Options{Shard: s.h.opts.Shard, Weights: w, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64()))})
 }
 
 // end stops acting as owner.
