--- a/internal/core/scheduler/sync.go
+++ b/internal/core/scheduler/sync.go
@@ -126,7 +126,7 @@
 // add records an attempt. One that only changed keeps what is known of it.
 func (s *Scheduler) add(v *view, r, old *shard.Running) {
 	id := v.vm.ID
-	if other, ok := s.state.Get(r.Task); ok && other.VM != id {
+	if _, ok := s.state.Get(r.Task); ok {
 		// The VM of the former attempt has not been compared yet.
 		_, err := s.state.Remove(r.Task)
 		s.must(err)
