Keep finished jobs finished when an old row or a late batch comes

The owner now remembers the jobs that it dropped last.

Ruled out: a second start or an overlap from either, because the rows' revisions prevented the commit; a fault of the driver, because the tests drive the owner alone and fail without the change.

--- a/internal/core/shard/batch.go
+++ b/internal/core/shard/batch.go
@@ -119,6 +119,11 @@
 			kept = append(kept, j)
 			continue
 		}
+		if j.row.Finished {
+			// An earlier batch, thought lost, has written the final row.
+			o.dropJob(j)
+			continue
+		}
 		value, err := j.finalRow().Encode()
 		if err != nil {
 			o.out.Problems = append(o.out.Problems, fmt.Errorf("job %q: %w", j.row.Job.ID, err))
--- /dev/null
+++ b/internal/core/shard/finished_test.go
@@ -0,0 +1,93 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/task"
+)
+
+func (s *sim) finishAll() {
+	for _, w := range s.workers {
+		for _, tr := range w.tasks {
+			tr.Phase = PhaseDone
+		}
+	}
+}
+
+// Guards against a row that was read before the end of a job and arrives after
+// it: the job came back with tasks at attempt 0, and reports of its attempts
+// then looked like second ones (soak, tasks, seed 121).
+func TestOldRowDoesNotBringFinishedJobBack(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.run(2 * time.Second)
+	s.submit(job("j", 1, 2))
+	old := s.table.rows[task.JobKey(testShard, "j")]
+	s.run(3 * time.Second)
+	s.finishAll()
+	s.run(3 * time.Second)
+	s.want("j/0", task.Done, 1)
+	s.owner.Submit(old)
+	if row, known := s.owner.Task("j/0"); known {
+		t.Fatalf("the finished job is back: %+v", row)
+	}
+}
+
+// Guards against a final row that is written again: the batch that wrote it was
+// thought lost, and the next one, with more rows, is in conflict (soak, tasks,
+// seed 176).
+func TestFinalRowThoughtLostIsNotWrittenAgain(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.run(2 * time.Second)
+	s.submit(job("j", 1, 2))
+	s.run(3 * time.Second)
+	s.finishAll()
+	key := task.JobKey(testShard, "j")
+	late := s.finalBatch(key)
+	s.owner.BatchDone(s.now, late.ID, BatchUncertain, 0, nil)
+	read := s.owner.Poll(s.now).Read
+	s.owner.ReadDone(s.now, read.ID, s.table.read(read.Keys), true)
+	s.submit(job("other", 1, 2))
+	next := s.finalBatch(key)
+	if len(next.Writes) < 2 {
+		t.Fatalf("the next batch has the same %d rows", len(next.Writes))
+	}
+	final, ok := s.table.commit(late, false)
+	if !ok {
+		t.Fatal("the late batch has not committed")
+	}
+	s.owner.BatchDone(s.now, next.ID, BatchConflict, 0, s.table.read(next.Keys()))
+	s.run(5 * time.Second)
+	if r := s.table.rows[key].Revision; r != final {
+		t.Fatalf("the final row was written again, at revision %d after %d", r, final)
+	}
+	if len(s.owner.jobs) != 1 {
+		t.Fatalf("the owner has %d jobs; want the other one", len(s.owner.jobs))
+	}
+	s.want("other/0", task.Running, 1)
+}
+
+// finalBatch goes on until a batch writes the row and returns it uncommitted.
+func (s *sim) finalBatch(key string) *Batch {
+	s.t.Helper()
+	for range 100 {
+		s.now += 100 * time.Millisecond
+		for _, w := range s.workers {
+			if reply, ok := s.owner.Heartbeat(s.now, w.heartbeat(s.now)); ok {
+				w.acked(s.now, reply)
+			}
+			s.owner.Report(s.now, w.list(s.now))
+		}
+		out := s.owner.Poll(s.now)
+		if b := out.Batch; b != nil {
+			for _, w := range b.Writes {
+				if w.Key == key {
+					return b
+				}
+			}
+		}
+		s.carryOut(out)
+	}
+	s.t.Fatalf("no batch writes %s", key)
+	return nil
+}
--- a/internal/core/shard/jobs.go
+++ b/internal/core/shard/jobs.go
@@ -75,7 +75,7 @@
 	}
 	j := o.jobs[row.Job.ID]
 	switch {
-	case j == nil && row.Finished:
+	case j == nil && (row.Finished || o.finished[row.Job.ID]):
 		return nil
 	case j == nil:
 		j = o.newJob(row, r.Revision)
@@ -164,6 +164,25 @@
 	}
 	j.tasks = nil
 	delete(o.jobs, j.row.Job.ID)
+	o.rememberFinished(j.row.Job.ID)
+}
+
+// finishedKept is above the jobs of a shard in ten days at the target size. A
+// row read before the end of a job arrives within the timeout of a read.
+const finishedKept = 2048
+
+func (o *Owner) rememberFinished(id types.JobID) {
+	if o.finished[id] {
+		return
+	}
+	o.finished[id] = true
+	if len(o.finishedOrder) < finishedKept {
+		o.finishedOrder = append(o.finishedOrder, id)
+		return
+	}
+	delete(o.finished, o.finishedOrder[o.finishedNext])
+	o.finishedOrder[o.finishedNext] = id
+	o.finishedNext = (o.finishedNext + 1) % finishedKept
 }
 
 // sortedTasks returns all tasks in order of job ID and index.
--- a/internal/core/shard/owner.go
+++ b/internal/core/shard/owner.go
@@ -111,6 +111,11 @@
 	jobs    map[types.JobID]*jobState
 	tasks   map[types.TaskID]*taskState
 	orders  uint64
+	// finished holds the jobs that this term dropped last, so that a row read
+	// before their end does not bring them back. finishedOrder is a ring.
+	finished      map[types.JobID]bool
+	finishedOrder []types.JobID
+	finishedNext  int
 
 	waiting    []*taskState
 	unsorted   bool
@@ -143,6 +148,7 @@
 		vms:        make(map[types.VMID]*vmState),
 		jobs:       make(map[types.JobID]*jobState),
 		tasks:      make(map[types.TaskID]*taskState),
+		finished:   make(map[types.JobID]bool),
 	}
 }
 
