--- a/internal/core/shard/finished_test.go
+++ b/internal/core/shard/finished_test.go
@@ -17,7 +17,7 @@
 
 // Guards against a row that was read before the end of a job and arrives after
 // it: the job came back with tasks at attempt 0, and reports of its attempts
-// then looked like second ones (soak, tasks, seed 121).
+// then looked like second ones.
 func TestOldRowDoesNotBringFinishedJobBack(t *testing.T) {
 	s := newSim(t, 2, 4)
 	s.run(2 * time.Second)
@@ -34,8 +34,7 @@
 }
 
 // Guards against a final row that is written again: the batch that wrote it was
-// thought lost, and the next one, with more rows, is in conflict (soak, tasks,
-// seed 176).
+// thought lost, and the next one, with more rows, is in conflict.
 func TestFinalRowThoughtLostIsNotWrittenAgain(t *testing.T) {
 	s := newSim(t, 2, 4)
 	s.run(2 * time.Second)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,24 +41,24 @@
 	drops := []struct {
 		world func(Options) Result
 		drop  Drop
-		// first is the first of the seeds that are tried.
-		first, seeds uint64
+		seeds uint64
 	}{
-		{Tasks, DropCommit, 1, 3},
-		{Tasks, DropProof, 1, 3},
-		{Tasks, DropFence, 1, 3},
-		// A late command meets a later incarnation in one of 15 seeds or so.
-		{Tasks, DropIncarnation, 27, 1},
-		{Requests, DropIncarnation, 1, 3},
-		{Requests, DropClaim, 1, 3},
-		{Requests, DropSeals, 1, 5},
-		{Requests, DropLost, 1, 3},
-		{Requests, DropCompare, 1, 3},
+		{Tasks, DropCommit, 3},
+		{Tasks, DropProof, 3},
+		{Tasks, DropFence, 3},
+		// Found in 2 of 19 seeds, the first and the 13th. A change of the core moves
+		// them, so the bound is far above.
+		{Tasks, DropIncarnation, 60},
+		{Requests, DropIncarnation, 3},
+		{Requests, DropClaim, 3},
+		{Requests, DropSeals, 5},
+		{Requests, DropLost, 3},
+		{Requests, DropCompare, 3},
 	}
 	for _, d := range drops {
 		t.Run(string(d.drop), func(t *testing.T) {
 			t.Parallel()
-			for seed := d.first; seed < d.first+d.seeds; seed++ {
+			for seed := uint64(1); seed <= d.seeds; seed++ {
 				if r := d.world(Options{Seed: seed, Steps: 2000, Drop: d.drop}); len(r.Violations) > 0 {
 					t.Logf("seed %d: %s", seed, r.Violations[0].What)
 					return
