--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -115,6 +115,12 @@
 	nextObserve time.Duration
 	ownerHeard  time.Duration
 	leaseBusy   bool
+	// tried is the epoch of the last takeover that was sent, and when it was
+	// sent first.
+	tried struct {
+		epoch  types.Epoch
+		sentAt time.Duration
+	}
 	// rereadLease is set after a takeover that failed.
 	rereadLease bool
 
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -95,7 +95,7 @@
 			{Key: lease.FenceKey(h.opts.Shard), Value: value},
 		},
 	}
-	sentAt := h.node.Clock()
+	sentAt := s.firstSent(row.Epoch, h.node.Clock())
 	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
 		result, err := h.opts.Lease.Commit(ctx, txn)
 		revision := result.Revision
@@ -117,6 +117,16 @@
 	})
 }
 
+// firstSent returns when a takeover of the epoch was first sent. All sends of
+// one epoch write the same row, so a row read back may come from the first of
+// them, and candidates count from its arrival.
+func (s *hostState) firstSent(epoch types.Epoch, now time.Duration) time.Duration {
+	if s.tried.epoch != epoch {
+		s.tried.epoch, s.tried.sentAt = epoch, now
+	}
+	return s.tried.sentAt
+}
+
 // tookOver reads whether an uncertain takeover has committed. A takeover that
 // commits after this read is waited out by all candidates, this one included.
 func (h *Host) tookOver(want lease.Row) (bool, uint64) {
--- a/internal/owner/quota.go
+++ b/internal/owner/quota.go
@@ -15,8 +15,8 @@
 
 const (
 	// quotaInterval is how often shares are compared with the rows, to give
-	// back what others want; quotaShort is the interval while work waits for a
-	// larger share.
+	// back what others want. While work waits for a larger share the interval
+	// doubles from quotaShort, because a used up quota may stay so for long.
 	quotaInterval = 10 * time.Second
 	quotaShort    = 300 * time.Millisecond
 )
@@ -25,6 +25,25 @@
 type quotaWork struct {
 	busy bool
 	last time.Duration
+	// wait is the present interval while work waits for a larger share.
+	wait time.Duration
+}
+
+// interval returns the time until the next comparison.
+func (q *quotaWork) interval(short bool) time.Duration {
+	if !short {
+		q.wait = 0
+		return quotaInterval
+	}
+	return max(q.wait, quotaShort)
+}
+
+// began records a comparison.
+func (q *quotaWork) began(now time.Duration, short bool) {
+	q.busy, q.last = true, now
+	if short {
+		q.wait = min(max(2*q.wait, quotaShort), quotaInterval)
+	}
 }
 
 // quotaRow is the value of a team's row. Version is the configuration that
@@ -62,14 +81,14 @@
 		return
 	}
 	teams, short := t.policy.QuotaTeams()
-	if len(teams) == 0 || !short && now < t.quota.last+quotaInterval {
+	if len(teams) == 0 || now < t.quota.last+t.quota.interval(short) {
 		return
 	}
 	keys := make([]string, len(teams))
 	for i, id := range teams {
 		keys[i] = quotaKey(id)
 	}
-	t.quota.busy, t.quota.last = true, now
+	t.quota.began(now, short)
 	h.async(tableTimeout, func(ctx context.Context) func(*hostState) {
 		rows, err := h.opts.Table.Get(ctx, keys...)
 		return func(s *hostState) {
@@ -118,6 +137,7 @@
 		return func(s *hostState) {
 			if s.term == t && err == nil && result.Committed {
 				next.Revision = result.Revision
+				t.quota.wait = 0
 				t.policy.LoadQuota(&next)
 				t.machine.PlaceAgain()
 			}
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -72,3 +72,16 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a lease that is counted from a repeated takeover although the
+// first one, whose answer was lost, wrote the row.
+func TestRepeatedTakeoverCountsFromTheFirst(t *testing.T) {
+	s := &hostState{}
+	first := s.firstSent(4, 10*time.Second)
+	if again := s.firstSent(4, 13*time.Second); again != first {
+		t.Fatalf("second send of epoch 4 counts from %v, want %v", again, first)
+	}
+	if next := s.firstSent(5, 20*time.Second); next != 20*time.Second {
+		t.Fatalf("first send of epoch 5 counts from %v, want 20 s", next)
+	}
+}
