Revert taking quota shares ahead of need

TestQuotaOverShards failed: two shards that both want more each kept a part of a task's size, so that 5 of 6 tasks ran (3 and 2).

--- a/internal/core/scheduler/quota.go
+++ b/internal/core/scheduler/quota.go
@@ -128,30 +128,12 @@
 		want = want.Add(size)
 	}
 	clear(t.refused) // Tasks that still wait are counted again.
-	if !want.IsZero() {
-		want = want.Add(t.ahead(want, row.Pool()))
-	}
 	if !want.IsZero() && t.holder.Reserve(wantedKey, want) == nil {
 		t.holder.Settle(wantedKey)
 	}
 	return t.holder.Plan(row)
 }
 
-// ahead returns what the share takes beyond the present want, so that the next
-// starts need no write of the row: a quarter of what is charged, and at most an
-// eighth of a pool that has room for the want.
-func (t *team) ahead(want, pool types.Resources) types.Resources {
-	if !want.Fits(pool) {
-		return types.Resources{}
-	}
-	charged := t.holder.Charged()
-	return types.Resources{
-		MilliCPU:     min(charged.MilliCPU/4, (pool.MilliCPU-want.MilliCPU)/8),
-		MemoryBytes:  min(charged.MemoryBytes/4, (pool.MemoryBytes-want.MemoryBytes)/8),
-		Accelerators: min(charged.Accelerators/4, (pool.Accelerators-want.Accelerators)/8),
-	}
-}
-
 // LoadQuota sets the share from a committed row.
 func (s *Scheduler) LoadQuota(row *quota.Row) {
 	s.team(row.Team).holder.Load(row)
