Ask for quota shares for all waiting tasks of a job

Cause: a placement pass asks for one task of a job that is put off, so a share grew by one task every 300 ms; a job of 24 tasks took seconds, and an owner with 430 tasks was never at rest.

--- a/internal/core/config/confirm.go
+++ b/internal/core/config/confirm.go
@@ -127,7 +127,7 @@
 }
 
 // Confirmed records that version was the accepted one at a time: the head row
-// read at that time, or word of such a read.
+// read at that time, or a message about such a read.
 func (c *Confirmer) Confirmed(at time.Duration, version types.Version) {
 	c.confirmed.raise(at)
 	if version <= c.seen {
--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -4,7 +4,7 @@
 // from load reports on responses. Pick chooses between two random workers of
 // the entry's failure domain and spills over to the other failure domains when
 // these are near full. Requests that find no slot wait in a queue ordered by
-// urgency and deadline. The worker keeps the last word: a choice made on a
+// urgency and deadline. The worker makes the final decision: a choice made on a
 // stale report is refused there as not run.
 //
 // A Router is owned by one goroutine. Time and randomness are inputs. Pick,
--- a/internal/core/scheduler/quota.go
+++ b/internal/core/scheduler/quota.go
@@ -45,7 +45,8 @@
 
 // checkQuota reports whether the share has room for a task, or for its whole
 // gang. Otherwise it returns the answer to the owner.
-func (s *Scheduler) checkQuota(j *types.Job, r *placement.Request) (shard.Decision, bool) {
+func (s *Scheduler) checkQuota(d *shard.Demand, r *placement.Request) (shard.Decision, bool) {
+	j := d.Job
 	t := s.team(j.Team)
 	if !t.limited {
 		return shard.Decision{}, true
@@ -58,13 +59,28 @@
 		return shard.Decision{Infeasible: "bound by team quota: needs " + need.String() + ", the quota is " + t.total.String()}, false
 	}
 	if !need.Fits(t.holder.Left()) {
-		t.refused[r.Task] = need
+		// The share is asked for at once for all tasks of the job that wait: the
+		// pass asks for no other of them.
+		t.refused[r.Task] = t.wanted(d, need)
 		return shard.Decision{}, false
 	}
 	delete(t.refused, r.Task)
 	return shard.Decision{}, true
 }
 
+// wanted returns the share that the waiting tasks of a job need.
+func (t *team) wanted(d *shard.Demand, need types.Resources) types.Resources {
+	if d.Job.Gang {
+		return need
+	}
+	n := int64(max(d.Waiting, 1))
+	return types.Resources{
+		MilliCPU:     need.MilliCPU * n,
+		MemoryBytes:  need.MemoryBytes * n,
+		Accelerators: need.Accelerators * n,
+	}
+}
+
 // uncharged returns what the task needs, or all tasks of its gang that are not
 // charged yet.
 func (t *team) uncharged(j *types.Job, r *placement.Request) types.Resources {
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -95,7 +95,7 @@
 	s.sync(candidates)
 	s.review()
 	r := s.request(d)
-	if a, ok := s.checkQuota(d.Job, &r); !ok {
+	if a, ok := s.checkQuota(&d, &r); !ok {
 		return a
 	}
 	if vm, ok := s.probe(d, &r); ok {
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -61,6 +61,17 @@
 	return o.bind(t, d)
 }
 
+// waitingTasks counts the tasks of the job that wait for a placement.
+func (j *jobState) waitingTasks() int {
+	n := 0
+	for _, t := range j.tasks {
+		if t.row.State.Waiting() && !t.row.Cancel {
+			n++
+		}
+	}
+	return n
+}
+
 // gangWaits reports whether no task of the gang has a live attempt. Gangs start
 // together; a task that is lost later is placed alone.
 func (j *jobState) gangWaits() bool {
@@ -180,7 +191,7 @@
 		return o.redeem(t, v)
 	}
 	demand := Demand{
-		Now: o.now, Task: t.row.Task, Job: &t.job.row.Job, Failures: t.row.Failures, LastVM: t.row.VM,
+		Now: o.now, Task: t.row.Task, Job: &t.job.row.Job, Waiting: t.job.waitingTasks(), Failures: t.row.Failures, LastVM: t.row.VM,
 	}
 	if o.now < t.avoidUntil {
 		demand.Avoid = t.avoid
--- a/internal/core/shard/placer.go
+++ b/internal/core/shard/placer.go
@@ -12,6 +12,9 @@
 	Now  time.Duration
 	Task types.TaskID
 	Job  *types.Job
+	// Waiting is the number of the job's tasks that wait, this one included. A
+	// pass asks for no further task of a job that one decision has put off.
+	Waiting int
 	// Failures is the number of failed attempts held against the task.
 	Failures int
 	// LastVM is the VM of the previous attempt; empty if there was none.
--- a/internal/core/shard/policy_test.go
+++ b/internal/core/shard/policy_test.go
@@ -231,3 +231,21 @@
 		t.Fatalf("%d and %d tasks run; the second shard has eight to do", a, b)
 	}
 }
+
+// Guards against a share that grows by one task of a job at a time, which held
+// a job of 24 tasks up for seconds although the quota had room for all.
+func TestShareGrowsForWholeJob(t *testing.T) {
+	teams := []config.Team{{ID: "team", Quota: types.Resources{MilliCPU: 100_000}}}
+	row := quota.Row{Team: "team", Total: teams[0].Quota}
+	p := scheduler.New(scheduler.Options{Shard: "s0", Rand: rand.New(rand.NewPCG(1, 2))})
+	p.SetTeams(teams)
+	s := shard.NewSim(t, 4, 8, p)
+	j := shard.BatchJob("j", 24, 1)
+	j.Team = "team"
+	s.Submit(j)
+	s.Run(500 * time.Millisecond)
+	next, changed := p.PlanQuota(&row)
+	if held := next.Get("s0").Held; !changed || held.MilliCPU < 24*j.Demand.MilliCPU {
+		t.Fatalf("share after one plan is %s, want room for 24 tasks of %s", held, j.Demand)
+	}
+}
