Submit nightly jobs once in each overnight window

Jobs declared as nightly were started by nobody: the rule only set their deadline, and in the wrong time zone. Every entry now submits them with an ID that names the night, so that they run once.

--- a/cmd/boragecrank/main.go
+++ b/cmd/boragecrank/main.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+	// Time zones for VMs without a zone database.
+	_ "time/tzdata"
 
 	"github.com/boragecrank/boragecrank/internal/cli"
 )
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -146,6 +146,7 @@
 	e.background(func() { e.probeEjected(e.ctx) })
 	e.background(func() { e.presence(e.ctx) })
 	e.background(func() { e.directory.run(e.ctx) })
+	e.background(func() { e.nightly(e.ctx) })
 	e.tel.Log.Log(eventReady, nil, telemetry.Fields{"callers": e.callers.Addr().String()})
 	return nil
 }
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -89,12 +89,11 @@
 	if !k.Nightly {
 		return 0
 	}
-	midnight := time.Date(now.Year(), now.Month(), now.Day(), 0, 0, 0, 0, now.Location())
-	end := midnight.Add(cfg.Rules().Overnight.End)
-	if !end.After(now) {
-		end = end.Add(24 * time.Hour)
+	night, err := cfg.Rules().Overnight.NightAt(now)
+	if err != nil {
+		return 0
 	}
-	return time.Duration(end.UnixNano())
+	return time.Duration(night.End.UnixNano())
 }
 
 func (e *Entry) submit(ctx context.Context, cfg *config.Config, job types.Job) (*JobStatus, error) {
--- /dev/null
+++ b/internal/entry/nightly.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+var (
+	eventNightly = telemetry.Define(620, logrus.InfoLevel, "nightly job submitted",
+		"The overnight window is open and the job was submitted, by this or another entry. No action.")
+	eventNightlyFailed = telemetry.Define(621, logrus.WarnLevel, "nightly job could not be submitted",
+		"The entry tries again until the window ends. If it goes on, look at the table and at the owners of the shards.")
+)
+
+// nightlyInterval is how often an entry looks for nightly jobs to submit.
+const nightlyInterval = 20 * time.Second
+
+// nightly submits the nightly jobs once in each overnight window. Every entry
+// does so: the job's ID names the night, so that it runs once.
+func (e *Entry) nightly(ctx context.Context) {
+	submitted := make(map[types.JobID]bool)
+	for sleep(ctx, nightlyInterval) == nil {
+		cfg := e.node.Config.Current()
+		if cfg == nil || !e.node.Config.MayTakeNew() {
+			continue
+		}
+		for _, job := range nightlyJobs(cfg, time.Now()) {
+			if !submitted[job.ID] {
+				submitted[job.ID] = e.submitNightly(ctx, cfg, job)
+			}
+		}
+	}
+}
+
+func (e *Entry) submitNightly(ctx context.Context, cfg *config.Config, job types.Job) bool {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	_, err := e.submit(ctx, cfg, job)
+	event := eventNightly
+	if err != nil {
+		event = eventNightlyFailed
+	}
+	e.tel.Log.Log(event, err, telemetry.Fields{"job": string(job.ID)})
+	return err == nil
+}
+
+// nightlyJobs returns the jobs of the night that is open at a time.
+func nightlyJobs(cfg *config.Config, now time.Time) []types.Job {
+	night, err := cfg.Rules().Overnight.NightAt(now)
+	if err != nil || !night.Open {
+		return nil
+	}
+	var jobs []types.Job
+	for _, kind := range cfg.Content().Jobs {
+		if kind.Nightly {
+			id := types.JobID(kind.Kind + "-" + night.Date)
+			jobs = append(jobs, kind.Job(id, time.Duration(night.End.UnixNano())))
+		}
+	}
+	return jobs
+}
