Ask a peer for the configuration when nothing has confirmed it for 4.5 s

Cause: after the death of a shard's owner a worker that the relay did not reach learned of a change only from the next owner, 6 s and more later. Ruled out: the table, whose outage came earlier. Workers now ask a random peer of their settings, with a pause that doubles to 15 s while no peer can confirm either.

--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -168,6 +168,7 @@
 	if err := e.Start(); err != nil {
 		return err
 	}
+	go p.node.KeepConfirmed(ctx)
 	<-ctx.Done()
 	return p.stop(ctx, s.Drain.Delay+s.Drain.Timeout, e.Shutdown)
 }
@@ -203,6 +204,7 @@
 		return err
 	}
 	host.Start(ctx)
+	go p.node.KeepConfirmed(ctx)
 	select {
 	case <-ctx.Done():
 	case <-w.Superseded():
