--- a/cmd/boragecrank/main.go
+++ b/cmd/boragecrank/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+
 	// Time zones for VMs without a zone database.
 	_ "time/tzdata"
 
