--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -62,7 +62,7 @@
 		got := sha256.Sum256([]byte(token))
 		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
 			apperr.WriteHTTP(w, apperr.New(apperr.KindUnauthorized, "operator's call", "token is missing or wrong",
-				"send the token of the settings as `Authorization: Bearer TOKEN`"))
+				"send the token of the settings as `Authorization: Bearer TOKEN`, or give it to a command with --token-file"))
 			return
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
@@ -248,12 +248,26 @@
 	return list
 }
 
+// Status is the state of all shards as one entry sees them.
+type Status struct {
+	Entry   string                        `json:"entry"`
+	Version types.Version                 `json:"version"`
+	Shards  []*wirepb.ShardStatusResponse `json:"shards"`
+}
+
+// Drained is the answer to a drain.
+type Drained struct {
+	VM                 types.VMID `json:"vm"`
+	Draining           bool       `json:"draining"`
+	RequestsInProgress int32      `json:"requests_in_progress"`
+}
+
 // getStatus returns all shards with members and tasks.
 func (e *Entry) getStatus(r *http.Request) (int, any, error) {
-	return http.StatusOK, map[string]any{
-		"entry":   e.node.Name,
-		"version": e.node.Config.Version(),
-		"shards":  e.shardStatuses(r.Context()),
+	return http.StatusOK, Status{
+		Entry:   e.node.Name,
+		Version: e.node.Config.Version(),
+		Shards:  e.shardStatuses(r.Context()),
 	}, nil
 }
 
@@ -279,5 +293,5 @@
 	if err != nil {
 		return 0, nil, apperr.Wrap(err, apperr.KindUnreachable, "VM "+string(vm), "its worker does not answer", "try again")
 	}
-	return http.StatusOK, map[string]any{"vm": vm, "draining": true, "requests_in_progress": resp.GetRequestsInProgress()}, nil
+	return http.StatusOK, Drained{VM: vm, Draining: true, RequestsInProgress: resp.GetRequestsInProgress()}, nil
 }
