Share what two fault tests and two commands wrote twice

The same callers book during both fault tests, and the commands status and config both begin with a client and the accepted configuration. No check changes; the tests of both packages pass.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -50,15 +50,22 @@
 	}
 }
 
-func runStatus(ctx context.Context, cmd *cli.Command) error {
+// clientAndConfig serves commands without arguments: it returns a client and
+// the accepted configuration.
+func clientAndConfig(ctx context.Context, cmd *cli.Command) (*operatorapi.Client, *config.Config, error) {
 	if err := noArguments(cmd); err != nil {
-		return err
+		return nil, nil, err
 	}
 	client, err := newClient(cmd)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	cfg, err := client.Config(ctx)
+	return client, cfg, err
+}
+
+func runStatus(ctx context.Context, cmd *cli.Command) error {
+	client, cfg, err := clientAndConfig(ctx, cmd)
 	if err != nil {
 		return err
 	}
@@ -231,14 +238,7 @@
 }
 
 func runConfig(ctx context.Context, cmd *cli.Command) error {
-	if err := noArguments(cmd); err != nil {
-		return err
-	}
-	client, err := newClient(cmd)
-	if err != nil {
-		return err
-	}
-	cfg, err := client.Config(ctx)
+	client, cfg, err := clientAndConfig(ctx, cmd)
 	if err != nil {
 		return err
 	}
--- a/internal/e2e/chaos_test.go
+++ b/internal/e2e/chaos_test.go
@@ -26,21 +26,9 @@
 	})
 	c := newCallers(f)
 	awaitService(t, c)
-	from := time.Now()
-	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		c.run(ctx, seed(t), callerCount)
-	}()
-	f.chaos(t.Context(), rand.New(rand.NewPCG(seed(t), 0)), phase(t, 15))
-	to := time.Now()
-	stop()
-	<-ended
-	c.resolve(60 * time.Second)
-	records := f.records()
-	c.figures(records, from, to)
-	c.reconcile(records)
+	c.bookDuring(60*time.Second, func() {
+		f.chaos(t.Context(), rand.New(rand.NewPCG(seed(t), 0)), phase(t, 15))
+	})
 }
 
 // Guards against planned stops that cut off a request in progress or leave its
@@ -56,25 +44,13 @@
 	})
 	c := newCallers(f)
 	awaitService(t, c)
-	from := time.Now()
-	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		c.run(ctx, seed(t), callerCount)
-	}()
-	rng := rand.New(rand.NewPCG(seed(t), 1))
-	for _, n := range []node{f.entry(1), f.worker(1, 1), f.entry(2), f.worker(2, 1), f.worker(3, 1)} {
-		f.inject(t.Context(), faultGraceful, n, rng)
-		time.Sleep(time.Second)
-	}
-	to := time.Now()
-	stop()
-	<-ended
-	c.resolve(30 * time.Second)
-	records := f.records()
-	c.figures(records, from, to)
-	c.reconcile(records)
+	c.bookDuring(30*time.Second, func() {
+		rng := rand.New(rand.NewPCG(seed(t), 1))
+		for _, n := range []node{f.entry(1), f.worker(1, 1), f.entry(2), f.worker(2, 1), f.worker(3, 1)} {
+			f.inject(t.Context(), faultGraceful, n, rng)
+			time.Sleep(time.Second)
+		}
+	})
 	for _, b := range c.bookings {
 		for _, a := range b.answers {
 			if a.outcome == apperr.OutcomeUnknown && a.kind != apperr.KindConflict {
@@ -98,3 +74,23 @@
 		})
 	}
 }
+
+// bookDuring lets callers book while the faults are injected, gives open
+// bookings the time to be resolved, and reconciles all with the upstreams.
+func (c *callers) bookDuring(resolveWithin time.Duration, inject func()) {
+	from := time.Now()
+	ctx, stop := context.WithCancel(c.f.t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.run(ctx, seed(c.f.t), callerCount)
+	}()
+	inject()
+	to := time.Now()
+	stop()
+	<-ended
+	c.resolve(resolveWithin)
+	records := c.f.records()
+	c.figures(records, from, to)
+	c.reconcile(records)
+}
