Let the owner go on under granted leases while the store is away

Cause: an owner stopped all work 2.0 s after its last renewal, also in an outage for all, in which no other owner can exist.

Change: the core is told whether its tenure is confirmed. Without it, it starts tasks of jobs it knew under leases granted before, and neither extends leases, nor takes one for over, nor starts jobs read meanwhile, nor makes anything durable. A term ends only when its lease is known to be lost.

--- a/internal/core/workflow/advice.go
+++ b/internal/core/workflow/advice.go
@@ -64,7 +64,7 @@
 	service := o.queueOf(s.job).Service
 	var ids []string
 	for _, v := range o.vmOrder {
-		if v.up.Service != service || !v.usable(o.now) || v.quarantined || v.boot.ID == "" {
+		if v.up.Service != service || !o.usable(v) || v.quarantined || v.boot.ID == "" {
 			continue
 		}
 		if s.tickets.valid(o.now, v) != "" {
--- a/internal/core/workflow/loads.go
+++ b/internal/core/workflow/loads.go
@@ -22,7 +22,7 @@
 	for _, v := range o.vmOrder {
 		l := Load{
 			VM: v.id, Reserved: v.used.MilliCPU, Filling: v.filling, Leftover: v.leftover(), Capacity: v.up.Capacity.MilliCPU,
-			Tasks: len(v.tasks), Targets: v.targets, Pace: v.slowest(), Tail: v.tail(), Usable: v.usable(o.now) && !v.quarantined,
+			Tasks: len(v.tasks), Targets: v.targets, Pace: v.slowest(), Tail: v.tail(), Usable: o.usable(v) && !v.quarantined,
 		}
 		for _, t := range v.tasks {
 			if t.step.spec.Fills {
--- a/internal/core/workflow/order.go
+++ b/internal/core/workflow/order.go
@@ -94,7 +94,7 @@
 	}
 	var waiting []ranked
 	for _, s := range o.ready {
-		if s.waiting > 0 && (o.clear || !s.job.held) {
+		if s.waiting > 0 && (o.clear || !s.job.held) && !s.job.unsure {
 			waiting = append(waiting, ranked{s, o.rankOf(s)})
 		}
 	}
--- a/internal/core/workflow/orders.go
+++ b/internal/core/workflow/orders.go
@@ -129,6 +129,9 @@
 // lapse ends what ran on workers whose leases have surely run out, and lets
 // held jobs go once nothing of an earlier owner can be unknown.
 func (o *Owner) lapse() {
+	if !o.sole {
+		return
+	}
 	settled := true
 	for _, v := range o.vmOrder {
 		if !v.lapsed && o.now >= o.lapsesAt(v) {
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -204,7 +204,7 @@
 	bestScore := 0.0
 	service := o.queueOf(t.step.job).Service
 	for _, v := range o.vmOrder {
-		if v.up.Service != service || !v.usable(o.now) || o.obstacle(t, v) != "" || v.forced() {
+		if v.up.Service != service || !o.usable(v) || o.obstacle(t, v) != "" || v.forced() {
 			continue
 		}
 		if score := o.score(t, v); best == nil || score < bestScore {
@@ -240,7 +240,7 @@
 		switch {
 		case v.up.Service != service:
 			counts["other service"]++
-		case !v.usable(o.now):
+		case !o.usable(v):
 			counts["not usable"]++
 		default:
 			obstacle := o.obstacle(t, v)
@@ -259,7 +259,7 @@
 	bestScore := 0.0
 	service := o.queueOf(t.step.job).Service
 	for _, v := range o.vmOrder {
-		if v.up.Service != service || !v.usable(o.now) || !o.fits(t, v) {
+		if v.up.Service != service || !o.usable(v) || !o.fits(t, v) {
 			continue
 		}
 		if score := o.score(t, v); best == nil || score < bestScore {
--- a/internal/core/workflow/random_test.go
+++ b/internal/core/workflow/random_test.go
@@ -69,7 +69,7 @@
 // the promises within a few seeds.
 func TestMutantsAreFound(t *testing.T) {
 	t.Parallel()
-	for _, m := range []mutant{mutantEarlyAck, mutantNoWait, mutantUnknown, mutantNoFence, mutantShortHold} {
+	for _, m := range []mutant{mutantEarlyAck, mutantNoWait, mutantUnknown, mutantNoFence, mutantShortHold, mutantExtend, mutantLapse, mutantUnsure} {
 		t.Run(string(m), func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= 60; seed++ {
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -22,6 +22,9 @@
 	simHoldMax  = 5 * time.Second
 	simRunTime  = 900 * time.Millisecond
 	simLateMost = 10 * time.Second
+	// simLongRun is the longest run time of one task in simLongEvery.
+	simLongRun   = 8 * time.Second
+	simLongEvery = 6
 	// simRaise is the time within which an agent reaches a new boot. A late order
 	// that comes before it is beyond the system's control.
 	simRaise = 100 * time.Millisecond
@@ -42,6 +45,11 @@
 	mutantNoFence mutant = "do not raise the fence"
 	// mutantShortHold gives up workers out of reach before their lease is over.
 	mutantShortHold mutant = "wait less than the lease"
+	// mutantExtend, mutantLapse and mutantUnsure leave out a rule of an owner
+	// whose ownership is not confirmed.
+	mutantExtend mutant = "extend leases without a confirmed ownership"
+	mutantLapse  mutant = "take leases for over without a confirmed ownership"
+	mutantUnsure mutant = "start jobs read without a confirmed ownership"
 )
 
 // stored is what the table holds of a job.
@@ -60,6 +68,14 @@
 	owner    *Owner
 	epoch    types.Epoch
 	deadTill time.Duration
+	// former is an owner that is cut off from the store and acts beside its
+	// successor. It does not reach the workers in formerCut, some from the time
+	// before isolatedAt on, when it loses the store.
+	former     *Owner
+	formerCut  map[types.VMID]bool
+	isolatedAt time.Duration
+	// awayTill is when the store is back for all.
+	awayTill time.Duration
 	workers  []*simWorker
 	late     []lateOrder
 	rows     map[types.JobID]*stored
@@ -161,10 +177,16 @@
 	s.revision++
 	s.rows[id] = &stored{job: job, state: JobQueued, revision: s.revision}
 	s.order = append(s.order, id)
-	if s.owner != nil {
-		if err := s.owner.AddJob(s.now, s.now, job, JobQueued, s.revision, Progress{}, true); err != nil {
+	for _, o := range []*Owner{s.owner, s.former} {
+		if o == nil || o == s.former && s.rng.IntN(2) == 0 {
+			continue
+		}
+		if err := o.AddJob(s.now, s.now, job, JobQueued, s.revision, Progress{}, true); err != nil {
 			s.fail("job %s is not taken: %v", id, err)
 		}
+		if s.mutant == mutantUnsure {
+			o.jobs[id].unsure = false
+		}
 	}
 }
 
@@ -191,6 +213,7 @@
 		s.work(w)
 	}
 	s.carryLate()
+	s.formerActs()
 	if s.owner == nil {
 		if s.now >= s.deadTill {
 			s.takeOver()
@@ -203,11 +226,46 @@
 // owns does what an owner's shell does in a tick.
 func (s *sim) owns() {
 	for _, w := range s.workers {
-		if w.up && s.now < w.cut || s.rng.IntN(3) > 0 {
+		if w.up && !s.reaches(w) || s.rng.IntN(3) > 0 {
 			continue
 		}
 		s.watch(w)
 	}
+	s.orders()
+	s.commit()
+	if s.owner.Deposed() {
+		s.fail("owner of epoch %d was deposed without a successor", s.epoch)
+	}
+}
+
+// formerActs lets an owner that is cut off from the store act, until a worker
+// tells it of its successor.
+func (s *sim) formerActs() {
+	if s.former == nil {
+		return
+	}
+	present, epoch, batch := s.owner, s.epoch, s.batch
+	s.owner, s.epoch = s.former, s.former.cfg.Epoch
+	for _, w := range s.workers {
+		if s.reaches(w) && s.rng.IntN(3) == 0 {
+			s.watch(w)
+		}
+	}
+	if s.mutant == mutantLapse {
+		s.owner.sole = true
+		s.owner.lapse()
+		s.owner.sole = false
+	}
+	s.orders()
+	if s.owner.Deposed() {
+		s.event("owner of epoch %d hears of its successor", s.epoch)
+		s.former = nil
+	}
+	s.owner, s.epoch, s.batch = present, epoch, batch
+}
+
+// orders carries out what the owner wants done.
+func (s *sim) orders() {
 	out := s.owner.Next(s.now, s.now)
 	for _, d := range out.Decisions {
 		if d.Kind == DecisionReturned || d.Kind == DecisionEnded {
@@ -217,14 +275,14 @@
 	for _, o := range out.Orders {
 		s.give(o)
 	}
-	s.commit()
-	if s.owner.Deposed() {
-		s.fail("owner of epoch %d was deposed without a successor", s.epoch)
-	}
 }
 
 // commit makes batches durable, some late or after a conflict.
 func (s *sim) commit() {
+	if s.now < s.awayTill {
+		return
+	}
+	s.owner.SetTenure(s.now, true)
 	if s.batch != nil {
 		if s.now < s.batchAt {
 			return
@@ -314,9 +372,16 @@
 	if s.chance(0.01) {
 		s.cancel()
 	}
-	if s.owner != nil && s.chance(0.006) {
+	if s.owner != nil && s.now >= s.awayTill && s.chance(0.004) {
+		s.faults["store away"]++
+		s.awayTill = s.now + s.between(0, 8*time.Second)
+		s.owner.SetTenure(s.now, false)
+		s.event("store away until %v", s.awayTill)
+	}
+	s.isolate()
+	if s.owner != nil && s.now >= s.awayTill && s.chance(0.006) {
 		s.faults["owner dies"]++
-		s.owner, s.batch = nil, nil
+		s.owner, s.batch, s.isolatedAt = nil, nil, 0
 		s.deadTill = s.now + s.between(100*time.Millisecond, 2*time.Second)
 	}
 	w := s.workers[s.rng.IntN(len(s.workers))]
@@ -340,9 +405,48 @@
 	}
 }
 
+// isolate cuts the owner off from the store, and from some workers a little
+// before that. Its successor does not reach some others for a while.
+func (s *sim) isolate() {
+	if s.owner == nil || s.former != nil || s.now < s.awayTill {
+		return
+	}
+	if s.isolatedAt == 0 {
+		if !s.chance(0.006) {
+			return
+		}
+		s.isolatedAt = s.now + s.between(0, simHold)
+		s.formerCut = make(map[types.VMID]bool)
+		for _, w := range s.workers {
+			s.formerCut[w.id] = s.rng.IntN(2) == 0
+		}
+	}
+	if s.now < s.isolatedAt {
+		return
+	}
+	s.faults["owner cut from the store"]++
+	s.owner.SetTenure(s.now, false)
+	for _, w := range s.workers {
+		if !s.formerCut[w.id] && s.rng.IntN(3) > 0 {
+			w.cut = s.now + s.between(0, 3*simHoldMax)
+		}
+	}
+	s.former, s.owner, s.batch, s.isolatedAt = s.owner, nil, nil, 0
+	s.deadTill = s.now + s.between(100*time.Millisecond, time.Second)
+	s.event("owner of epoch %d cut from the store", s.epoch)
+}
+
+// reaches reports whether the owner's calls reach a worker's agent.
+func (s *sim) reaches(w *simWorker) bool {
+	if s.owner == s.former || s.isolatedAt > 0 {
+		return !s.formerCut[w.id]
+	}
+	return s.now >= w.cut
+}
+
 // settle lets the world run without faults and reports jobs that do not end.
 func (s *sim) settle() {
-	s.calm = true
+	s.calm, s.former, s.isolatedAt, s.awayTill = true, nil, 0, 0
 	for _, w := range s.workers {
 		w.cut = 0
 		if !w.up {
--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -70,7 +70,15 @@
 		s.owner.Report(s.now, r)
 		return
 	}
+	if s.mutant == mutantExtend {
+		defer func(sole bool) { s.owner.sole = sole }(s.owner.sole)
+		s.owner.sole = true
+	}
 	g := s.owner.Grant(w.id)
+	if g.Fence.Epoch() < w.raised.Epoch() {
+		s.owner.Report(s.now, Report{VM: w.id, Agent: 1, Fence: w.raised})
+		return
+	}
 	if s.mutant != mutantNoFence {
 		w.raised = max(w.raised, g.Fence)
 		w.fence = max(w.fence, w.raised)
@@ -105,7 +113,9 @@
 	w := s.workers[slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.id == o.VM })]
 	result := ResultUnknown
 	switch {
-	case s.now < w.cut && w.up:
+	case !s.reaches(w) && w.up:
+	case s.epoch < w.raised.Epoch():
+		result = ResultFenced
 	case s.chance(0.05):
 		s.faults["late order"]++
 		s.event("late order %s %s run %d for %s", o.Kind, o.Task, o.Run, w.id)
@@ -167,7 +177,11 @@
 	}
 	s.extend(w, o.Deadline)
 	s.check(w, o)
-	w.runs = append(w.runs, simRun{o.Task, o.Run, s.now + s.between(simRunTime/3, 2*simRunTime)})
+	ends := s.now + s.between(simRunTime/3, 2*simRunTime)
+	if !s.calm && s.rng.IntN(simLongEvery) == 0 {
+		ends += s.between(0, simLongRun)
+	}
+	w.runs = append(w.runs, simRun{o.Task, o.Run, ends})
 	s.starts++
 	return ResultDone
 }
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -125,9 +125,12 @@
 	// known is set if the row of the state already says so.
 	known bool
 	// held: a predecessor may have started tasks of the job.
-	held  bool
-	dirty bool
-	live  int
+	held bool
+	// unsure: the job was read while the ownership was not confirmed, so a
+	// successor may have started tasks of it.
+	unsure bool
+	dirty  bool
+	live   int
 	// created counts occurrences that exist; finished those that are done.
 	created, finished int
 }
@@ -223,8 +226,8 @@
 }
 
 // usable reports whether new tasks may be placed on the VM.
-func (v *vm) usable(now time.Duration) bool {
-	return v.reached && v.announced && !v.up.Draining && now >= v.noRoomUntil && now >= v.restUntil
+func (o *Owner) usable(v *vm) bool {
+	return v.reached && v.announced && !v.up.Draining && o.now >= v.noRoomUntil && o.now >= v.restUntil && o.leaseSuffices(v)
 }
 
 // leftover is the processors that tasks with reservations leave unused. A
--- /dev/null
+++ b/internal/core/workflow/tenure_test.go
@@ -0,0 +1,56 @@
+package workflow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Guards against a scheduler that stands still while the store is away: replays
+// an outage of 4 s, in which a job's first step ends, and expects its next steps
+// to run meanwhile under the leases that workers hold.
+func TestNextStepsStartWhileStoreIsAway(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.step(50 * time.Millisecond)
+	step := Step{Tasks: 1, Demand: types.Resources{MilliCPU: 1000}, RunTime: 800 * time.Millisecond}
+	second, third := step, step
+	second.After, third.After = []int{0}, []int{1}
+	b.submit("j", step, second, third)
+	b.step(50 * time.Millisecond)
+	b.o.SetTenure(b.now, false)
+	for outage := b.now + 4*time.Second; b.now < outage; {
+		b.step(50 * time.Millisecond)
+	}
+	if starts := b.starts["a"]; starts != 3 {
+		t.Errorf("%d of 3 steps were started while the store was away", starts)
+	}
+	if b.o.jobs["j"].over != JobCompleted {
+		t.Error("the job is not over")
+	}
+}
+
+// Guards against leases that an owner extends while it may have a successor, and
+// against starts that the end of the lease would cut off at once.
+func TestLeasesEndWhileStoreIsAway(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.step(50 * time.Millisecond)
+	granted := b.o.Grant("a").Deadline
+	b.o.SetTenure(b.now, false)
+	for b.now < granted-leastLease {
+		b.step(50 * time.Millisecond)
+		if g := b.o.Grant("a"); g.Deadline > granted {
+			t.Fatalf("the lease was extended from %v to %v", granted, g.Deadline)
+		}
+	}
+	b.submit("late", Step{Tasks: 1, Demand: types.Resources{MilliCPU: 1000}, RunTime: time.Second})
+	b.step(50 * time.Millisecond)
+	if b.starts["a"] > 0 {
+		t.Error("a task was started under a lease that is about to end")
+	}
+	b.o.SetTenure(b.now, true)
+	b.step(50 * time.Millisecond)
+	if b.starts["a"] != 1 {
+		t.Error("the task was not started after the store came back")
+	}
+}
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -55,8 +55,8 @@
 	return all
 }
 
-// commit makes a batch durable, however long that takes. Its shares are
-// committed at the same time.
+// commit makes a batch durable, however long that takes, unless the term ends
+// before. Its shares are committed at the same time.
 func (t *term) commit(ctx context.Context, b *workflow.Batch) {
 	defer t.wg.Done()
 	begin := time.Now()
@@ -101,9 +101,7 @@
 			return outcome{share: s, revision: res.Revision}
 		case err == nil:
 			return t.conflict(b, s, res.Rows)
-		case clock.Now() > time.Duration(t.until.Load())+leaseTTL:
-			// The ownership is over: another entry may have it by now.
-			t.end()
+		case ctx.Err() != nil:
 			return outcome{share: s}
 		}
 		t.metrics.commitRetries.Inc(1)
--- a/internal/jobs/link.go
+++ b/internal/jobs/link.go
@@ -82,10 +82,6 @@
 	lost := true
 	pause := linkRetryFirst
 	for ctx.Err() == nil {
-		if !l.t.mayAct(clock.Now()) {
-			sleep(ctx, linkRetryFirst)
-			continue
-		}
 		err := l.watch(ctx)
 		switch {
 		case err == nil && lost:
@@ -112,7 +108,10 @@
 // watch makes one call and hands the report to the core.
 func (l *link) watch(ctx context.Context) error {
 	var grant workflow.Grant
-	if err := l.t.state.Do(func(o *workflow.Owner) { grant = o.Grant(l.vm) }); err != nil {
+	if err := l.t.state.Do(func(o *workflow.Owner) {
+		l.t.confirm(o)
+		grant = o.Grant(l.vm)
+	}); err != nil {
 		return err
 	}
 	wait := l.t.watchWait()
@@ -156,7 +155,7 @@
 	if err := l.t.state.Do(func(o *workflow.Owner) { away, lapsed = o.LapsedFor(clock.Now(), l.vm) }); err != nil {
 		return false
 	}
-	if !lapsed || away < forgetAfter {
+	if !lapsed || away < forgetAfter || !l.t.mayAct(clock.Now()) {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -42,7 +42,7 @@
 	eventOwnerReleased = telemetry.Define(543, logrus.InfoLevel, "ownership of jobs released",
 		"This process stops; another entry takes over. No action.")
 	eventLeaseLate = telemetry.Define(544, logrus.WarnLevel, "lease of jobs cannot be renewed",
-		"The table does not answer. Running tasks go on until their leases end; nothing new is started. Fields: epoch, age.")
+		"The table does not answer. Running tasks go on until their leases end, and tasks of known jobs start while leases last. Fields: epoch, age.")
 	eventAdviceFailed = telemetry.Define(546, logrus.WarnLevel, "policy service gives no advice",
 		"The step's tasks wait until it answers. Fields: step, workers. Look at the service and the way to it.")
 	eventLeaseBack = telemetry.Define(545, logrus.InfoLevel, "lease of jobs is renewed again", "No action.")
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -43,6 +43,7 @@
 	state  *actors.Owner[*workflow.Owner]
 	// until is when the term may act no longer, as clock reading in nanoseconds.
 	until atomic.Int64
+	ctx   context.Context
 	end   context.CancelFunc
 	// fences are the revisions of the fence rows by partition. Only the batch in
 	// flight uses them.
@@ -77,7 +78,7 @@
 // run acts as the owner until the ownership is lost or the context ends.
 func (t *term) run(parent context.Context) {
 	ctx, end := context.WithCancel(context.WithoutCancel(parent))
-	t.end = end
+	t.ctx, t.end = ctx, end
 	defer end()
 	t.wg.Add(1)
 	go t.keepLease(ctx)
@@ -146,7 +147,7 @@
 		t.wg.Add(1)
 		go func() {
 			defer close(done)
-			t.commit(context.Background(), b)
+			t.commit(t.ctx, b)
 		}()
 	})
 	select {
@@ -158,11 +159,18 @@
 // step applies an input to the core and carries out what it wants.
 func (t *term) step(input func(*workflow.Owner)) {
 	t.state.Tell(func(o *workflow.Owner) {
+		t.confirm(o)
 		input(o)
 		t.pump(o)
 	})
 }
 
+// confirm tells the core whether the ownership surely lasts.
+func (t *term) confirm(o *workflow.Owner) {
+	now := clock.Now()
+	o.SetTenure(now, t.mayAct(now))
+}
+
 // pump carries out what the core wants. It runs on the core's actor.
 func (t *term) pump(o *workflow.Owner) {
 	now := clock.Now()
@@ -171,19 +179,18 @@
 		t.end()
 		return
 	}
-	if !t.mayAct(now) {
-		return
-	}
+	confirmed := t.mayAct(now)
+	o.SetTenure(now, confirmed)
 	out := o.Next(now, unixNow())
 	t.report(out.Decisions)
 	t.dispatch(out.Orders)
 	t.advise(out.Questions)
 	t.reportLoads(o, now)
-	if now >= t.flushAt || o.Urgent() {
+	if confirmed && (now >= t.flushAt || o.Urgent()) {
 		if b := o.Batch(now); b != nil {
 			t.flushAt = now + flushInterval
 			t.wg.Add(1)
-			go t.commit(context.Background(), b)
+			go t.commit(t.ctx, b)
 		}
 	}
 }
--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// started reports whether a task has been started.
+func (d *deployment) started(task string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.starts[task] > 0
+}
+
 func (d *deployment) call(entry int, method, path string, body any) (int, string) {
 	d.t.Helper()
 	var reader io.Reader
@@ -339,6 +346,29 @@
 	}
 }
 
+// Guards against running work that stands still while the store is away: the
+// steps of a job follow each other for longer than the owner's lease lasts.
+func TestStepsGoOnWhileStoreIsAway(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 1)
+	const id, steps = "00000000000000e1", 10
+	chain := make([]standin.Step, steps)
+	for i := range chain {
+		chain[i] = standin.Step{Tasks: 1, MilliCPU: 100, RunTime: runTime}
+		if i > 0 {
+			chain[i].After = []int{i - 1}
+		}
+	}
+	if code, text := d.call(0, http.MethodPost, "/q/"+id, standin.Job("chain", chain...)); code != http.StatusOK {
+		t.Fatalf("submission: %d %s", code, text)
+	}
+	d.await("first step", func() bool { return d.started(id + ".0.0.0") })
+	d.store.SetFaults(standin.Faults{Down: true})
+	d.await("last step", func() bool { return d.started(fmt.Sprintf("%s.0.%d.0", id, steps-1)) })
+	d.store.SetFaults(standin.Faults{})
+	d.awaitState(0, id, "completed")
+}
+
 // Guards against a configuration that is not put into force, or reverts, when
 // the store's history is gone.
 func TestConfigurationAfterCompaction(t *testing.T) {
