Remember how images disturb each other, and leave workers that turn slow

Figures that were read twice were learned twice. A worker that turned slow kept its tasks, and the tails there were taken for the load of users, which held filling tasks back on all VMs of the same job.

Ruled out by trials (docs/POLICY.md): more or no caution about unknown pairs, tails nearer to the target, packing standing tasks whatever their images, higher cost of pressing, faster paces.

Change: factors drift by 0.001 a second, start at 1.2, are learned once for each figure, and are kept in a row that the next owner reads. The advance of tasks with processors of their own is compared between the VMs of a step; a slow VM rests for 3 s, and what is better off elsewhere moves.

--- a/internal/core/workflow/attribution.go
+++ b/internal/core/workflow/attribution.go
@@ -55,6 +55,10 @@
 			o.standsStill(t, v)
 		}
 	}
+	o.judgeSpeed()
+	for _, v := range o.vmOrder {
+		o.leaveSlow(v)
+	}
 	for _, a := range o.health.Decide(o.now) {
 		v := o.vms[a.Worker]
 		if v == nil {
--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -64,6 +64,7 @@
 	if t.phase == phaseWaiting {
 		t.step.waiting--
 	}
+	t.finished(o.now)
 	t.release()
 	t.phase = phaseDone
 	t.step.done++
--- /dev/null
+++ b/internal/core/workflow/factors.go
@@ -0,0 +1,61 @@
+package workflow
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// maxFactors bounds the pairs that are kept for the next owner: 400 take about 28
+// KB, below the 64 KB that a row may have.
+const maxFactors = 400
+
+// inheritedVariance is the least variance of a factor that an earlier owner has
+// learned: it may be old.
+const inheritedVariance = 0.03
+
+// PairFactor is what an owner has learned of how much tasks of a filling image
+// press on standing tasks of another image.
+type PairFactor struct {
+	Filling  string `json:"filling"`
+	Standing string `json:"standing"`
+	// Mean is the load that one whole VM of the filling image adds to a standing
+	// task, as a share of what that can take.
+	Mean     float64 `json:"mean"`
+	Variance float64 `json:"variance"`
+}
+
+// Factors returns what has been learned, in order of the images and rounded, so
+// that it stays the same while nothing of weight is learned. Of too many pairs
+// the best known are returned.
+func (o *Owner) Factors() []PairFactor {
+	all := make([]PairFactor, 0, len(o.pressures.factors))
+	for k, f := range o.pressures.factors {
+		all = append(all, PairFactor{k.filling, k.standing, round(f.mean), round(f.variance)})
+	}
+	byImages := func(a, b PairFactor) int {
+		return cmp.Or(cmp.Compare(a.Filling, b.Filling), cmp.Compare(a.Standing, b.Standing))
+	}
+	if len(all) > maxFactors {
+		slices.SortFunc(all, func(a, b PairFactor) int { return cmp.Or(cmp.Compare(a.Variance, b.Variance), byImages(a, b)) })
+		all = all[:maxFactors]
+	}
+	slices.SortFunc(all, byImages)
+	return all
+}
+
+// SetFactors takes over what an earlier owner has learned. Values outside of what
+// Factors returns are left out.
+func (o *Owner) SetFactors(now time.Duration, factors []PairFactor) {
+	for _, f := range factors {
+		if !(f.Mean >= 0 && f.Mean <= mostFactor && f.Variance >= 0) {
+			continue
+		}
+		variance := min(firstVariance, max(f.Variance, inheritedVariance))
+		o.pressures.factors[pair{f.Filling, f.Standing}] = factor{f.Mean, variance, now}
+	}
+}
+
+// round keeps one decimal, which is what a factor is known to.
+func round(x float64) float64 { return math.Round(10*x) / 10 }
--- /dev/null
+++ b/internal/core/workflow/factors_test.go
@@ -0,0 +1,72 @@
+package workflow
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// Guards against a successor that learns anew, at the cost of standing tasks,
+// which images disturb which: replays a wave of an image that presses hard under
+// an owner that has inherited its factor.
+func TestFactorsOutliveAnOwner(t *testing.T) {
+	first := newBench(t, 1, map[string]float64{"heavy": 2.4})
+	first.step(50 * time.Millisecond)
+	first.submit("s", standingStep(2))
+	first.over(time.Second)
+	first.submit("f", fillingStep("heavy", 6))
+	first.over(4 * time.Second)
+	factors := first.o.Factors()
+	if len(factors) != 1 || math.Abs(factors[0].Mean-2.4) > 0.6 {
+		t.Fatalf("learned %+v, want one factor of about 2.4", factors)
+	}
+	fresh := overInWave(t, nil)
+	inherited := overInWave(t, factors)
+	if inherited > fresh/2 {
+		t.Errorf("standing tasks were over their targets for %v with the inherited factor, %v without", inherited, fresh)
+	}
+}
+
+// overInWave returns how long standing tasks are over their targets in the first
+// seconds of a wave, under an owner with the given factors.
+func overInWave(t *testing.T, factors []PairFactor) time.Duration {
+	t.Helper()
+	b := newBench(t, 1, map[string]float64{"heavy": 2.4})
+	b.o.SetFactors(b.now, factors)
+	b.step(50 * time.Millisecond)
+	b.submit("s", standingStep(2))
+	b.over(time.Second)
+	b.submit("f", fillingStep("heavy", 6))
+	return b.over(2 * time.Second)
+}
+
+// Guards against factors from a damaged row that would stop all filling tasks or
+// let them harm.
+func TestFactorsOutOfRangeAreLeftOut(t *testing.T) {
+	o := newBench(t, 1, nil).o
+	o.SetFactors(0, []PairFactor{
+		{"a", "s", -1, 0.1}, {"b", "s", math.NaN(), 0.1}, {"c", "s", 100, 0.1}, {"d", "s", 1, math.NaN()}, {"e", "s", 1, 0},
+	})
+	if got := o.Factors(); len(got) != 1 || got[0].Filling != "e" {
+		t.Errorf("kept %+v, want the last one only", got)
+	}
+}
+
+// Guards against a figure that is learned from as often as it is read: workers
+// renew their figures half as often.
+func TestFigureIsLearnedOnce(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.step(50 * time.Millisecond)
+	b.submit("s", standingStep(1))
+	b.step(50 * time.Millisecond)
+	b.step(150 * time.Millisecond)
+	v := b.o.vmOrder[0]
+	s := b.o.jobs["s"].occurrences[0].steps[0]
+	variance := s.users.variance
+	b.now += 150 * time.Millisecond
+	b.o.now = b.now
+	b.o.observe(v)
+	if s.users.variance < variance {
+		t.Errorf("the variance of the users' load fell from %v to %v by the same figure", variance, s.users.variance)
+	}
+}
--- a/internal/core/workflow/load_test.go
+++ b/internal/core/workflow/load_test.go
@@ -20,6 +20,8 @@
 	vms     []types.VMID
 	own     func(now time.Duration) float64
 	factors map[string]float64
+	// speed is below 1 for VMs whose workers are slow.
+	speed   map[types.VMID]float64
 	running map[types.VMID]map[TaskKey]*benchRun
 	starts  map[types.VMID]int
 	ends    uint64
@@ -69,7 +71,15 @@
 			load += b.factors[r.spec.Image] * float64(r.spec.Demand.MilliCPU) / benchCores * float64(r.pace) / fullPace
 		}
 	}
-	return min(0.98, load)
+	return min(0.98, load/b.rate(vm))
+}
+
+// rate returns how fast a VM's worker is.
+func (b *bench) rate(vm types.VMID) float64 {
+	if r, ok := b.speed[vm]; ok {
+		return r
+	}
+	return 1
 }
 
 // step advances the time and plays reports and orders.
@@ -101,7 +111,7 @@
 			entry.Figure = tail * float64(run.spec.TailTarget) / float64(time.Millisecond)
 		} else {
 			entry.Figure = float64(run.spec.Demand.MilliCPU) * float64(run.pace) / fullPace
-			run.worked += d * time.Duration(run.pace) / fullPace
+			run.worked += time.Duration(float64(d) * b.rate(vm) * float64(run.pace) / fullPace)
 			entry.Progress = int(fullPace * run.worked / run.spec.RunTime)
 		}
 		if !run.spec.Standing && run.worked >= run.spec.RunTime {
--- a/internal/core/workflow/pressure.go
+++ b/internal/core/workflow/pressure.go
@@ -20,16 +20,18 @@
 	// mostLoad is the highest load told apart: tails are 20 times the idle one.
 	mostLoad = 0.95
 	// firstFactor and firstVariance are the belief about a pair not seen yet.
-	firstFactor   = 2.0
-	firstVariance = 1.0
+	// About half of the pairs press by next to nothing and the others by 1 to 2.5.
+	firstFactor   = 1.2
+	firstVariance = 0.6
 	// mostFactor bounds beliefs; no higher factor was seen.
 	mostFactor = 5.0
 	// leastVariance and driftVariance, the latter a second, keep beliefs open to
-	// change: the factors change within seconds.
+	// change. What a pair adds changes with the use, not by itself: factors stayed
+	// what they were over a whole day, so they are remembered for minutes.
 	leastVariance = 0.01
-	driftVariance = 0.1
-	// loadNoise is the variance of a load computed from one figure. Figures read
-	// within half a second share most of what they are taken over.
+	driftVariance = 0.001
+	// loadNoise is the variance of a load computed from one figure. Figures that
+	// follow each other within half a second share most of what they are taken over.
 	loadNoise = 0.004
 	// cautious is how many standard deviations a factor is taken above its mean.
 	cautious = 0.3
@@ -152,15 +154,20 @@
 	return t.phase == phaseRunning && t.step.spec.TailTarget > 0 && t.progress == standingAtWork && t.figure > 0
 }
 
-// observe learns from the figures of a VM.
+// observe learns from the figures of a VM. A worker renews them a few times a
+// second, and a figure that was read twice says nothing new.
 func (o *Owner) observe(v *vm) {
 	if o.now < v.observedAt+observeInterval {
 		return
 	}
 	v.observedAt = o.now
+	if o.now < v.slowUntil || o.tailsUnexplained(v) {
+		return // a slow worker says nothing about the load of users
+	}
 	uses := v.uses()
 	for _, t := range v.tasks {
-		if t.watched() {
+		if t.watched() && t.learned != t.figure {
+			t.learned = t.figure
 			t.step.users.predict(o.now)
 			o.pressures.learn(o.now, &t.step.users, t.step.spec.Image, uses, loadOf(t.tail()))
 		}
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -132,7 +132,7 @@
 	v.endSeen, v.endDurable = 0, 0
 	v.unreachedSince = o.now
 	clear(v.foreign)
-	v.noRoomUntil, v.restUntil = 0, 0
+	v.noRoomUntil, v.restUntil, v.slowUntil, v.tailsFrom = 0, 0, 0, 0
 	v.quarantined = false
 	o.health.Replace(v.id)
 }
@@ -220,6 +220,7 @@
 	}
 	t.progress = r.Progress
 	t.figure = r.Figure
+	t.track(o.now)
 	return t
 }
 
--- /dev/null
+++ b/internal/core/workflow/slowness_test.go
@@ -0,0 +1,81 @@
+package workflow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Guards against a job that is late because one of its tasks runs on a worker
+// that has turned six times slower: replays a stream of steps of ten tasks over
+// four VMs, one of them slow from the start on.
+func TestSlowWorkerIsLeft(t *testing.T) {
+	b := newBench(t, 4, nil)
+	b.speed = map[types.VMID]float64{"a": 1.0 / 6}
+	b.step(50 * time.Millisecond)
+	short := Step{Tasks: 10, Demand: types.Resources{MilliCPU: 4000}, RunTime: 800 * time.Millisecond}
+	const jobs = 12
+	late := 0
+	for i := range jobs {
+		id := types.JobID(rune('a' + i))
+		b.submit(id, short)
+		for range 40 {
+			b.step(50 * time.Millisecond)
+		}
+		if b.o.jobs[id].over == "" {
+			late++
+		}
+	}
+	if late > jobs/6 {
+		t.Errorf("%d of %d jobs of 0.8 s took more than 2 s", late, jobs)
+	}
+}
+
+// Guards against standing tasks that stay on a slow worker, and against a load of
+// their users that is learned from it: their tails are far over their targets
+// though nothing fills the VM.
+func TestStandingTasksLeaveSlowWorker(t *testing.T) {
+	b := newBench(t, 3, nil)
+	b.step(50 * time.Millisecond)
+	step := standingStep(3)
+	step.MaxPerVM = 1
+	b.submit("s", step)
+	for range 40 {
+		b.step(50 * time.Millisecond)
+	}
+	spare := standingStep(1)
+	b.vms = append(b.vms, "d")
+	b.running["d"] = make(map[TaskKey]*benchRun)
+	b.submit("other", spare)
+	b.speed = map[types.VMID]float64{"b": 1.0 / 6}
+	for range 40 {
+		b.step(50 * time.Millisecond)
+	}
+	if b.standing("b") {
+		t.Error("a standing task is on the slow VM after 2 s")
+	}
+	if load := b.o.jobs["s"].occurrences[0].steps[0].load(); load > 0.55 {
+		t.Errorf("the load of the users is taken for %.2f, want about 0.4", load)
+	}
+}
+
+// Guards against all VMs resting at once: when everything is slow, work goes on.
+func TestSlowWorkersAreNotAllLeft(t *testing.T) {
+	b := newBench(t, 3, nil)
+	b.step(50 * time.Millisecond)
+	b.submit("s", standingStep(3))
+	b.speed = map[types.VMID]float64{"a": 0.1, "b": 0.1, "c": 0.1}
+	for range 60 {
+		b.step(50 * time.Millisecond)
+	}
+	resting := 0
+	for _, v := range b.o.vmOrder {
+		if b.now < v.slowUntil {
+			resting++
+		}
+	}
+	if resting > 1 {
+		t.Errorf("%d of 3 VMs rest, want 1 at most", resting)
+	}
+}
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -63,6 +63,10 @@
 	// progress and figure are from the last list.
 	progress int
 	figure   float64
+	// advance is where the task's speed is measured from.
+	advance advance
+	// learned is the last figure that the load model has learned from.
+	learned float64
 	// wantedPace is the pace that the task should have, paceSent that of the last
 	// order.
 	wantedPace, paceSent int
@@ -96,7 +100,9 @@
 	explained time.Duration
 	live      int
 	// users is the load that the users of standing tasks cause.
-	users   usersLoad
+	users usersLoad
+	// took are run times of finished tasks as multiples of the declared one.
+	took    []float64
 	tickets tickets
 	// gangFailed is the run whose failure has been counted.
 	gangFailed uint64
@@ -182,8 +188,11 @@
 	endSeen, endDurable uint64
 	noRoomUntil         time.Duration
 	restUntil           time.Duration
-	quarantined         bool
-	probing             bool
+	// slowUntil is how long the VM rests as slow; tailsFrom is when its tails
+	// were first too high without a cause, or 0.
+	slowUntil, tailsFrom time.Duration
+	quarantined          bool
+	probing              bool
 }
 
 // imageCount is a number of live standing tasks of one image.
@@ -227,7 +236,7 @@
 
 // usable reports whether new tasks may be placed on the VM.
 func (o *Owner) usable(v *vm) bool {
-	return v.reached && v.announced && !v.up.Draining && o.now >= v.noRoomUntil && o.now >= v.restUntil && o.leaseSuffices(v)
+	return v.reached && v.announced && !v.up.Draining && o.now >= v.noRoomUntil && o.now >= v.restUntil && o.now >= v.slowUntil && o.leaseSuffices(v)
 }
 
 // leftover is the processors that tasks with reservations leave unused. A
@@ -305,5 +314,5 @@
 	t.step.job.live--
 	t.step.live--
 	t.inFlight, t.stopAcked, t.settledSeq = false, false, 0
-	t.progress, t.figure, t.stillSince, t.forced = 0, 0, 0, false
+	t.progress, t.figure, t.stillSince, t.forced, t.advance = 0, 0, 0, false, advance{}
 }
--- /dev/null
+++ b/internal/jobs/learned.go
@@ -0,0 +1,71 @@
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/workflow"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// keyLearned is the row with what owners have learned of pairs of images. It is
+// knowledge, not truth: it is written without a condition, and an owner that
+// cannot read it learns anew.
+const keyLearned = "learned/factors"
+
+// learnedInterval lies between writes of what has been learned.
+const learnedInterval = 5 * time.Second
+
+var eventLearned = telemetry.Define(547, logrus.WarnLevel, "learned factors not read or kept",
+	"The owner, or the next one, learns anew which tasks disturb which. Look at the platform's store if it repeats.")
+
+// inherit gives the core what earlier owners have learned.
+func (t *term) inherit(ctx context.Context, core *workflow.Owner) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	rows, err := t.c.opts.Table.Get(ctx, keyLearned)
+	if err == nil && rows[0].Revision != 0 {
+		var factors []workflow.PairFactor
+		if factors, err = decode[[]workflow.PairFactor](keyLearned, rows[0].Value); err == nil {
+			core.SetFactors(clock.Now(), factors)
+			t.learned = rows[0].Value
+		}
+	}
+	if err != nil {
+		t.log.Log(eventLearned, err, nil)
+	}
+}
+
+// keepLearned stores what has been learned if it has changed. It runs on the
+// core's actor.
+func (t *term) keepLearned(o *workflow.Owner, now time.Duration) {
+	if now < t.learnedAt {
+		return
+	}
+	t.learnedAt = now + learnedInterval
+	value, err := json.Marshal(o.Factors())
+	if err != nil {
+		t.log.Log(eventLearned, err, nil)
+		return
+	}
+	if bytes.Equal(value, t.learned) {
+		return
+	}
+	t.learned = value
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		ctx, cancel := context.WithTimeout(t.ctx, tableTimeout)
+		defer cancel()
+		// A failed write is made good by the next change.
+		if _, err := t.c.opts.Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: keyLearned, Value: value}}}); err != nil {
+			t.log.Log(eventLearned, err, nil)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/jobs/learned_test.go
@@ -0,0 +1,47 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/workflow"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/standin"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// Guards against learned factors that a successor does not read as they were
+// written, and against a row that is written again without a change.
+func TestLearnedFactorsAreKept(t *testing.T) {
+	table := standin.NewTable()
+	candidate := &Candidate{opts: OwnerOptions{Table: table}}
+	newTerm := func() *term {
+		return &term{c: candidate, log: telemetry.Discard(), ctx: t.Context()}
+	}
+	want := []workflow.PairFactor{{Filling: "f", Standing: "s", Mean: 1.5, Variance: 0.1}}
+	owner := workflow.New(workflow.Config{Epoch: 1}, 0)
+	owner.SetFactors(0, want)
+	former := newTerm()
+	former.keepLearned(owner, time.Second)
+	former.wg.Wait()
+	first := revisionOf(t, table)
+	former.keepLearned(owner, time.Second+learnedInterval)
+	former.wg.Wait()
+	if again := revisionOf(t, table); again != first {
+		t.Error("the row was written again without a change")
+	}
+	successor := workflow.New(workflow.Config{Epoch: 2}, 0)
+	newTerm().inherit(t.Context(), successor)
+	if got := successor.Factors(); len(got) != 1 || got[0] != want[0] {
+		t.Errorf("the successor has %+v, want %+v", got, want)
+	}
+}
+
+func revisionOf(t *testing.T, table platform.Table) uint64 {
+	t.Helper()
+	rows, err := table.Get(t.Context(), keyLearned)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rows[0].Revision
+}
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -49,6 +49,7 @@
 		core.AddVM(now, vm)
 	}
 	t.addAll(core, s)
+	t.inherit(ctx, core)
 	if err := t.spawn(core); err != nil {
 		t.log.Log(eventOwnerLost, err, telemetry.Fields{"why": "the owner's actor cannot be started"})
 		return false
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -51,10 +51,13 @@
 	took    uint64
 	flushAt time.Duration
 	loadsAt time.Duration
-	links   map[types.VMID]*link
-	linksMu sync.Mutex
-	wg      sync.WaitGroup
-	metrics *termMetrics
+	// learned is what was last read or written of what owners learn.
+	learned   []byte
+	learnedAt time.Duration
+	links     map[types.VMID]*link
+	linksMu   sync.Mutex
+	wg        sync.WaitGroup
+	metrics   *termMetrics
 }
 
 func newTerm(c *Candidate, h *lease.Holder, revision uint64) *term {
@@ -186,7 +189,11 @@
 	t.dispatch(out.Orders)
 	t.advise(out.Questions)
 	t.reportLoads(o, now)
-	if confirmed && (now >= t.flushAt || o.Urgent()) {
+	if !confirmed {
+		return
+	}
+	t.keepLearned(o, now)
+	if now >= t.flushAt || o.Urgent() {
 		if b := o.Batch(now); b != nil {
 			t.flushAt = now + flushInterval
 			t.wg.Add(1)
