--- a/internal/core/workflow/slowness_test.go
+++ b/internal/core/workflow/slowness_test.go
@@ -79,3 +79,33 @@
 		t.Errorf("%d of 3 VMs rest, want 1 at most", resting)
 	}
 }
+
+// Guards against more standing tasks taken off a slow VM at a time than their
+// step may miss.
+func TestSlowWorkerKeepsWhatMayNotMiss(t *testing.T) {
+	b := newBench(t, 3, nil)
+	b.step(50 * time.Millisecond)
+	step := standingStep(3)
+	step.MayMiss = 1
+	b.submit("s", step) // packed on one VM
+	for range 20 {
+		b.step(50 * time.Millisecond)
+	}
+	slow := b.o.jobs["s"].occurrences[0].steps[0].tasks[0].vm
+	b.speed = map[types.VMID]float64{slow.id: 0.1}
+	moved := false
+	for range 80 {
+		b.step(50 * time.Millisecond)
+		away := 3
+		for _, runs := range b.running {
+			away -= len(runs)
+		}
+		moved = moved || away > 0
+		if away > 1 {
+			t.Fatalf("%d of 3 tasks are away, one may be", away)
+		}
+	}
+	if !moved {
+		t.Error("no task left the slow VM")
+	}
+}
