Find tasks that hang sooner, and only by lists that show it

Cause: a task on a worker that hangs was started elsewhere after 1.5 s, while a short job of 0.8 s has 1.5 s and its target. The time was taken from the owner's clock, so a task whose worker's lists did not come was stopped on the word of an old list.

Ruled out: a shorter time than 1 s (figures cover 0.5 s and are renewed every 0.25 s; the first one of a task is 0).

Change: a task stands still if lists that span 1 s show no use.

Tests: TestTasksLeaveWorkerThatHangs (2.2 s for a job of 0.8 s) and TestOldListIsNoSignOfHanging; both fail without the change.

--- a/internal/core/workflow/attribution.go
+++ b/internal/core/workflow/attribution.go
@@ -20,8 +20,9 @@
 )
 
 // Detection of tasks that stand still: one that uses no processor for
-// stillTime is started elsewhere. Figures cover the last 500 ms.
-const stillTime = 1500 * time.Millisecond
+// stillTime, by lists that span it, is started elsewhere. Figures cover the last
+// 500 ms and are renewed every 250 ms.
+const stillTime = time.Second
 
 func healthOptions() health.Options {
 	return health.Options{HalfLife: resultHalfLife, MaxShare: maxQuarantined, ProbeFirst: probeFirst, ProbeMax: probeMax}
@@ -90,7 +91,7 @@
 		t.stillSince = o.now
 		return
 	}
-	if o.now < t.stillSince+stillTime {
+	if t.advance.to < t.stillSince+stillTime {
 		return
 	}
 	t.avoid = v.id
--- a/internal/core/workflow/load_test.go
+++ b/internal/core/workflow/load_test.go
@@ -20,7 +20,7 @@
 	vms     []types.VMID
 	own     func(now time.Duration) float64
 	factors map[string]float64
-	// speed is below 1 for VMs whose workers are slow.
+	// speed is below 1 for VMs whose workers are slow, and 0 for those that hang.
 	speed   map[types.VMID]float64
 	running map[types.VMID]map[TaskKey]*benchRun
 	starts  map[types.VMID]int
@@ -110,7 +110,9 @@
 			tail := idleTail / (1 - b.load(vm)) * (0.97 + 0.06*b.rng.Float64())
 			entry.Figure = tail * float64(run.spec.TailTarget) / float64(time.Millisecond)
 		} else {
-			entry.Figure = float64(run.spec.Demand.MilliCPU) * float64(run.pace) / fullPace
+			if b.rate(vm) > 0 {
+				entry.Figure = float64(run.spec.Demand.MilliCPU) * float64(run.pace) / fullPace
+			}
 			run.worked += time.Duration(float64(d) * b.rate(vm) * float64(run.pace) / fullPace)
 			entry.Progress = int(fullPace * run.worked / run.spec.RunTime)
 		}
--- a/internal/core/workflow/slowness_test.go
+++ b/internal/core/workflow/slowness_test.go
@@ -109,3 +109,36 @@
 		t.Error("no task left the slow VM")
 	}
 }
+
+// Guards against jobs that wait for tasks on a worker that hangs: replays a step
+// with tasks on such a worker among others.
+func TestTasksLeaveWorkerThatHangs(t *testing.T) {
+	b := newBench(t, 3, nil)
+	b.speed = map[types.VMID]float64{"a": 0}
+	b.step(50 * time.Millisecond)
+	b.submit("j", Step{Tasks: 10, Demand: types.Resources{MilliCPU: 4000}, RunTime: 800 * time.Millisecond})
+	for range 44 {
+		b.step(50 * time.Millisecond)
+	}
+	if b.o.jobs["j"].over != JobCompleted {
+		t.Error("a job of 0.8 s is not done after 2.2 s")
+	}
+}
+
+// Guards against tasks that are taken for hanging while their worker's lists do
+// not come: a list says nothing about the time after it.
+func TestOldListIsNoSignOfHanging(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.speed = map[types.VMID]float64{"a": 0}
+	b.step(50 * time.Millisecond)
+	b.submit("j", Step{Tasks: 1, Demand: types.Resources{MilliCPU: 4000}, RunTime: 5 * time.Second})
+	for range 8 {
+		b.step(50 * time.Millisecond)
+	}
+	for range 40 { // 2 s without a list
+		b.now += 50 * time.Millisecond
+		for _, order := range b.o.Next(b.now, b.now).Orders {
+			t.Fatalf("%v of %s without a new list", order.Kind, order.Task)
+		}
+	}
+}
