--- a/internal/core/workflow/order.go
+++ b/internal/core/workflow/order.go
@@ -94,7 +94,7 @@
 	}
 	var waiting []ranked
 	for _, s := range o.ready {
-		if s.waiting > 0 && (o.clear || !s.job.held) && !s.job.unsure {
+		if s.waiting > 0 && (o.clear || !s.job.held) && !s.job.readUnconfirmed {
 			waiting = append(waiting, ranked{s, o.rankOf(s)})
 		}
 	}
--- a/internal/core/workflow/orders.go
+++ b/internal/core/workflow/orders.go
@@ -129,7 +129,7 @@
 // lapse ends what ran on workers whose leases have surely run out, and lets
 // held jobs go once nothing of an earlier owner can be unknown.
 func (o *Owner) lapse() {
-	if !o.sole {
+	if !o.confirmed {
 		return
 	}
 	settled := true
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -77,9 +77,9 @@
 	decisions []Decision
 	// clear is set when no earlier owner's run can be unknown any longer.
 	clear bool
-	// sole is false while the ownership cannot be confirmed, so that a successor
+	// confirmed is false while the ownership cannot be confirmed, so that a successor
 	// may act beside this owner.
-	sole bool
+	confirmed bool
 }
 
 type keptState struct {
@@ -92,7 +92,7 @@
 	return &Owner{
 		cfg: cfg, began: now, now: now,
 		queues: make(map[string]Queue), vms: make(map[types.VMID]*vm), jobs: make(map[types.JobID]*job), cancelled: make(map[types.JobID]uint64), gone: make(map[types.JobID]bool),
-		health: health.New(healthOptions()), pressures: newPressures(), placeDue: true, sole: true,
+		health: health.New(healthOptions()), pressures: newPressures(), placeDue: true, confirmed: true,
 	}
 }
 
@@ -142,7 +142,7 @@
 	if _, ok := o.jobs[spec.ID]; ok || o.gone[spec.ID] {
 		return nil
 	}
-	j := &job{spec: spec, revision: revision, shown: state, held: !fresh, unsure: !o.sole, begun: state == JobRunning}
+	j := &job{spec: spec, revision: revision, shown: state, held: !fresh, readUnconfirmed: !o.confirmed, begun: state == JobRunning}
 	q := o.queueOf(j)
 	j.accepted = now - max(0, unix-spec.Accepted)
 	j.objective = q.Objective(&spec)
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -29,7 +29,7 @@
 // deadline returns the end of the lease to grant now. It is stated on the
 // worker's clock, so an order that is carried out late extends nothing.
 func (o *Owner) deadline(v *vm) time.Duration {
-	if o.sole {
+	if o.confirmed {
 		v.granted = max(v.granted, v.clock+o.cfg.Hold)
 	}
 	return v.granted
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -185,7 +185,7 @@
 			s.fail("job %s is not taken: %v", id, err)
 		}
 		if s.mutant == mutantUnsure {
-			o.jobs[id].unsure = false
+			o.jobs[id].readUnconfirmed = false
 		}
 	}
 }
@@ -252,9 +252,9 @@
 		}
 	}
 	if s.mutant == mutantLapse {
-		s.owner.sole = true
+		s.owner.confirmed = true
 		s.owner.lapse()
-		s.owner.sole = false
+		s.owner.confirmed = false
 	}
 	s.orders()
 	if s.owner.Deposed() {
--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -71,8 +71,8 @@
 		return
 	}
 	if s.mutant == mutantExtend {
-		defer func(sole bool) { s.owner.sole = sole }(s.owner.sole)
-		s.owner.sole = true
+		defer func(confirmed bool) { s.owner.confirmed = confirmed }(s.owner.confirmed)
+		s.owner.confirmed = true
 	}
 	g := s.owner.Grant(w.id)
 	if g.Fence.Epoch() < w.raised.Epoch() {
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -132,11 +132,11 @@
 	known bool
 	// held: a predecessor may have started tasks of the job.
 	held bool
-	// unsure: the job was read while the ownership was not confirmed, so a
+	// readUnconfirmed: the job was read while the ownership was not confirmed, so a
 	// successor may have started tasks of it.
-	unsure bool
-	dirty  bool
-	live   int
+	readUnconfirmed bool
+	dirty           bool
+	live            int
 	// created counts occurrences that exist; finished those that are done.
 	created, finished int
 }
--- a/internal/core/workflow/tenure.go
+++ b/internal/core/workflow/tenure.go
@@ -24,22 +24,22 @@
 // present knowledge before any other input.
 func (o *Owner) SetTenure(now time.Duration, confirmed bool) {
 	o.now = now
-	if confirmed == o.sole {
+	if confirmed == o.confirmed {
 		return
 	}
-	o.sole = confirmed
+	o.confirmed = confirmed
 	o.placeDue = true
 	if !confirmed {
 		return
 	}
 	// No other owner has been there in between.
 	for _, j := range o.jobs {
-		j.unsure = false
+		j.readUnconfirmed = false
 	}
 }
 
 // leaseSuffices reports whether a task may start on the VM as far as its lease
 // goes: a confirmed owner extends it.
 func (o *Owner) leaseSuffices(v *vm) bool {
-	return o.sole || v.granted-(v.clock+o.now-v.clockAt) >= leastLease
+	return o.confirmed || v.granted-(v.clock+o.now-v.clockAt) >= leastLease
 }
--- a/internal/jobs/watched.go
+++ b/internal/jobs/watched.go
@@ -16,7 +16,7 @@
 
 // silentAfter is how long the table's calls must go unanswered before submissions
 // are refused without a call: twice what a call takes in a store that is 78 times
-// slower than usual, and a third of the patience of callers.
+// slower than usual, and a quarter of the patience of callers.
 const silentAfter = 800 * time.Millisecond
 
 var (
