Count the grace of a stop from when a paused process runs again

Cause: seed 671 of the fault soak reported an entry that did not end within 6 s of SIGTERM. It was paused when the signal was sent, began to stop when it ran again 4.5 s later (event 141 at 57.34 s) and was killed 1.5 s after that, while it answered what it had read.

Ruled out: requests that hold the stop up (all answers in the log come within 0.7 s of 141); the release of ownership (the entry owned nothing).

Change: the soak counts the grace from the end of the pause. The seed stays as a regression case.

--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,8 @@
 	name, binary, role, settings, log string
 	cmd                               *exec.Cmd
 	ended                             chan struct{}
+	// pausedUntil is when a pause of the process ends, in Unix nanoseconds.
+	pausedUntil atomic.Int64
 }
 
 func newProcess(dir, binary, role string, settings standin.Process) (*process, error) {
@@ -43,6 +46,7 @@
 	}
 	ended := make(chan struct{})
 	p.ended = ended
+	p.pausedUntil.Store(0)
 	go func() {
 		_ = p.cmd.Wait() // a kill is no error here
 		_ = out.Close()
@@ -63,13 +67,14 @@
 }
 
 // stop asks the process to end, and kills it after the grace. It reports whether
-// the process ended by itself.
+// the process ended by itself. A paused process gets the request when it runs
+// again, so the grace counts from then on.
 func (p *process) stop() bool {
 	p.signal(syscall.SIGTERM)
 	select {
 	case <-p.ended:
 		return true
-	case <-time.After(stopGrace):
+	case <-time.After(max(0, time.Until(time.Unix(0, p.pausedUntil.Load()))) + stopGrace):
 		p.kill()
 		return false
 	}
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -210,8 +210,8 @@
 	w.res.Violations = append(w.res.Violations, fmt.Sprintf(format, args...))
 }
 
-// later undoes a fault after a random time up to the longest.
-func (w *world) later(longest time.Duration, undo func()) {
+// later undoes a fault after a random time up to the longest, which it returns.
+func (w *world) later(longest time.Duration, undo func()) time.Duration {
 	after := time.Duration(w.rng.Int64N(int64(longest)))
 	w.recovered.Add(1)
 	go func() {
@@ -219,6 +219,7 @@
 		time.Sleep(after)
 		undo()
 	}()
+	return after
 }
 
 // fault injects one fault, which may overlap others.
@@ -239,7 +240,8 @@
 	case 2:
 		w.count("pause")
 		p.signal(syscall.SIGSTOP)
-		w.later(5*time.Second, func() { p.signal(syscall.SIGCONT) })
+		paused := w.later(5*time.Second, func() { p.signal(syscall.SIGCONT) })
+		p.pausedUntil.Store(time.Now().Add(paused).UnixNano())
 	case 3:
 		w.count("reload")
 		p.signal(syscall.SIGHUP)
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -13,6 +13,7 @@
 	1:   "an entry took a job for queued whose submission was answered late",
 	107: "the stand-in told only one feed that its history was gone",
 	126: "the stand-in told only one feed that its history was gone",
+	671: "the soak counted the grace of a stop from a moment at which the process was paused",
 	568: "the stand-in recorded ends of runs only when it was called",
 }
 
