Stop the core of a term before waiting for its calls

The core acted on the last answers of agents and started new calls while the term waited for the old ones.

Ruled out: links and followers (they are counted themselves while they add calls).

Change: a term ends by stopping its core first, which runs what was sent to it and nothing after that.

--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -88,16 +88,23 @@
 	if t.recover(ctx) {
 		t.drive(ctx, parent)
 	}
-	end()
-	t.wg.Wait()
-	if t.state != nil {
-		t.state.Stop()
-	}
+	t.finish()
 	if parent.Err() != nil {
 		t.release()
 	}
 }
 
+// finish ends what acts for the term. The core is stopped before the wait: until
+// then it may start new calls, which a wait group does not allow while it is
+// waited for.
+func (t *term) finish() {
+	t.end()
+	if t.state != nil {
+		t.state.Stop()
+	}
+	t.wg.Wait()
+}
+
 // release lets another entry take over without waiting for the TTL.
 func (t *term) release() {
 	renewal, ok := t.holder.Release()
