Delete the row of a lost agent only under conditions

Looked for: a server that had left, or one that is in use, mistaken for the other after a restart or a hand-over. Cause: the owner deleted the row of an agent out of reach without a condition. The store may carry a write without an answer out seconds later, after the agent has registered again or another owner has taken over; a successor then does not know the VM, does not wait for its lease, and starts again what runs there.

Change: the deletion is conditional on the revision of the agent's row and on that of the lease, which is renewed all the time, and after a lost answer the link calls the agent only when the outcome is known.

TestLateDeletionKeepsNewRegistration and TestLateDeletionOfAnEarlierOwnerIsVoid fail when either condition is left out.

--- a/internal/jobs/link.go
+++ b/internal/jobs/link.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/boragecrank/boragecrank/internal/agentapi"
 	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
 	"github.com/boragecrank/boragecrank/internal/platform"
@@ -47,12 +50,14 @@
 
 // link is the owner's connection to one agent.
 type link struct {
-	t       *term
-	vm      types.VMID
-	row     agentRow
-	client  *agentapi.Client
-	cancel  context.CancelFunc
-	sendCtx context.Context
+	t      *term
+	vm     types.VMID
+	row    agentRow
+	client *agentapi.Client
+	// registered is the revision of the agent's row.
+	registered atomic.Uint64
+	cancel     context.CancelFunc
+	sendCtx    context.Context
 }
 
 // connect opens links to agents that are new or have moved.
@@ -62,6 +67,7 @@
 	for vm, row := range agents {
 		old := t.links[vm]
 		if old != nil && old.row.Address == row.Address {
+			old.registered.Store(max(old.registered.Load(), row.revision))
 			continue
 		}
 		if old != nil {
@@ -69,6 +75,7 @@
 		}
 		linkCtx, cancel := context.WithCancel(ctx)
 		l := &link{t: t, vm: vm, row: row, client: agentapi.NewClient(vm, row.Address, t.c.opts.Agents), cancel: cancel, sendCtx: linkCtx}
+		l.registered.Store(row.revision)
 		t.links[vm] = l
 		t.wg.Add(1)
 		go l.run(linkCtx)
@@ -158,10 +165,7 @@
 	if !lapsed || away < forgetAfter || !l.t.mayAct(clock.Now()) {
 		return false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	_, err := l.t.c.opts.Table.Commit(callCtx, platform.Txn{Writes: []platform.Write{{Key: prefixAgent + string(l.vm), Delete: true}}})
-	if err != nil {
+	if !l.deleteRow(ctx) {
 		return false // tried again after the next failed call
 	}
 	l.t.log.Log(eventAgentForgotten, nil, telemetry.Fields{"vm": l.vm})
@@ -171,3 +175,42 @@
 	delete(l.t.links, l.vm)
 	return true
 }
+
+// deleteRow deletes the agent's row, and reports whether it is gone. The agent may
+// register again at any time, and a write without an answer may be carried out
+// later: a successor that does not find the row would not know what runs on the VM.
+// So the write is conditional on the row and on the lease, which is renewed all the
+// time, and the link calls the agent again only when the outcome is known.
+func (l *link) deleteRow(ctx context.Context) bool {
+	uncertain := false
+	for ctx.Err() == nil {
+		key := prefixAgent + string(l.vm)
+		callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+		res, err := l.t.c.opts.Table.Commit(callCtx, platform.Txn{
+			Conditions: []platform.Condition{
+				{Key: key, Revision: l.registered.Load()}, {Key: lease.Key(ownership), Revision: l.t.leaseRevision.Load()},
+			},
+			Writes: []platform.Write{{Key: key, Delete: true}},
+			Reads:  []string{key},
+		})
+		cancel()
+		switch {
+		case err == nil && res.Committed:
+			return true
+		case err == nil:
+			// Attempts before this one were carried out or never will be, if the
+			// lease has been renewed since they were sent.
+			gone := res.Rows[0].Revision == 0
+			if !gone {
+				l.registered.Store(res.Rows[0].Revision)
+			}
+			return gone
+		case errors.Is(err, platform.ErrUncertain):
+			uncertain = true
+		case !uncertain:
+			return false
+		}
+		sleep(ctx, jitter(leaseRenewal))
+	}
+	return false
+}
--- /dev/null
+++ b/internal/jobs/link_test.go
@@ -0,0 +1,104 @@
+package jobs
+
+import (
+	"context"
+	"testing"
+
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/platform"
+)
+
+// lateTable holds the revisions of rows, and can keep a transaction without an
+// answer and carry it out later if its conditions still hold.
+type lateTable struct {
+	platform.Table
+	revisions map[string]uint64
+	// loses is how many transactions get no answer yet.
+	loses int
+	late  []platform.Txn
+}
+
+func (l *lateTable) Commit(_ context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if l.loses > 0 {
+		l.loses--
+		l.late = append(l.late, txn)
+		return platform.TxnResult{}, platform.ErrUncertain
+	}
+	for _, c := range txn.Conditions {
+		if l.revisions[c.Key] != c.Revision {
+			return platform.TxnResult{Rows: []platform.Row{{Key: txn.Reads[0], Revision: l.revisions[txn.Reads[0]]}}}, nil
+		}
+	}
+	for _, w := range txn.Writes {
+		delete(l.revisions, w.Key)
+	}
+	return platform.TxnResult{Committed: true, Revision: 100}, nil
+}
+
+func (l *lateTable) carryOutLate(ctx context.Context) {
+	for _, txn := range l.late {
+		_, _ = l.Commit(ctx, txn) // nobody gets the answer
+	}
+}
+
+func newLateLink(table platform.Table) *link {
+	l := &link{t: &term{c: &Candidate{opts: OwnerOptions{Table: table}}}, vm: "vm"}
+	l.registered.Store(5)
+	l.t.leaseRevision.Store(9)
+	return l
+}
+
+// Guards against the row of an agent that is deleted although the agent has
+// registered again, by a write that the store carries out late: a successor of the
+// owner would not know the VM, and start again what runs there.
+func TestLateDeletionKeepsNewRegistration(t *testing.T) {
+	table := &lateTable{revisions: map[string]uint64{"agent/vm": 5, lease.Key(ownership): 9}, loses: 1}
+	l := newLateLink(table)
+	table.revisions["agent/vm"] = 7 // registered again while the deletion is on its way
+	if l.deleteRow(t.Context()) {
+		t.Error("the row of an agent that has registered again was deleted")
+	}
+	table.carryOutLate(t.Context())
+	if table.revisions["agent/vm"] != 7 {
+		t.Error("a late deletion removed a newer registration")
+	}
+	if l.registered.Load() != 7 {
+		t.Errorf("registration %d is known, want 7", l.registered.Load())
+	}
+}
+
+// Guards against a late deletion that an owner has sent which has lost the lease:
+// its successor uses the agent by the same row.
+func TestLateDeletionOfAnEarlierOwnerIsVoid(t *testing.T) {
+	table := &lateTable{revisions: map[string]uint64{"agent/vm": 5, lease.Key(ownership): 9}, loses: 1}
+	ctx, cancel := context.WithCancel(t.Context())
+	l := newLateLink(&cancelTable{lateTable: table, cancel: cancel})
+	if l.deleteRow(ctx) {
+		t.Error("a deletion without an answer counts as done")
+	}
+	table.revisions[lease.Key(ownership)] = 12 // taken over
+	table.carryOutLate(t.Context())
+	if table.revisions["agent/vm"] != 5 {
+		t.Error("the late deletion of an earlier owner removed the row")
+	}
+}
+
+// cancelTable ends the term with the first transaction.
+type cancelTable struct {
+	*lateTable
+	cancel context.CancelFunc
+}
+
+func (c *cancelTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	c.cancel()
+	return c.lateTable.Commit(ctx, txn)
+}
+
+// Guards against an agent that is never forgotten: the deletion whose answer was lost
+// has been carried out.
+func TestLostAnswerOfADeletionIsFoundOut(t *testing.T) {
+	table := &lateTable{revisions: map[string]uint64{lease.Key(ownership): 9}, loses: 1}
+	if !newLateLink(table).deleteRow(t.Context()) {
+		t.Error("the row is gone and the agent is not forgotten")
+	}
+}
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -192,6 +192,7 @@
 			t.log.Log(eventRowUnreadable, err, telemetry.Fields{"key": r.Key})
 			continue
 		}
+		row.revision = r.Revision
 		agents[types.VMID(jobOf(r.Key))] = row
 	}
 	return agents
--- a/internal/jobs/rows.go
+++ b/internal/jobs/rows.go
@@ -47,6 +47,8 @@
 	Name          string              `json:"name"`
 	FailureDomain types.FailureDomain `json:"failure_domain"`
 	Incarnation   types.Incarnation   `json:"incarnation,string"`
+	// revision is that of the row as it was read.
+	revision uint64
 }
 
 // fenceRow is the row of one partition that is written by the takeover of
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -43,8 +43,10 @@
 	state  *actors.Owner[*workflow.Owner]
 	// until is when the term may act no longer, as clock reading in nanoseconds.
 	until atomic.Int64
-	ctx   context.Context
-	end   context.CancelFunc
+	// leaseRevision is that of the lease's row as last known.
+	leaseRevision atomic.Uint64
+	ctx           context.Context
+	end           context.CancelFunc
 	// fences are the revisions of the fence rows by partition. Only the batch in
 	// flight uses them.
 	fences  map[string]uint64
@@ -67,6 +69,7 @@
 		links: make(map[types.VMID]*link), metrics: newTermMetrics(c.opts.Telemetry.Metrics),
 	}
 	t.until.Store(int64(h.Until()))
+	t.leaseRevision.Store(revision)
 	for _, p := range partitionNames() {
 		t.fences[p] = revision
 	}
@@ -262,6 +265,8 @@
 			}
 		}
 		t.until.Store(int64(t.holder.Until()))
+		_, revision := t.holder.Row()
+		t.leaseRevision.Store(revision)
 		if over := !t.mayAct(clock.Now()); over != late {
 			late = over
 			e := eventLeaseBack
