Bound the amounts, times and tasks of a job

Looked for: one malformed message that takes a process down. Found by a fuzz target over submissions (FuzzSubmission) and by reading:

- A job of 64 steps of 4,096 tasks whose 10,000 occurrences are due at once makes the owner hold millions of tasks.
It is killed for its memory, and so is each entry that takes the ownership over after it.
- Amounts overflow: 2^44 MB became 0 bytes and fitted every VM, and amounts near 2^63 became negative sums.
- Intervals of centuries overflowed, and far occurrences were due at once.

Change: a job has at most 16,384 tasks an occurrence and twice as many open; later occurrences wait until earlier ones are done.

--- a/internal/core/workflow/budget_test.go
+++ b/internal/core/workflow/budget_test.go
@@ -44,3 +44,46 @@
 		t.Errorf("batch %+v, want the job as failed", b)
 	}
 }
+
+// Guards against one job that takes the memory of an entry, and of each entry that
+// owns the jobs after it: a submission of a few kilobytes with 64 wide steps and
+// 10,000 occurrences that are due at once. Found by FuzzSubmission.
+func TestOccurrencesDueAtOnceAreBounded(t *testing.T) {
+	steps := make([]Step, 4)
+	for i := range steps {
+		steps[i] = Step{Tasks: maxTasks, Demand: types.Resources{MilliCPU: 1000}}
+	}
+	job := Job{ID: "j", Queue: "q", Steps: steps, Occurrences: maxRepeats}
+	if err := job.Check(); err != nil {
+		t.Fatal(err)
+	}
+	b := newBench(t, 1, nil)
+	if err := b.o.AddJob(b.now, b.now, job, JobQueued, 1, Progress{}, true); err != nil {
+		t.Fatal(err)
+	}
+	b.step(100 * time.Millisecond)
+	if n := len(b.o.jobs["j"].occurrences) * job.tasks(); n == 0 || n > maxOpenTasks {
+		t.Errorf("%d tasks are open, want at most %d and some", n, maxOpenTasks)
+	}
+	job.Steps = append(job.Steps, Step{Tasks: 1})
+	if job.Check() == nil {
+		t.Errorf("a job of %d tasks is accepted", job.tasks())
+	}
+}
+
+// Load: occurrences that are due at once, more than may be open. Guards against
+// later ones that never begin.
+func TestEveryOccurrenceBeginsInTheEnd(t *testing.T) {
+	b := newBench(t, 1, nil)
+	wide := Step{Tasks: maxTasks, Demand: types.Resources{MilliCPU: 1}, RunTime: 10 * time.Millisecond}
+	job := Job{ID: "j", Queue: "q", Steps: []Step{wide}, Occurrences: 2 + maxOpenTasks/maxTasks}
+	if err := b.o.AddJob(b.now, b.now, job, JobQueued, 1, Progress{}, true); err != nil {
+		t.Fatal(err)
+	}
+	for range 40 {
+		b.step(120 * time.Millisecond)
+	}
+	if j := b.o.jobs["j"]; j.over != JobCompleted {
+		t.Errorf("%d of %d occurrences are done", j.finished, job.Occurrences)
+	}
+}
--- a/internal/core/workflow/job.go
+++ b/internal/core/workflow/job.go
@@ -13,6 +13,18 @@
 	maxSteps   = 64
 	maxTasks   = 4096 // of one step; a progress row keeps one bit for each
 	maxRepeats = 10000
+	// maxOccurrenceTasks bounds the tasks of all steps: an owner holds some hundred
+	// bytes for each, and one job must not take the memory of an entry.
+	maxOccurrenceTasks = 16384
+	// maxOpenTasks bounds the tasks of a job's occurrences that are begun and not
+	// over; later ones wait, also if they are due.
+	maxOpenTasks = 2 * maxOccurrenceTasks
+	// maxAmount bounds each amount that a task asks for, so that the sums over all
+	// tasks of a VM stay within 64 bits: a sum that overflows would fit everywhere.
+	maxAmount = 1 << 50
+	// maxSpan bounds run times, intervals and the time from the first to the last
+	// occurrence, so that no sum of them overflows.
+	maxSpan = 10 * 365 * 24 * time.Hour
 )
 
 // TaskKey identifies one task: a job, its occurrence, a step and the index of
@@ -94,6 +106,12 @@
 	if j.Occurrences < 0 || j.Occurrences > maxRepeats || j.Interval < 0 {
 		return invalid("repeats with a negative or too large count or interval", fmt.Sprintf("repeat it at most %d times", maxRepeats))
 	}
+	if j.FirstDue < 0 || j.Interval > maxSpan || time.Duration(j.Occurrences)*(j.Interval/maxRepeats) > maxSpan/maxRepeats || j.FirstDue > 20*maxSpan {
+		return invalid("has occurrences that are due too far ahead", "let the last one be due within ten years of the first")
+	}
+	if n := j.tasks(); n > maxOccurrenceTasks {
+		return invalid(fmt.Sprintf("has %d tasks", n), fmt.Sprintf("split it into jobs of at most %d tasks", maxOccurrenceTasks))
+	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Tasks < 1 || s.Tasks > maxTasks {
@@ -102,6 +120,9 @@
 		if s.Demand.Negative() || s.MaxPerVM < 0 || s.RunTime < 0 || s.MayMiss < 0 || s.TailTarget < 0 {
 			return invalid(fmt.Sprintf("step %d has a negative amount", i), "use amounts of 0 or more")
 		}
+		if max(s.Demand.MilliCPU, s.Demand.MemoryBytes, s.Demand.Accelerators) > maxAmount || s.RunTime > maxSpan {
+			return invalid(fmt.Sprintf("step %d asks for more than any VM has, or for more than ten years", i), "use the units of the interface")
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return invalid(fmt.Sprintf("step %d comes after step %d", i, a), "name only earlier steps")
@@ -111,6 +132,16 @@
 	return nil
 }
 
+// tasks returns the number of tasks of one occurrence; a step counts for one more
+// than the most that it may have if it has more.
+func (j *Job) tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += max(0, min(j.Steps[i].Tasks, maxTasks+1))
+	}
+	return n
+}
+
 // Chain returns the declared run time of the longest path of steps.
 func (j *Job) Chain() time.Duration {
 	longest := time.Duration(0)
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -352,10 +352,13 @@
 	return out
 }
 
-// beginDue creates the occurrences whose time has come.
+// beginDue creates the occurrences whose time has come. The load that it answers is
+// a job whose occurrences are due faster than they are done: those begun are bounded,
+// so that they do not take the owner's memory.
 func (o *Owner) beginDue() {
 	o.timed = slices.DeleteFunc(o.timed, func(j *job) bool {
-		for j.over == "" && j.created < j.spec.Occurrences && o.unix >= j.spec.due(j.created) {
+		most := maxOpenTasks / max(1, j.spec.tasks())
+		for j.over == "" && j.created < j.spec.Occurrences && o.unix >= j.spec.due(j.created) && j.created-j.finished < most {
 			o.begin(j, j.created)
 		}
 		return j.over != "" || j.created >= j.spec.Occurrences
