End only the term when the core of the owner of jobs panics

Looked for: one unexpected error that takes a whole process down. A panic in the owner's core ended its entry, with all callers' requests there; if a stored row caused it, the next owner ended too.

Change: an actor can be spawned with a function for the case that its state breaks; nothing runs on the state any more, and calls return. A term whose core has panicked ends with event 548, the entry goes on serving callers, and it stays out of the ownership for 3 to 6 s so that another candidate can try.

--- a/internal/actors/actors.go
+++ b/internal/actors/actors.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"sync"
 
 	"github.com/asynkron/protoactor-go/actor"
 )
@@ -37,6 +38,7 @@
 	system *actor.ActorSystem
 	pid    *actor.PID
 	done   chan struct{}
+	ended  sync.Once
 }
 
 // work is a function to run on the state.
@@ -44,15 +46,38 @@
 	run func(S)
 }
 
-// Spawn starts an owner of the state. Names are unique within a system.
+// Spawn starts an owner of the state. Names are unique within a system. The process
+// ends if a function panics: the state may be broken, and the restarted process
+// rebuilds it from what lasts.
 func Spawn[S any](s *System, name string, state S) (*Owner[S], error) {
+	return SpawnGuarded(s, name, state, func(reason any, stack []byte) {
+		fmt.Fprintf(os.Stderr, "state of %s is broken: %v\n%s", name, reason, stack)
+		os.Exit(exitBroken)
+	})
+}
+
+// exitBroken is the exit status of a process whose state is broken.
+const exitBroken = 70
+
+// SpawnGuarded starts an owner like Spawn. If a function panics, the state may be
+// broken: no function runs on it any more, calls return ErrStopped, and broken is
+// called once, on the actor, with the reason and the stack.
+func SpawnGuarded[S any](s *System, name string, state S, broken func(reason any, stack []byte)) (*Owner[S], error) {
 	o := &Owner[S]{system: s.actors, done: make(chan struct{})}
+	intact := true
 	props := actor.PropsFromFunc(func(c actor.Context) {
 		switch m := c.Message().(type) {
 		case *work[S]:
-			runOrExit(name, state, m.run)
+			if !intact {
+				return
+			}
+			if reason, stack := run(state, m.run); reason != nil {
+				intact = false
+				o.end()
+				broken(reason, stack)
+			}
 		case *actor.Stopped:
-			close(o.done)
+			o.end()
 		}
 	})
 	pid, err := s.actors.Root.SpawnNamed(props, name)
@@ -63,18 +88,19 @@
 	return o, nil
 }
 
-// runOrExit ends the process if the function panics: the state may be broken,
-// and the restarted process rebuilds it from what lasts.
-func runOrExit[S any](name string, state S, f func(S)) {
+// run runs a function on the state, and returns why it panicked.
+func run[S any](state S, f func(S)) (reason any, stack []byte) {
 	defer func() {
 		if r := recover(); r != nil {
-			fmt.Fprintf(os.Stderr, "state of %s is broken: %v\n%s", name, r, debug.Stack())
-			os.Exit(70)
+			reason, stack = r, debug.Stack()
 		}
 	}()
 	f(state)
+	return nil, nil
 }
 
+func (o *Owner[S]) end() { o.ended.Do(func() { close(o.done) }) }
+
 // Tell runs f on the state later. It does not wait.
 func (o *Owner[S]) Tell(f func(S)) {
 	o.system.Root.Send(o.pid, &work[S]{run: f})
--- a/internal/core/workflow/job.go
+++ b/internal/core/workflow/job.go
@@ -25,6 +25,8 @@
 	// maxSpan bounds run times, intervals and the time from the first to the last
 	// occurrence, so that no sum of them overflows.
 	maxSpan = 10 * 365 * 24 * time.Hour
+	// latestDue bounds Unix times: 200 years after 1970, below the 292 that fit.
+	latestDue = 20 * maxSpan
 )
 
 // TaskKey identifies one task: a job, its occurrence, a step and the index of
@@ -97,43 +99,62 @@
 // Check returns an error of kind invalid that names the first field of the job
 // that cannot be carried out as written.
 func (j *Job) Check() error {
-	invalid := func(problem, remedy string) error {
-		return apperr.New(apperr.KindInvalid, fmt.Sprintf("job %q", j.ID), problem, remedy)
-	}
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return invalid(fmt.Sprintf("has %d steps", len(j.Steps)), fmt.Sprintf("give it 1 to %d steps", maxSteps))
-	}
-	if j.Occurrences < 0 || j.Occurrences > maxRepeats || j.Interval < 0 {
-		return invalid("repeats with a negative or too large count or interval", fmt.Sprintf("repeat it at most %d times", maxRepeats))
+		return j.invalid(fmt.Sprintf("has %d steps", len(j.Steps)), fmt.Sprintf("give it 1 to %d steps", maxSteps))
 	}
-	if j.FirstDue < 0 || j.Interval > maxSpan || time.Duration(j.Occurrences)*(j.Interval/maxRepeats) > maxSpan/maxRepeats || j.FirstDue > 20*maxSpan {
-		return invalid("has occurrences that are due too far ahead", "let the last one be due within ten years of the first")
+	if err := j.checkOccurrences(); err != nil {
+		return err
 	}
 	if n := j.tasks(); n > maxOccurrenceTasks {
-		return invalid(fmt.Sprintf("has %d tasks", n), fmt.Sprintf("split it into jobs of at most %d tasks", maxOccurrenceTasks))
+		return j.invalid(fmt.Sprintf("has %d tasks", n), fmt.Sprintf("split it into jobs of at most %d tasks", maxOccurrenceTasks))
 	}
 	for i := range j.Steps {
-		s := &j.Steps[i]
-		if s.Tasks < 1 || s.Tasks > maxTasks {
-			return invalid(fmt.Sprintf("step %d has %d tasks", i, s.Tasks), fmt.Sprintf("give it 1 to %d tasks", maxTasks))
-		}
-		if s.Demand.Negative() || s.MaxPerVM < 0 || s.RunTime < 0 || s.MayMiss < 0 || s.TailTarget < 0 {
-			return invalid(fmt.Sprintf("step %d has a negative amount", i), "use amounts of 0 or more")
-		}
-		if max(s.Demand.MilliCPU, s.Demand.MemoryBytes, s.Demand.Accelerators) > maxAmount || s.RunTime > maxSpan {
-			return invalid(fmt.Sprintf("step %d asks for more than any VM has, or for more than ten years", i), "use the units of the interface")
+		if err := j.checkStep(i); err != nil {
+			return err
 		}
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return invalid(fmt.Sprintf("step %d comes after step %d", i, a), "name only earlier steps")
-			}
+	}
+	return nil
+}
+
+func (j *Job) invalid(problem, remedy string) error {
+	return apperr.New(apperr.KindInvalid, fmt.Sprintf("job %q", j.ID), problem, remedy)
+}
+
+// checkOccurrences checks how often the job repeats and when.
+func (j *Job) checkOccurrences() error {
+	if j.Occurrences < 0 || j.Occurrences > maxRepeats || j.Interval < 0 {
+		return j.invalid("repeats with a negative or too large count or interval", fmt.Sprintf("repeat it at most %d times", maxRepeats))
+	}
+	// Divided by the most repeats, the product cannot overflow.
+	span := time.Duration(j.Occurrences) * (j.Interval / maxRepeats)
+	if j.FirstDue < 0 || j.FirstDue > latestDue || j.Interval > maxSpan || span > maxSpan/maxRepeats {
+		return j.invalid("has occurrences that are due too far ahead", "let the last one be due within ten years of the first")
+	}
+	return nil
+}
+
+// checkStep checks one step by itself.
+func (j *Job) checkStep(i int) error {
+	s := &j.Steps[i]
+	if s.Tasks < 1 || s.Tasks > maxTasks {
+		return j.invalid(fmt.Sprintf("step %d has %d tasks", i, s.Tasks), fmt.Sprintf("give it 1 to %d tasks", maxTasks))
+	}
+	if s.Demand.Negative() || s.MaxPerVM < 0 || s.RunTime < 0 || s.MayMiss < 0 || s.TailTarget < 0 {
+		return j.invalid(fmt.Sprintf("step %d has a negative amount", i), "use amounts of 0 or more")
+	}
+	if max(s.Demand.MilliCPU, s.Demand.MemoryBytes, s.Demand.Accelerators) > maxAmount || s.RunTime > maxSpan {
+		return j.invalid(fmt.Sprintf("step %d asks for more than any VM has, or for more than ten years", i), "use the units of the interface")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= i {
+			return j.invalid(fmt.Sprintf("step %d comes after step %d", i, a), "name only earlier steps")
 		}
 	}
 	return nil
 }
 
-// tasks returns the number of tasks of one occurrence; a step counts for one more
-// than the most that it may have if it has more.
+// tasks returns the number of tasks of one occurrence. Steps with more tasks than
+// allowed count for one more than that, so that the sum cannot overflow.
 func (j *Job) tasks() int {
 	n := 0
 	for i := range j.Steps {
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -37,6 +37,9 @@
 	// a part of the store keeps calls waiting, since what is repeated before it is
 	// carried out makes the part slower.
 	batchTimeout = 1600 * time.Millisecond
+	// brokenPause follows a term whose core has panicked: above the time after which
+	// another candidate takes over, since what broke the core may be in this process.
+	brokenPause = 6 * time.Second
 )
 
 var (
@@ -52,6 +55,8 @@
 		"The table does not answer. Running tasks go on until their leases end, and tasks of known jobs start while leases last. Fields: epoch, age.")
 	eventAdviceFailed = telemetry.Define(546, logrus.WarnLevel, "policy service gives no advice",
 		"The step's tasks wait until it answers. Fields: step, workers. Look at the service and the way to it.")
+	eventOwnerBroken = telemetry.Define(548, logrus.ErrorLevel, "owner of jobs is broken",
+		"The owner met an unexpected error and gives the ownership up; this entry goes on serving callers. Running tasks go on under their leases, and the next owner reads its rows anew. Report the stack. If each owner breaks, cancel the job that was submitted last before the first such event. Fields: epoch, stack.")
 	eventLeaseBack = telemetry.Define(545, logrus.InfoLevel, "lease of jobs is renewed again", "No action.")
 )
 
@@ -240,4 +245,7 @@
 	c.log.Log(eventOwnerTook, nil, telemetry.Fields{"epoch": row.Epoch, "before": before.Owner})
 	t := newTerm(c, lease.NewHolder(leaseConfig(), row, res.Revision, sentAt), res.Revision)
 	t.run(ctx)
+	if t.broken.Load() {
+		sleep(ctx, jitter(brokenPause))
+	}
 }
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,9 @@
 	end           context.CancelFunc
 	// fences are the revisions of the fence rows by partition. Only the batch in
 	// flight uses them.
-	fences  map[string]uint64
+	fences map[string]uint64
+	// broken is set when the core has panicked.
+	broken  atomic.Bool
 	took    uint64
 	flushAt time.Duration
 	loadsAt time.Duration
@@ -88,7 +91,7 @@
 	defer end()
 	t.wg.Add(1)
 	go t.keepLease(ctx)
-	if t.recover(ctx) {
+	if t.recoverGuarded(ctx) {
 		t.drive(ctx, parent)
 	}
 	t.finish()
@@ -328,10 +331,29 @@
 
 // spawn starts the actor that holds the core.
 func (t *term) spawn(core *workflow.Owner) error {
-	state, err := actors.Spawn(t.c.opts.System, fmt.Sprintf("jobs-%d", t.epoch), core)
+	state, err := actors.SpawnGuarded(t.c.opts.System, fmt.Sprintf("jobs-%d", t.epoch), core, t.brokenBy)
 	if err != nil {
 		return err
 	}
 	t.state = state
 	return nil
 }
+
+// brokenBy ends a term whose core has panicked. The entry goes on serving callers;
+// the next term rebuilds the core from the rows.
+func (t *term) brokenBy(reason any, stack []byte) {
+	t.log.Log(eventOwnerBroken, fmt.Errorf("panic: %v", reason), telemetry.Fields{"stack": string(stack)})
+	t.broken.Store(true)
+	t.end()
+}
+
+// recoverGuarded is recover for rows that may break the core while it is built.
+func (t *term) recoverGuarded(ctx context.Context) (ok bool) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			t.brokenBy(reason, debug.Stack())
+			ok = false
+		}
+	}()
+	return t.recover(ctx)
+}
