Give the first write of a process more time

The wait for a write follows what the store takes, and began at its least, 0.3 s, in a process that has written nothing yet. While the store is 60 times slower a takeover over all parts takes longer, so a candidate's first attempts ended as uncertain.

Change: half of the most, 0.75 s, before the first answer. TestFirstCallIsGivenTime fails before.

--- a/internal/core/outage/timeout.go
+++ b/internal/core/outage/timeout.go
@@ -47,9 +47,13 @@
 	}
 }
 
-// Value returns how long to wait for an answer.
+// Value returns how long to wait for an answer: half of the most before the first
+// answer, since nothing is known of the service then.
 func (t *Timeout) Value() time.Duration {
 	v := max(t.Least, t.mean+deviations*t.deviation)
+	if t.mean == 0 {
+		v = t.Most / 2
+	}
 	return min(t.Most, v<<t.backoff)
 }
 
--- a/internal/core/outage/timeout_test.go
+++ b/internal/core/outage/timeout_test.go
@@ -90,3 +90,12 @@
 		t.Errorf("timeout %v after three calls without answer, want 1.5 s", v)
 	}
 }
+
+// Guards against a process that has written nothing yet and gives its first write up
+// while the service is slow: a candidate for ownership then never takes over in time.
+func TestFirstCallIsGivenTime(t *testing.T) {
+	limit := Timeout{Least: 300 * ms, Most: 1500 * ms}
+	if v := limit.Value(); v < 600*ms {
+		t.Errorf("timeout %v before the first answer; a slow service takes 600 ms", v)
+	}
+}
