Log a repeat of a stored submission

A submission that is known to be stored is accepted without a call, and had no log line: docs/OPERATIONS.md promises one for each decision on a request. It is event 730 with the field repeat. A comment in link.go says why a refused deletion settles earlier attempts.

--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -28,7 +28,7 @@
 
 var (
 	eventAccepted = telemetry.Define(730, logrus.InfoLevel, "job accepted",
-		"The job is stored. Fields: job, queue, version of the configuration, ms. Follow the job's ID in the owner's log.")
+		"The job is stored. Fields: job, queue, version of the configuration, ms, and repeat if it was known to be stored already. Follow the job's ID in the owner's log.")
 	eventNotAccepted = telemetry.Define(731, logrus.WarnLevel, "job not accepted",
 		"The caller was told that the job does not run, or, with kind uncertain, that this is not known. Fields: job, queue, version, ms, kind.")
 	eventCancelled = telemetry.Define(732, logrus.InfoLevel, "job cancelled",
@@ -150,6 +150,7 @@
 func (in *Intake) Submit(ctx context.Context, job *workflow.Job, version types.Version) error {
 	begin := time.Now()
 	if in.stored(job.ID) {
+		in.log.Log(eventAccepted, nil, telemetry.Fields{"job": job.ID, "queue": job.Queue, "version": version, "ms": 0, "repeat": true})
 		return nil
 	}
 	row := stateRow{Queue: job.Queue, State: workflow.JobQueued, Timed: job.Occurrences > 0}
--- a/internal/jobs/link.go
+++ b/internal/jobs/link.go
@@ -198,8 +198,8 @@
 		case err == nil && res.Committed:
 			return true
 		case err == nil:
-			// Attempts before this one were carried out or never will be, if the
-			// lease has been renewed since they were sent.
+			// A condition has changed, so attempts before this one have been carried
+			// out or never will be.
 			gone := res.Rows[0].Revision == 0
 			if !gone {
 				l.registered.Store(res.Rows[0].Revision)
