--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +149,44 @@
 		t.Errorf("start %s and stop %s on a draining worker, want refused and done", r[0].Result, r[1].Result)
 	}
 }
+
+// Guards against an order that is delayed between the agent's check and the call to
+// the worker, as by a pause of the process, and is carried out under the authority of
+// the owner that came meanwhile: it keeps the fence that it was checked against.
+func TestOrderDelayedPastAHandOverIsRefused(t *testing.T) {
+	var fence atomic.Uint64
+	resume := make(chan struct{})
+	entered := make(chan struct{}, maxParallelOrders)
+	a := newAgent(&scriptedRuntime{
+		hold: func(r HoldRequest) (Lists, error) {
+			fence.Store(max(fence.Load(), uint64(r.Fence)))
+			return Lists{Born: 3}, nil
+		},
+		carry: func(f workflow.Fence, _ *workflow.Order) workflow.Result {
+			entered <- struct{}{}
+			<-resume
+			if uint64(f) < fence.Load() {
+				return workflow.ResultFenced
+			}
+			return workflow.ResultDone
+		},
+	})
+	ask(a, 1)
+	a.hold(t.Context())
+	order := workflow.Order{Kind: workflow.OrderStart, Boot: workflow.Boot{Born: 3}}
+	results := make(chan []workflow.OrderResult)
+	go func() { // one more than are carried at a time: the last one waits behind its check
+		results <- a.Carry(t.Context(), 1, slices.Repeat([]workflow.Order{order}, maxParallelOrders+1))
+	}()
+	for range maxParallelOrders {
+		<-entered
+	}
+	ask(a, 2)
+	a.hold(t.Context())
+	close(resume)
+	for i, r := range <-results {
+		if r.Result != workflow.ResultFenced {
+			t.Errorf("order %d of the earlier owner: %s, want fenced", i, r.Result)
+		}
+	}
+}
