Raise paces as far as the model has room, at once

Cause: a task that is slowed down to a standstill was raised by doubling, from 10%, each 0.7 s or later, so it took 4 s until it ran at full pace however much room there was.

Ruled out: longer waits before the first start (the last task of a step waits 0.4 s or less in three of four steps), and the wait after a move (0.03 s in the median).

Change: the raise is bounded by the expected room alone, which counts with the uncertainty of the learned factors.

--- a/internal/core/workflow/load_test.go
+++ b/internal/core/workflow/load_test.go
@@ -259,6 +259,44 @@
 	}
 }
 
+// Load: the users of standing tasks push tails up for seconds, and go. Guards
+// against filling tasks that crawl for long afterwards: raised by steps from a
+// standstill, they held their steps up for 4 s each time, a fifth of all run time on
+// the large site.
+func TestPacesReturnWithTheRoom(t *testing.T) {
+	b := newBench(t, 1, map[string]float64{"press": 1.5})
+	own := 0.3
+	b.own = func(time.Duration) float64 { return own }
+	b.submit("s", standingStep(2))
+	b.over(time.Second)
+	b.submit("f", Step{Tasks: 2, Demand: types.Resources{MilliCPU: 2000}, RunTime: time.Minute, Fills: true, Image: "press"})
+	b.over(5 * time.Second)
+	before := b.paces()
+	own = 0.74
+	b.over(4 * time.Second)
+	if during := b.paces(); during > before/4 {
+		t.Fatalf("paces of %d%% in all while users take all room, %d%% before", during, before)
+	}
+	own = 0.3
+	b.over(2 * time.Second)
+	if after := b.paces(); after < 3*before/4 {
+		t.Errorf("paces of %d%% in all 2 s after the users have gone, %d%% before they came", after, before)
+	}
+}
+
+// paces returns the sum of the paces of filling tasks, in percent.
+func (b *bench) paces() int {
+	sum := 0
+	for _, runs := range b.running {
+		for _, r := range runs {
+			if r.spec.Fills {
+				sum += r.pace
+			}
+		}
+	}
+	return sum
+}
+
 // Load: standing tasks and filling ones on VMs with room for both apart. Guards
 // against mixing them without need.
 func TestStandingTasksArePacked(t *testing.T) {
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -29,8 +29,6 @@
 	// paceInterval lies between changes on a VM, so that each shows in the
 	// figures, taken over 500 ms, before the next one.
 	paceInterval = 700 * time.Millisecond
-	// mostRaise bounds how much faster a task gets at a time.
-	mostRaise = 2.0
 	// highFor is how long a tail may stay high before all tasks that fill the VM
 	// are stopped from working, well within the 4 s that count as harm. Figures
 	// are rough, so a tail a little over its target may show as under it.
@@ -138,7 +136,9 @@
 }
 
 // raise speeds up tasks that are slowed down as far as no standing task's load
-// is expected above what is wanted, first those that press least.
+// is expected above what is wanted, first those that press least. It takes all of
+// the room at once: raised by steps, a task whose room is back would hold its step
+// up for seconds.
 func (o *Owner) raise(v *vm) {
 	var slowed []*task
 	for _, t := range v.tasks {
@@ -154,7 +154,7 @@
 	for _, t := range slowed {
 		whole := float64(t.step.spec.Demand.MilliCPU) / v.processors()
 		more := o.spare(v, t.step.spec.Image, uses)
-		pace := min(fullPace, t.wantedPace+int(fullPace*more/whole), max(2*minPace, int(mostRaise*float64(t.wantedPace))))
+		pace := min(fullPace, t.wantedPace+int(fullPace*more/whole))
 		if pace < t.wantedPace+paceStep && pace < fullPace {
 			continue
 		}
