Search combinations of faults over the owner of jobs

The protocol between owner, agents, workers and store was run at random only. The search plays every combination of up to two faults of 20 kinds, and of up to three of those that matter to an owner without a confirmed ownership, at every moment of a grid, over the real owner and the workers of the simulation: orders and answers late or lost, restarts under the same and another ID, workers out of reach, owners that die or act beside their successor, slow and absent stores, failed runs, cancellations, submissions in between.

--- a/internal/core/workflow/random_test.go
+++ b/internal/core/workflow/random_test.go
@@ -10,8 +10,12 @@
 var (
 	simSeeds = flag.Uint64("seeds", 60, "number of seeds of TestRandomRuns")
 	simFirst = flag.Uint64("first", 1, "first seed of TestRandomRuns")
+	// searchGrid of 1 plays faults at every tick of 50 ms.
+	searchGrid = flag.Int("grid", 6, "ticks between the moments of faults in TestSearchOfTwoFaults")
 )
 
+var mutants = []mutant{mutantEarlyAck, mutantNoWait, mutantUnknown, mutantNoFence, mutantShortHold, mutantExtend, mutantLapse, mutantUnsure}
+
 // simSteps is the number of ticks with faults in a run: a minute.
 const simSteps = 1200
 
@@ -69,7 +73,7 @@
 // the promises within a few seeds.
 func TestMutantsAreFound(t *testing.T) {
 	t.Parallel()
-	for _, m := range []mutant{mutantEarlyAck, mutantNoWait, mutantUnknown, mutantNoFence, mutantShortHold, mutantExtend, mutantLapse, mutantUnsure} {
+	for _, m := range mutants {
 		t.Run(string(m), func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= 60; seed++ {
--- /dev/null
+++ b/internal/core/workflow/search_test.go
@@ -0,0 +1,255 @@
+package workflow
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// The search plays one small load with every combination of a few faults, each at
+// every moment of a grid, in place of drawing them: two jobs of two steps on two
+// workers, one task longer than any lease, from the first submission until all is
+// over. The world is that of the simulation and holds still otherwise.
+
+// fault is one thing that goes wrong in a run of the search.
+type fault struct {
+	name string
+	do   func(*sim)
+	// tenure: it matters to an owner whose ownership is not confirmed.
+	tenure bool
+}
+
+// moment is a fault at a tick.
+type moment struct {
+	tick  int
+	fault int
+}
+
+const (
+	// searchSpan is the number of ticks in which faults come: the jobs take 2 s to
+	// 4 s without any.
+	searchSpan = 60
+	// searchSettle is the number of ticks after the span in which all must be over:
+	// above two leases, late orders and the run times after them.
+	searchSettle = 900
+	// searchLong is the run time of the long task, above the longest lease.
+	searchLong = simHoldMax + 2*time.Second
+	// searchDown is how long processes are gone, in ticks.
+	searchDown = 4
+)
+
+// searchDemand lets three tasks run on a worker at a time, so that both are in use.
+var searchDemand = types.Resources{MilliCPU: 2000, MemoryBytes: 1}
+
+// searchFaults returns the faults of the search.
+func searchFaults() []fault {
+	faults := []fault{
+		{name: "the next answer is lost", do: func(s *sim) { s.loseNext = true }},
+		{name: "the owner dies", do: (*sim).searchOwnerDies},
+		{name: "the owner loses the store and worker 1, and acts beside its successor", do: (*sim).searchIsolate, tenure: true},
+		{name: "the store takes 2 s for the batch", do: func(s *sim) { s.batchAt += 2 * time.Second }},
+		{name: "the store is away for 3 s", do: func(s *sim) {
+			s.awayTill = s.now + 3*time.Second
+			if s.owner != nil {
+				s.owner.SetTenure(s.now, false)
+			}
+		}},
+		{name: "the first job is cancelled", do: func(s *sim) { s.cancelJob(s.rows["j000"]) }},
+		{name: "a job is submitted that every owner reads", do: (*sim).searchSubmit, tenure: true},
+	}
+	for _, late := range []time.Duration{150 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second} {
+		faults = append(faults, fault{name: fmt.Sprintf("the next order is carried out %v late", late), do: func(s *sim) { s.delayNext = late }})
+	}
+	for i := range 2 {
+		faults = append(faults,
+			fault{name: fmt.Sprintf("worker %d restarts under its ID", i), do: func(s *sim) { s.searchRestart(i, "") }},
+			fault{name: fmt.Sprintf("worker %d restarts under another ID", i), do: func(s *sim) { s.searchRestart(i, "'") }},
+			fault{name: fmt.Sprintf("worker %d is out of reach for 2 s", i), do: func(s *sim) { s.workers[i].cut = s.now + 2*time.Second }, tenure: true},
+			fault{name: fmt.Sprintf("worker %d is out of reach for 7 s", i), do: func(s *sim) { s.workers[i].cut = s.now + 7*time.Second }, tenure: true},
+			fault{name: fmt.Sprintf("a run on worker %d fails", i), do: func(s *sim) {
+				if w := s.workers[i]; w.up && len(w.runs) > 0 {
+					s.end(w, 0, EndFailed)
+				}
+			}},
+		)
+	}
+	return faults
+}
+
+func (s *sim) searchOwnerDies() {
+	if s.owner == nil {
+		return
+	}
+	s.owner, s.batch = nil, nil
+	s.deadTill = s.now + searchDown*simTick
+}
+
+func (s *sim) searchIsolate() {
+	if s.owner == nil || s.former != nil || s.now < s.awayTill {
+		return
+	}
+	s.formerCut = map[types.VMID]bool{s.workers[1].id: true}
+	s.owner.SetTenure(s.now, false)
+	s.former, s.owner, s.batch = s.owner, nil, nil
+	s.deadTill = s.now + searchDown*simTick
+}
+
+// searchSubmit submits a job of one task that also an owner without the store reads.
+func (s *sim) searchSubmit() {
+	job := Job{Queue: "q", Accepted: s.now, Steps: []Step{{Tasks: 1, Demand: searchDemand, RunTime: searchLong}}}
+	s.submitJob(job)
+	if s.former == nil || s.former.jobs[s.order[len(s.order)-1]] != nil {
+		return
+	}
+	id := s.order[len(s.order)-1]
+	if err := s.former.AddJob(s.now, s.now, s.rows[id].job, JobQueued, s.revision, Progress{}, true); err != nil {
+		s.fail("job %s is not taken: %v", id, err)
+	}
+	if s.mutant == mutantUnsure {
+		s.former.jobs[id].readUnconfirmed = false
+	}
+}
+
+func (s *sim) searchRestart(i int, suffix string) {
+	w := s.workers[i]
+	w.up, w.runs = false, nil
+	s.restarts = append(s.restarts, restart{s.now + searchDown*simTick, w, w.boot.ID + suffix})
+}
+
+// playSearch runs the load with faults at given moments.
+func playSearch(faults []fault, at []moment, m mutant) *sim {
+	s := newSim(1, m)
+	s.workers = s.workers[:2]
+	s.calm = true
+	s.takeOver()
+	for _, run := range []time.Duration{simRunTime, searchLong} {
+		s.submitJob(Job{Queue: "q", Accepted: s.now, Steps: []Step{
+			{Tasks: 2, Demand: searchDemand, RunTime: run, Checkpoints: true},
+			{Tasks: 1, Demand: searchDemand, RunTime: simRunTime, After: []int{0}},
+		}})
+	}
+	for tick := range searchSpan + searchSettle {
+		for _, x := range at {
+			if x.tick == tick {
+				s.event("fault: %s", faults[x.fault].name)
+				faults[x.fault].do(s)
+			}
+		}
+		s.step()
+		if len(s.violations) > 0 || tick > searchSpan && s.allOver() {
+			return s
+		}
+	}
+	s.fail("a job is not over %v after the last fault", searchSettle*simTick)
+	return s
+}
+
+// searchAll plays all combinations of up to n of the faults on a grid of ticks, and
+// returns the number of runs and the first one that broke a promise.
+func searchAll(faults []fault, grid, n int, m mutant) (int64, *sim) {
+	var single []moment
+	for tick := 0; tick < searchSpan; tick += grid {
+		for f := range faults {
+			single = append(single, moment{tick, f})
+		}
+	}
+	var runs, next atomic.Int64
+	var found atomic.Pointer[sim]
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for found.Load() == nil {
+				i := int(next.Add(1)) - 1
+				if i >= len(single) {
+					return
+				}
+				extend(single, []moment{single[i]}, i, n, func(at []moment) bool {
+					runs.Add(1)
+					if s := playSearch(faults, at, m); len(s.violations) > 0 {
+						found.CompareAndSwap(nil, s)
+					}
+					return found.Load() == nil
+				})
+			}
+		}()
+	}
+	wg.Wait()
+	return runs.Load(), found.Load()
+}
+
+// extend calls play with a combination and with all that have up to n moments and
+// begin with it, until play returns false.
+func extend(single, at []moment, last, n int, play func([]moment) bool) bool {
+	if !play(at) {
+		return false
+	}
+	if len(at) == n {
+		return true
+	}
+	for i := last; i < len(single); i++ {
+		if !extend(single, append(at[:len(at):len(at)], single[i]), i, n, play) {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a combination of two faults that makes a task run in two places,
+// start after its end was acknowledged, or never end: all are played.
+func TestSearchOfTwoFaults(t *testing.T) {
+	t.Parallel()
+	faults := searchFaults()
+	runs, s := searchAll(faults, *searchGrid, 2, mutantNone)
+	t.Logf("%d runs of up to two faults of %d kinds, every %d ticks of %d", runs, len(faults), *searchGrid, searchSpan)
+	if s != nil {
+		t.Fatalf("%s\n%s", s.violations[0], lastEvents(s))
+	}
+}
+
+// searchTenure plays up to three of the faults that matter to an owner whose
+// ownership is not confirmed.
+func searchTenure(m mutant) (int64, *sim) {
+	faults := slices.DeleteFunc(searchFaults(), func(f fault) bool { return !f.tenure })
+	return searchAll(faults, 2**searchGrid, 3, m)
+}
+
+// Guards against an owner without the store and its successor that start a task in
+// two places, when neither reaches all workers.
+func TestSearchOfTwoOwners(t *testing.T) {
+	t.Parallel()
+	runs, s := searchTenure(mutantNone)
+	t.Logf("%d runs of up to three faults", runs)
+	if s != nil {
+		t.Fatalf("%s\n%s", s.violations[0], lastEvents(s))
+	}
+}
+
+// Guards against a search that cannot fail: without each of these rules a few faults
+// break a promise.
+func TestSearchFindsMutants(t *testing.T) {
+	t.Parallel()
+	for _, m := range mutants {
+		t.Run(string(m), func(t *testing.T) {
+			t.Parallel()
+			runs, s := searchAll(searchFaults(), *searchGrid, 1, m)
+			if s == nil {
+				runs, s = searchTenure(m)
+			}
+			if s == nil {
+				runs, s = searchAll(searchFaults(), *searchGrid, 2, m)
+			}
+			if s == nil {
+				t.Fatalf("no violation in %d runs", runs)
+			}
+			t.Logf("after %d runs: %s", runs, s.violations[0])
+		})
+	}
+}
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -61,6 +62,13 @@
 	revision uint64
 }
 
+// restart is a boot that is due.
+type restart struct {
+	at     time.Duration
+	worker *simWorker
+	id     string
+}
+
 type sim struct {
 	rng      *rand.Rand
 	mutant   mutant
@@ -86,6 +94,10 @@
 	batchAt  time.Duration
 	calm     bool
 	born     int64
+	// delayNext and loseNext are faults of the next order; restarts are due boots.
+	delayNext time.Duration
+	loseNext  bool
+	restarts  []restart
 	// doneEver has tasks of which some run has ended done, noted those whose end
 	// was acknowledged to the worker.
 	doneEver, noted map[TaskKey]bool
@@ -162,8 +174,7 @@
 }
 
 func (s *sim) submit() {
-	id := types.JobID(fmt.Sprintf("j%03d", len(s.order)))
-	job := Job{ID: id, Queue: "q", Accepted: s.now}
+	job := Job{Queue: "q", Accepted: s.now}
 	for i := range 1 + s.rng.IntN(3) {
 		step := Step{
 			Tasks: 1 + s.rng.IntN(4), Demand: types.Resources{MilliCPU: 1000, MemoryBytes: 1}, RunTime: simRunTime,
@@ -174,6 +185,13 @@
 		}
 		job.Steps = append(job.Steps, step)
 	}
+	s.submitJob(job)
+}
+
+// submitJob stores a job under the next ID and gives it to the owners.
+func (s *sim) submitJob(job Job) {
+	id := types.JobID(fmt.Sprintf("j%03d", len(s.order)))
+	job.ID = id
 	s.revision++
 	s.rows[id] = &stored{job: job, state: JobQueued, revision: s.revision}
 	s.order = append(s.order, id)
@@ -194,7 +212,10 @@
 	if len(s.order) == 0 {
 		return
 	}
-	r := s.rows[s.order[s.rng.IntN(len(s.order))]]
+	s.cancelJob(s.rows[s.order[s.rng.IntN(len(s.order))]])
+}
+
+func (s *sim) cancelJob(r *stored) {
 	if r.state.Final() {
 		return
 	}
@@ -209,6 +230,15 @@
 func (s *sim) step() {
 	s.now += simTick
 	s.faultsNow()
+	s.restarts = slices.DeleteFunc(s.restarts, func(r restart) bool {
+		if s.now < r.at {
+			return false
+		}
+		if !r.worker.up {
+			s.boot(r.worker, r.id)
+		}
+		return true
+	})
 	for _, w := range s.workers {
 		s.work(w)
 	}
--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -112,10 +112,15 @@
 func (s *sim) give(o Order) {
 	w := s.workers[slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.id == o.VM })]
 	result := ResultUnknown
+	delay, lose := s.delayNext, s.loseNext
+	s.delayNext, s.loseNext = 0, false
 	switch {
 	case !s.reaches(w) && w.up:
 	case s.epoch < w.raised.Epoch():
 		result = ResultFenced
+	case delay > 0:
+		s.event("late order %s %s run %d for %s", o.Kind, o.Task, o.Run, w.id)
+		s.late = append(s.late, lateOrder{s.now + delay, max(w.raised, FirstFence(s.epoch)), o})
 	case s.chance(0.05):
 		s.faults["late order"]++
 		s.event("late order %s %s run %d for %s", o.Kind, o.Task, o.Run, w.id)
@@ -124,6 +129,9 @@
 		result = s.carry(w, max(w.raised, FirstFence(s.epoch)), o)
 		if s.chance(0.03) {
 			s.faults["lost answer"]++
+			lose = true
+		}
+		if lose {
 			result = ResultUnknown
 		}
 	}
@@ -178,6 +186,9 @@
 	s.extend(w, o.Deadline)
 	s.check(w, o)
 	ends := s.now + s.between(simRunTime/3, 2*simRunTime)
+	if declared := s.rows[o.Task.Job].job.Steps[o.Task.Step].RunTime; declared != simRunTime {
+		ends = s.now + declared
+	}
 	if !s.calm && s.rng.IntN(simLongEvery) == 0 {
 		ends += s.between(0, simLongRun)
 	}
