Keep the checkpoints of running tasks in the progress of a job

Cause: the row of a job's progress had the checkpoints of waiting tasks only, so those of running ones were known to the owner and the workers alone.

Ruled out: more writes.

--- a/internal/core/workflow/progress.go
+++ b/internal/core/workflow/progress.go
@@ -79,7 +79,8 @@
 			}
 			p.Failures[i] = t.failures
 		}
-		if t.checkpoint != "" && t.phase == phaseWaiting {
+		// Also of tasks that run: owner and worker may be lost together.
+		if t.checkpoint != "" {
 			if p.Checkpoints == nil {
 				p.Checkpoints = make(map[int]string)
 			}
