Bound the queues whose run times are kept

A term would have kept a line for every queue that ever was in the configuration; found by reading. Queues that the configuration no longer has make room for new ones. The field Real of a line is now Actual, since real is a function of the language.

TestRunTimesOfGoneQueuesAreForgotten fails without the bound: 201 queues.

--- a/internal/core/workflow/load_test.go
+++ b/internal/core/workflow/load_test.go
@@ -28,13 +28,13 @@
 	ends    uint64
 	// spent is what the owner took in the last step.
 	spent time.Duration
-	// real returns how long a task of a step runs; nil takes what is declared.
-	real func(*Step) time.Duration
+	// actual returns how long a task of a step runs; nil takes what is declared.
+	actual func(*Step) time.Duration
 }
 
 func (b *bench) runTime(s *Step) time.Duration {
-	if b.real != nil {
-		return b.real(s)
+	if b.actual != nil {
+		return b.actual(s)
 	}
 	return s.RunTime
 }
--- a/internal/core/workflow/runtimes.go
+++ b/internal/core/workflow/runtimes.go
@@ -9,7 +9,7 @@
 
 // Declared run times are off by a factor of up to ten either way. What they say is
 // learned by queue from the tasks that are done: a line through the logarithms of
-// declared and real run times. The load that it answers is one where more work
+// declared and actual run times. The load that it answers is one where more work
 // waits than there is room for: a job whose run time is declared far too short
 // would count as late before it can be done, and one declared far too long would
 // wait behind all others.
@@ -37,41 +37,41 @@
 // runTimes holds the lines of all queues.
 type runTimes map[string]*RunTimeLine
 
-// RunTimeLine is a regression of the logarithm of the real run times of a queue's
+// RunTimeLine is a regression of the logarithm of the actual run times of a queue's
 // steps on that of the declared ones, both in seconds.
 type RunTimeLine struct {
 	Queue string `json:"queue"`
 	// Steps is the weight of all steps, which fades with each one that is added.
 	Steps float64 `json:"steps"`
-	// Declared and Real are means, Spread and Common the sums of squares of
+	// Declared and Actual are means, Spread and Common the sums of squares of
 	// Declared and of products of both, as deviations from the means.
 	Declared float64 `json:"declared"`
-	Real     float64 `json:"real"`
+	Actual   float64 `json:"actual"`
 	Spread   float64 `json:"spread"`
 	Common   float64 `json:"common"`
 }
 
 // learn adds a step.
-func (l *RunTimeLine) learn(declared, real float64) {
+func (l *RunTimeLine) learn(declared, actual float64) {
 	const keep = 1 - 1.0/runTimeMemory
 	before := keep * l.Steps
 	l.Steps = before + 1
-	byDeclared, byReal := declared-l.Declared, real-l.Real
+	byDeclared, byActual := declared-l.Declared, actual-l.Actual
 	l.Declared += byDeclared / l.Steps
-	l.Real += byReal / l.Steps
+	l.Actual += byActual / l.Steps
 	share := before / l.Steps
 	l.Spread = keep*l.Spread + share*byDeclared*byDeclared
-	l.Common = keep*l.Common + share*byDeclared*byReal
+	l.Common = keep*l.Common + share*byDeclared*byActual
 }
 
-// expected returns the logarithm of the real run time that belongs to a declared
+// expected returns the logarithm of the actual run time that belongs to a declared
 // one. The prior is a line on which both are the same.
 func (l *RunTimeLine) expected(declared float64) float64 {
 	if l == nil {
 		return declared
 	}
 	slope := min(1, max(0, (l.Common+runTimePrior)/(l.Spread+runTimePrior)))
-	learned := l.Real + slope*(declared-l.Declared)
+	learned := l.Actual + slope*(declared-l.Declared)
 	return (l.Steps*learned + runTimePrior*declared) / (l.Steps + runTimePrior)
 }
 
@@ -80,7 +80,7 @@
 func (r runTimes) lines() []RunTimeLine {
 	all := make([]RunTimeLine, 0, len(r))
 	for _, l := range r {
-		all = append(all, RunTimeLine{l.Queue, math.Round(l.Steps), round(l.Declared), round(l.Real), round(l.Spread), round(l.Common)})
+		all = append(all, RunTimeLine{l.Queue, math.Round(l.Steps), round(l.Declared), round(l.Actual), round(l.Spread), round(l.Common)})
 	}
 	byQueue := func(a, b RunTimeLine) int { return cmp.Compare(a.Queue, b.Queue) }
 	if len(all) > maxLines {
@@ -95,8 +95,8 @@
 // cannot have come to are left out.
 func (r runTimes) restore(lines []RunTimeLine) {
 	for _, l := range lines {
-		sum := l.Declared + l.Real + l.Spread + l.Common
-		if l.Steps > 0 && l.Steps <= runTimeMemory && l.Spread >= 0 && math.Abs(l.Declared) <= mostLogSeconds && math.Abs(l.Real) <= mostLogSeconds && !math.IsNaN(sum) && !math.IsInf(sum, 0) {
+		sum := l.Declared + l.Actual + l.Spread + l.Common
+		if l.Steps > 0 && l.Steps <= runTimeMemory && l.Spread >= 0 && math.Abs(l.Declared) <= mostLogSeconds && math.Abs(l.Actual) <= mostLogSeconds && !math.IsNaN(sum) && !math.IsInf(sum, 0) {
 			r[l.Queue] = &l
 		}
 	}
@@ -128,11 +128,25 @@
 	}
 	queue := s.job.spec.Queue
 	if o.runTimes[queue] == nil {
+		o.forgetQueues()
 		o.runTimes[queue] = &RunTimeLine{Queue: queue}
 	}
 	o.runTimes[queue].learn(logSeconds(s.spec.RunTime), s.took.logs/float64(s.took.tasks))
 }
 
+// forgetQueues makes room for another queue by dropping those that the
+// configuration no longer has, since queues come and go for as long as a term lasts.
+func (o *Owner) forgetQueues() {
+	if len(o.runTimes) < maxLines {
+		return
+	}
+	for queue := range o.runTimes {
+		if _, ok := o.queues[queue]; !ok {
+			delete(o.runTimes, queue)
+		}
+	}
+}
+
 // runTime returns how long a task of the step is expected to run: by what is
 // declared and learned of its queue, and by the step's own tasks that are done.
 func (o *Owner) runTime(s *step) time.Duration {
@@ -145,7 +159,7 @@
 	case s.spec.RunTime > 0:
 		expected = line.expected(logSeconds(s.spec.RunTime))
 	case line != nil:
-		expected = line.Real
+		expected = line.Actual
 	default:
 		expected = logSeconds(unknownRunTime)
 	}
--- a/internal/core/workflow/runtimes_test.go
+++ b/internal/core/workflow/runtimes_test.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -11,7 +12,7 @@
 
 // Guards against declared run times that are believed though they are off by a
 // factor of up to ten either way, as on the large site: the spread of declared to
-// real times had a standard deviation of 0.93 in logarithms.
+// actual times had a standard deviation of 0.93 in logarithms.
 func TestRunTimesAreLearned(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	var line *RunTimeLine
@@ -19,18 +20,18 @@
 		t.Errorf("expected %v with nothing learned, want what is declared", got)
 	}
 	line = &RunTimeLine{}
-	sample := func() (declared, real float64) {
-		real = math.Log(2.3) + 0.4*rng.NormFloat64()
-		return real + 0.9*rng.NormFloat64(), real
+	sample := func() (declared, actual float64) {
+		actual = math.Log(2.3) + 0.4*rng.NormFloat64()
+		return actual + 0.9*rng.NormFloat64(), actual
 	}
 	for range 100 {
 		line.learn(sample())
 	}
 	believed, learned := 0.0, 0.0
 	for range 1000 {
-		declared, real := sample()
-		believed += (declared - real) * (declared - real)
-		learned += (line.expected(declared) - real) * (line.expected(declared) - real)
+		declared, actual := sample()
+		believed += (declared - actual) * (declared - actual)
+		learned += (line.expected(declared) - actual) * (line.expected(declared) - actual)
 	}
 	if learned > believed/3 {
 		t.Errorf("squared error of %.0f with learned run times, %.0f with declared ones", learned, believed)
@@ -54,9 +55,9 @@
 // Guards against a damaged row that makes every job late or in time.
 func TestRunTimesOutOfRangeAreLeftOut(t *testing.T) {
 	o := newBench(t, 1, nil).o
-	good := RunTimeLine{Queue: "good", Steps: 20, Declared: 1, Real: 2, Spread: 3, Common: 0.5}
+	good := RunTimeLine{Queue: "good", Steps: 20, Declared: 1, Actual: 2, Spread: 3, Common: 0.5}
 	o.SetLearned(0, Learned{RunTimes: []RunTimeLine{
-		{Queue: "none"}, {Queue: "nan", Steps: 3, Real: math.NaN()}, {Queue: "far", Steps: 3, Real: 1e6}, {Queue: "much", Steps: 1e9}, {Queue: "inf", Steps: 3, Common: math.Inf(1)}, good,
+		{Queue: "none"}, {Queue: "nan", Steps: 3, Actual: math.NaN()}, {Queue: "far", Steps: 3, Actual: 1e6}, {Queue: "much", Steps: 1e9}, {Queue: "inf", Steps: 3, Common: math.Inf(1)}, good,
 	}})
 	if got := o.Learned().RunTimes; len(got) != 1 || got[0] != good {
 		t.Errorf("kept %+v, want the last one only", got)
@@ -69,7 +70,7 @@
 // after 4.2 s.
 func TestJobDeclaredShortIsNotForsaken(t *testing.T) {
 	b := newBench(t, 2, nil)
-	b.real = func(*Step) time.Duration { return 2 * time.Second }
+	b.actual = func(*Step) time.Duration { return 2 * time.Second }
 	for i := range 24 {
 		declared := fillingStep("f", 4)
 		declared.RunTime = 250 * time.Millisecond << (i % 6) // 0.25 s to 8 s
@@ -91,3 +92,19 @@
 		t.Errorf("rank %+v 4.5 s after a job of 2 s was submitted", r)
 	}
 }
+
+// Guards against memory that grows with every queue that ever was: queues come and
+// go with the configuration.
+func TestRunTimesOfGoneQueuesAreForgotten(t *testing.T) {
+	b := newBench(t, 1, nil)
+	for i := range maxLines {
+		queue := fmt.Sprint("gone", i)
+		b.o.runTimes[queue] = &RunTimeLine{Queue: queue, Steps: 1}
+	}
+	b.step(120 * time.Millisecond)
+	b.submit("j", fillingStep("f", 1))
+	b.over(4 * time.Second)
+	if n := len(b.o.runTimes); n != 1 || b.o.runTimes["q"] == nil {
+		t.Errorf("%d queues are kept, want the one of the configuration", n)
+	}
+}
