Look more often at VMs whose paces are likely to change

Cause: the time between looks at a VM grows with the fleet (4 ms a VM: 0.78 s at 195 VMs, 1.2 s at 300), so paces follow the later the larger the deployment is.

Change: VMs where tasks are slowed down or tails are above what is wanted beside filling tasks are looked at as often as if there were no others; the decision is in the core (look.go). At most twice the calls of before.

TestVMsInConflictAreLookedAtOften: 1.2 s before, 0.12 s after.

--- /dev/null
+++ b/internal/core/workflow/look.go
@@ -0,0 +1,34 @@
+package workflow
+
+import (
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Times between looks at a VM.
+const (
+	// soonestLook is the least: figures of tasks cover the last half second and slide
+	// with it, so that a task that presses on standing ones shows within it.
+	soonestLook = 120 * time.Millisecond
+	// lookPerVM times the number of VMs bounds the owner's calls to 250 a second, and
+	// those to VMs in conflict to as many.
+	lookPerVM = 4 * time.Millisecond
+)
+
+// LookWait returns how long the agent of a VM may wait for news before the owner
+// looks at its figures. The load that it answers is a fleet so large that the owner
+// cannot look at all VMs often: those where tasks are slowed down, or tails are above
+// what is wanted, are looked at as often as if there were no others.
+func (o *Owner) LookWait(id types.VMID) time.Duration {
+	all := len(o.vmOrder)
+	if v := o.vms[id]; v != nil && v.restless() {
+		all = o.restless
+	}
+	return max(soonestLook, time.Duration(all)*lookPerVM)
+}
+
+// restless reports whether the paces on the VM are likely to change soon.
+func (v *vm) restless() bool {
+	return v.targets > 0 && (v.slowest() < fullPace || v.filling > 0 && v.tail() > tailWanted)
+}
--- /dev/null
+++ b/internal/core/workflow/look_test.go
@@ -0,0 +1,69 @@
+package workflow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
+)
+
+// Load: a fleet of 300 VMs, and on one of them the users of a standing task push its
+// tail up beside a filling one. Guards against paces that follow the later the more
+// VMs there are: each was looked at every 1.2 s.
+func TestVMsInConflictAreLookedAtOften(t *testing.T) {
+	const fleet = 300
+	o := newBench(t, 0, nil).o
+	for i := range fleet {
+		o.AddVM(time.Minute, types.VMID(fmt.Sprintf("vm%03d", i)))
+	}
+	calm, busy := o.vmOrder[0], o.vmOrder[1]
+	job := &job{spec: Job{ID: "j", Steps: []Step{standingStep(1), fillingStep("f", 1)}}}
+	oc := o.begin(job, 0)
+	for _, s := range oc.steps {
+		busy.bind(&s.tasks[0])
+		s.tasks[0].phase = phaseRunning
+	}
+	if wait := o.LookWait(busy.id); wait != fleet*lookPerVM {
+		t.Errorf("wait of %v on a VM without conflict, want %v", wait, fleet*lookPerVM)
+	}
+	for name, disturb := range map[string]func(){
+		"a filling task is slowed down": func() { oc.steps[1].tasks[0].wantedPace = 20 },
+		"a tail is high": func() {
+			s := &oc.steps[0].tasks[0]
+			s.progress, s.figure = standingAtWork, 0.9*float64(s.step.spec.TailTarget/time.Millisecond)
+		},
+	} {
+		oc.steps[1].tasks[0].wantedPace, oc.steps[0].tasks[0].figure = fullPace, 0
+		disturb()
+		o.paces()
+		if wait := o.LookWait(busy.id); wait != soonestLook {
+			t.Errorf("wait of %v where %s, want %v", wait, name, soonestLook)
+		}
+		if wait := o.LookWait(calm.id); wait != fleet*lookPerVM {
+			t.Errorf("wait of %v on a VM beside it, want %v", wait, fleet*lookPerVM)
+		}
+	}
+}
+
+// Guards against calls that grow without bound when all VMs are in conflict.
+func TestLooksAreBounded(t *testing.T) {
+	o := newBench(t, 0, nil).o
+	for i := range 300 {
+		id := types.VMID(fmt.Sprintf("vm%03d", i))
+		o.AddVM(time.Minute, id)
+		oc := o.begin(&job{spec: Job{ID: "j", Steps: []Step{standingStep(1), fillingStep("f", 1)}}}, 0)
+		for _, s := range oc.steps {
+			o.vms[id].bind(&s.tasks[0])
+			s.tasks[0].phase, s.tasks[0].wantedPace = phaseRunning, 20
+		}
+	}
+	o.paces()
+	calls := 0.0
+	for _, v := range o.vmOrder {
+		calls += 1 / o.LookWait(v.id).Seconds()
+	}
+	if calls > 251 {
+		t.Errorf("%.0f calls a second at 300 VMs in conflict, want at most 250", calls)
+	}
+}
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -66,7 +66,9 @@
 	healthy   time.Duration
 
 	// refused holds what found no VM in the present placement pass.
-	refused   map[refusalKey]types.Resources
+	refused map[refusalKey]types.Resources
+	// restless counts the VMs whose paces are likely to change soon.
+	restless  int
 	placeDue  bool
 	placeAt   time.Duration
 	placedAt  time.Duration
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -210,7 +210,11 @@
 
 // paces orders the paces that differ from those wanted.
 func (o *Owner) paces() {
+	o.restless = 0
 	for _, v := range o.vmOrder {
+		if v.restless() {
+			o.restless++
+		}
 		if !v.reached {
 			continue
 		}
--- a/internal/jobs/link.go
+++ b/internal/jobs/link.go
@@ -19,12 +19,6 @@
 
 // Times of the link to an agent.
 const (
-	// watchWait is how long an agent waits for news, and so how often the figures
-	// of tasks are read. They cover the last half second and slide with it: with
-	// readings every 120 ms in place of 500 a task that presses on standing ones
-	// is slowed down sooner. watchWaitPerVM bounds the owner's traffic.
-	watchWait      = 120 * time.Millisecond
-	watchWaitPerVM = 4 * time.Millisecond
 	// callGrace is added for an agent that is slow to answer.
 	callGrace = 800 * time.Millisecond
 	// carryTimeout is above the agent's own limit for one order.
@@ -115,13 +109,13 @@
 // watch makes one call and hands the report to the core.
 func (l *link) watch(ctx context.Context) error {
 	var grant workflow.Grant
+	var wait time.Duration
 	if err := l.t.state.Do(func(o *workflow.Owner) {
 		l.t.confirm(o)
-		grant = o.Grant(l.vm)
+		grant, wait = o.Grant(l.vm), o.LookWait(l.vm)
 	}); err != nil {
 		return err
 	}
-	wait := l.t.watchWait()
 	callCtx, cancel := context.WithTimeout(ctx, 2*wait+callGrace)
 	defer cancel()
 	report, err := l.client.Watch(callCtx, grant, wait)
@@ -132,13 +126,6 @@
 	return nil
 }
 
-// watchWait returns how long agents wait for news.
-func (t *term) watchWait() time.Duration {
-	t.linksMu.Lock()
-	defer t.linksMu.Unlock()
-	return max(watchWait, time.Duration(len(t.links))*watchWaitPerVM)
-}
-
 // carry sends orders; their results come to the core later.
 func (l *link) carry(orders []workflow.Order) {
 	l.t.wg.Add(1)
