Register agents with their workers

Cause: an agent registered at its start and whenever no owner called, also where no worker was.

Change: an agent registers once its worker has announced itself, and not after the worker has left or ended. Nothing is placed on a VM that has not announced itself, so nothing starts later than before, and a row that exists stays, so an owner knows every VM on which something may run.

TestAgentRegistersWithItsWorker, TestPresence fail without it.

Besides, the expected run time is bounded: a line learned from run times of years overflowed (TestForecastDoesNotOverflow); found by reading. Job.Chain and Queue.Objective are no longer used.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -192,6 +192,14 @@
 	return a.report, a.version
 }
 
+// Present reports whether the worker has announced itself to this life of the agent,
+// and neither left nor ended since.
+func (a *Agent) Present() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.up != nil && a.up.Boot.ID != a.left && !a.report.Gone
+}
+
 // Neglected reports whether no owner has called for a while, once for each while.
 func (a *Agent) Neglected() bool {
 	a.mu.Lock()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -216,3 +216,37 @@
 		t.Errorf("a watch was answered %v after it was sent to an agent that stops", took)
 	}
 }
+
+// Guards against an agent that registers without a worker, and against one that does
+// not when a worker comes: after a loss of power the agents of VMs whose workers had
+// left registered again, and the next owner waited for 23 of them that went away.
+func TestPresence(t *testing.T) {
+	err := error(nil)
+	born := int64(3)
+	a := newAgent(&scriptedRuntime{hold: func(HoldRequest) (Lists, error) { return Lists{Born: born}, err }})
+	check := func(when string, want bool) {
+		t.Helper()
+		if got := a.Present(); got != want {
+			t.Errorf("%s: present %v, want %v", when, got, want)
+		}
+	}
+	check("before an announcement", false)
+	a.Announce(announcement(3, 1))
+	check("announced", true)
+	ask(a, 1)
+	a.hold(t.Context())
+	a.Leave("i")
+	check("about to end", false)
+	err = ErrNotListening
+	a.hold(t.Context())
+	a.hold(t.Context())
+	check("ended", false)
+	born, err = 9, nil
+	a.Announce(announcement(9, 1))
+	a.hold(t.Context())
+	check("started again", true)
+	err = ErrNotListening
+	a.hold(t.Context())
+	a.hold(t.Context())
+	check("crashed", false)
+}
--- a/internal/core/workflow/job.go
+++ b/internal/core/workflow/job.go
@@ -163,21 +163,6 @@
 	return n
 }
 
-// Chain returns the declared run time of the longest path of steps.
-func (j *Job) Chain() time.Duration {
-	longest := time.Duration(0)
-	ends := make([]time.Duration, len(j.Steps))
-	for i := range j.Steps {
-		begin := time.Duration(0)
-		for _, a := range j.Steps[i].After {
-			begin = max(begin, ends[a])
-		}
-		ends[i] = begin + j.Steps[i].RunTime
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // Queue is the policy for the jobs of one queue.
 type Queue struct {
 	Name    string            `json:"name"`
@@ -195,11 +180,6 @@
 	Advised bool `json:"advised,omitempty"`
 }
 
-// Objective returns how long after its acceptance a job should be done.
-func (q *Queue) Objective(j *Job) time.Duration {
-	return time.Duration(q.Stretch*float64(j.Chain())) + q.Target
-}
-
 // JobState is the state of a job as callers see it.
 type JobState string
 
--- a/internal/core/workflow/runtimes.go
+++ b/internal/core/workflow/runtimes.go
@@ -27,6 +27,8 @@
 	// leastRunTime bounds logarithms, and mostLogSeconds is that of maxSpan.
 	leastRunTime   = time.Millisecond
 	mostLogSeconds = 20
+	// mostRunTime bounds what is expected, so that sums over all steps of a job fit.
+	mostRunTime = 30 * 24 * time.Hour
 	// maxLines bounds the queues whose lines are kept for the next owner: 200 take
 	// 20 KB beside 28 KB of factors in a row of 64 KB.
 	maxLines = 200
@@ -168,7 +170,7 @@
 	if s.took.tasks > 0 {
 		expected = (prior*expected + s.took.logs/taskVariance) / (prior + own)
 	}
-	return time.Duration(math.Exp(expected) * float64(time.Second))
+	return time.Duration(math.Exp(min(expected, logSeconds(mostRunTime))) * float64(time.Second))
 }
 
 // forecast estimates the run times of an occurrence's steps, the longest path of
--- a/internal/core/workflow/runtimes_test.go
+++ b/internal/core/workflow/runtimes_test.go
@@ -108,3 +108,23 @@
 		t.Errorf("%d queues are kept, want the one of the configuration", n)
 	}
 }
+
+// Guards against a forecast that overflows: run times of ten years, learned from ones
+// declared in milliseconds.
+func TestForecastDoesNotOverflow(t *testing.T) {
+	o := newBench(t, 1, nil).o
+	o.SetLearned(0, Learned{RunTimes: []RunTimeLine{{Queue: "q", Steps: 100, Declared: -6, Actual: 19, Spread: 100, Common: 100}}})
+	j := &job{spec: Job{ID: "j", Queue: "q"}}
+	for i := range maxSteps {
+		s := Step{Tasks: 1, RunTime: maxSpan}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		j.spec.Steps = append(j.spec.Steps, s)
+	}
+	oc := o.begin(j, 0)
+	o.forecast(oc, j)
+	if rest := oc.steps[0].rest; rest <= 0 || oc.objective < rest {
+		t.Errorf("rest of %v and objective of %v for %d steps of ten years", rest, oc.objective, maxSteps)
+	}
+}
--- a/internal/jobs/agentrow.go
+++ b/internal/jobs/agentrow.go
@@ -23,17 +23,35 @@
 	Incarnation   types.Incarnation
 }
 
-// neglectCheck lies between looks at whether an owner calls the agent.
-const neglectCheck = 500 * time.Millisecond
+const (
+	// neglectCheck lies between looks at whether an owner calls the agent.
+	neglectCheck = 500 * time.Millisecond
+	// presenceCheck lies between looks at whether there is a worker, which announces
+	// itself every 1.5 s.
+	presenceCheck = 100 * time.Millisecond
+)
+
+// Registrant is the agent whose row is kept.
+type Registrant interface {
+	// Present reports whether the agent has a worker that may run tasks.
+	Present() bool
+	// Neglected reports whether no owner has called for a while, once for each while.
+	Neglected() bool
+}
 
-// KeepRegistered writes the agent's row, and again whenever no owner has called
-// the agent for a while: an owner deletes the rows of agents out of reach.
-func KeepRegistered(ctx context.Context, table platform.Table, neglected func() bool, r Registration, log *telemetry.Logger) {
+// KeepRegistered writes the agent's row once there is a worker, and again whenever no
+// owner has called the agent for a while: an owner deletes the rows of agents out of
+// reach. An agent without a worker has nothing to tell, and its row would make the
+// next owner wait if the VM goes away.
+func KeepRegistered(ctx context.Context, table platform.Table, a Registrant, r Registration, log *telemetry.Logger) {
 	for ctx.Err() == nil {
+		for !a.Present() && ctx.Err() == nil {
+			sleep(ctx, presenceCheck)
+		}
 		register(ctx, table, r, log)
 		for ctx.Err() == nil {
 			sleep(ctx, jitter(neglectCheck))
-			if neglected() {
+			if a.Neglected() {
 				break
 			}
 		}
--- /dev/null
+++ b/internal/jobs/agentrow_test.go
@@ -0,0 +1,56 @@
+package jobs
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/standin"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// registrant is an agent with or without a worker, which no owner calls.
+type registrant struct {
+	present atomic.Bool
+}
+
+func (r *registrant) Present() bool   { return r.present.Load() }
+func (r *registrant) Neglected() bool { return true }
+
+// Guards against a row for a VM on which nothing can run, and against an agent that
+// does not register when its worker comes or when its row was deleted.
+func TestAgentRegistersWithItsWorker(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	table := standin.NewTable()
+	var a registrant
+	ended := make(chan struct{})
+	go func() {
+		KeepRegistered(ctx, table, &a, Registration{VM: "vm", Address: "10.0.0.1:1"}, telemetry.Discard())
+		close(ended)
+	}()
+	revision := func() uint64 {
+		rows, err := table.Get(t.Context(), prefixAgent+"vm")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return rows[0].Revision
+	}
+	time.Sleep(3 * presenceCheck)
+	if revision() != 0 {
+		t.Error("an agent without a worker has registered")
+	}
+	a.present.Store(true)
+	time.Sleep(4 * presenceCheck)
+	first := revision()
+	if first == 0 {
+		t.Fatal("an agent whose worker has come has not registered")
+	}
+	time.Sleep(3 * neglectCheck)
+	if revision() == first {
+		t.Error("an agent that no owner calls has not registered again")
+	}
+	cancel()
+	<-ended
+}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -222,7 +222,7 @@
 	if err != nil {
 		return err
 	}
-	go jobs.KeepRegistered(ctx, o.Store, a.Neglected, jobs.Registration{
+	go jobs.KeepRegistered(ctx, o.Store, a, jobs.Registration{
 		VM: vm, Name: s.Name, Address: s.InternalAddress(), FailureDomain: s.FailureDomain, Incarnation: incarnation,
 	}, o.Telemetry.Log)
 	o.started()
