--- a/internal/core/workflow/search_test.go
+++ b/internal/core/workflow/search_test.go
@@ -122,6 +122,26 @@
 	s.restarts = append(s.restarts, restart{s.now + searchDown*simTick, w, w.boot.ID + suffix})
 }
 
+// restart is a boot that is due.
+type restart struct {
+	at     time.Duration
+	worker *simWorker
+	id     string
+}
+
+// bootDue boots the workers whose restart is due.
+func (s *sim) bootDue() {
+	s.restarts = slices.DeleteFunc(s.restarts, func(r restart) bool {
+		if s.now < r.at {
+			return false
+		}
+		if !r.worker.up {
+			s.boot(r.worker, r.id)
+		}
+		return true
+	})
+}
+
 // playSearch runs the load with faults at given moments.
 func playSearch(faults []fault, at []moment, m mutant) *sim {
 	s := newSim(1, m)
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -62,13 +61,6 @@
 	revision uint64
 }
 
-// restart is a boot that is due.
-type restart struct {
-	at     time.Duration
-	worker *simWorker
-	id     string
-}
-
 type sim struct {
 	rng      *rand.Rand
 	mutant   mutant
@@ -230,15 +222,7 @@
 func (s *sim) step() {
 	s.now += simTick
 	s.faultsNow()
-	s.restarts = slices.DeleteFunc(s.restarts, func(r restart) bool {
-		if s.now < r.at {
-			return false
-		}
-		if !r.worker.up {
-			s.boot(r.worker, r.id)
-		}
-		return true
-	})
+	s.bootDue()
 	for _, w := range s.workers {
 		s.work(w)
 	}
