Hand the ownership over within two seconds while the store is slow

Four things added up: - a takeover writes nine rows in 0.9 to 1.1 s, but its timeout was learned from writes of single rows (0.3 to 0.8 s), so its answer was lost; - a candidate that then saw its own lease waited for another candidate; - the end of a term cancelled a renewal in flight, so the release had an old revision and no effect; - the new owner listed the rows one prefix after the other, in 2.4 to 2.9 s.

Change: takeovers have a timeout of their own, a candidate takes its own lease over again, renewals are not cancelled and an uncertain one is read before the release, independent prefixes are listed at the same time and 16 partitions instead of 8.

--- a/internal/core/lease/observer.go
+++ b/internal/core/lease/observer.go
@@ -83,12 +83,13 @@
 // observed change of the row consists of the TTL, the rank delay and the jitter.
 // The TTL is left out if the row has no owner that may be alive. After a gap
 // between reads, Observe may prolong the wait. TakeoverAt returns false before the
-// first read, or if the candidate itself holds the lease.
+// first read, or if the candidate itself holds the lease and ReclaimOwnLease is
+// not set.
 func (o *Observer) TakeoverAt(live []types.VMID) (time.Duration, bool) {
 	if !o.seen {
 		return 0, false
 	}
-	if o.exists && o.row.Owner == o.self && o.row.Incarnation == o.incarnation {
+	if !o.cfg.ReclaimOwnLease && o.exists && o.row.Owner == o.self && o.row.Incarnation == o.incarnation {
 		return 0, false
 	}
 	at := o.unchangedSince + o.jitter
@@ -102,7 +103,7 @@
 // ownerMayBeAlive reports whether the observed row has an owner that may be
 // alive.
 func (o *Observer) ownerMayBeAlive() bool {
-	if o.cfg.ReclaimOwnLease && o.row.Owner == o.self && o.row.Incarnation != o.incarnation {
+	if o.cfg.ReclaimOwnLease && o.row.Owner == o.self {
 		return false
 	}
 	return o.exists && o.row.Owner != ""
--- a/internal/core/lease/row.go
+++ b/internal/core/lease/row.go
@@ -21,9 +21,10 @@
 	// Jitter is the upper bound of the random wait added to the wait for the
 	// rank.
 	Jitter time.Duration
-	// ReclaimOwnLease lets a candidate take over the lease of an earlier
-	// incarnation on its own VM at once. It requires that a VM runs only one
-	// process of the role at a time.
+	// ReclaimOwnLease lets a candidate take over a lease of its own VM at once:
+	// that of an earlier incarnation, or its own after a takeover without an
+	// answer. It requires that a VM runs only one process of the role at a time,
+	// and that a process is no candidate while it acts as the holder.
 	ReclaimOwnLease bool
 	// MaxReadAge is the maximum age of a candidate's last read of the row for a
 	// takeover; 0 disables the check. A longer gap means that the candidate,
--- a/internal/jobs/follow.go
+++ b/internal/jobs/follow.go
@@ -30,7 +30,7 @@
 	statesInterval = 150 * time.Millisecond
 	// maxConcurrentLists bounds the concurrent List calls, so that they fit into the
 	// connections that are kept open to the table.
-	maxConcurrentLists = 8
+	maxConcurrentLists = 16
 	// The pause after a failed call of a Follower, or after a failed registration of
 	// an agent, doubles from tableBackoffMin to tableBackoffMax.
 	tableBackoffMin = 50 * time.Millisecond
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -36,8 +36,12 @@
 	leaseRenewalGrace = 1200 * time.Millisecond
 	// leasePollInterval is the time between a candidate's reads of the lease.
 	leasePollInterval = 400 * time.Millisecond
-	// tableTimeout bounds a read or write of the lease; it is well below leaseTTL.
+	// tableTimeout bounds a read or renewal of the lease; it is well below leaseTTL.
 	tableTimeout = 800 * time.Millisecond
+	// takeoverTimeout bounds a takeover, which writes to every partition: a slow
+	// table takes over 1 s for it. The lease is valid from the time of the send, so
+	// an answer within this time leaves some for the first renewal.
+	takeoverTimeout = 1500 * time.Millisecond
 	// batchTimeout bounds one attempt to write a batch. It is longer than the 1 s
 	// for which an overloaded partition of the table keeps calls waiting: repeating
 	// a write before it is carried out would slow the partition down further.
@@ -87,11 +91,14 @@
 	VM          types.VMID
 	Incarnation types.Incarnation
 	// Cores is the CPU share of the entry, in cores.
-	Cores   float64
-	Table   platform.Table
-	Changes platform.ChangeLog
-	Agents  *http.Client
-	Timing  Timing
+	Cores float64
+	Table platform.Table
+	// Takeovers is the table for takeovers. They write to every partition, so a
+	// timeout that is learned from smaller writes is too short for them.
+	Takeovers platform.Table
+	Changes   platform.ChangeLog
+	Agents    *http.Client
+	Timing    Timing
 	// Advisor answers which workers may run a step; nil if there is none.
 	Advisor   Advisor
 	Telemetry *telemetry.Telemetry
@@ -169,7 +176,7 @@
 		c.observeLease(ctx)
 		now := clock.Now()
 		if takeover, ok := c.observer.TryTakeover(now, nil); ok && c.mayTakeOver(ctx, takeover.Revision, now) {
-			c.takeOver(ctx, takeover, now)
+			c.takeOver(ctx, takeover)
 		}
 		sleep(ctx, jitter(leasePollInterval))
 	}
@@ -244,7 +251,7 @@
 
 // takeOver tries a takeover and runs the term if it succeeds. It returns when the
 // term has ended.
-func (c *Candidate) takeOver(ctx context.Context, takeover lease.Takeover, sentAt time.Duration) {
+func (c *Candidate) takeOver(ctx context.Context, takeover lease.Takeover) {
 	row := takeover.Row
 	value, err := row.Encode()
 	if err != nil {
@@ -255,17 +262,17 @@
 	for _, p := range partitionNames() {
 		writes = append(writes, platform.Write{Key: fenceKey(p), Value: encode(fenceRow{Epoch: row.Epoch})})
 	}
-	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
-	res, err := c.opts.Table.Commit(callCtx, platform.Txn{
+	sentAt := clock.Now()
+	res, err := c.opts.Takeovers.Commit(callCtx, platform.Txn{
 		Conditions: []platform.Condition{{Key: lease.Key(jobsShard), Revision: takeover.Revision}},
 		Writes:     writes,
 		Reads:      []string{lease.Key(jobsShard)},
 	})
 	if err != nil || !res.Committed {
 		// Without an answer the takeover may have succeeded. This candidate then
-		// observes its own lease and does not take it over, even after it has
-		// expired; another candidate does.
+		// observes its own lease and takes it over again.
 		return
 	}
 	before, _ := c.observer.Row()
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/boragecrank/boragecrank/internal/clock"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
@@ -17,9 +19,9 @@
 	// term.
 	recoverRetryDelay = 100 * time.Millisecond
 	// listTimeout bounds the listing of all partitions of one prefix. A partition
-	// takes up to 250 ms while the table is slow, and 8 of the 32 partitions are
-	// listed at a time (maxConcurrentLists), so that the listing takes up to 1 s. The
-	// timeout is four times as long.
+	// takes up to 250 ms while the table is slow, and 16 of the 32 partitions are
+	// listed at a time (maxConcurrentLists), so that the listing takes up to 0.5 s.
+	// The timeout is eight times as long.
 	listTimeout = 4 * time.Second
 )
 
@@ -66,34 +68,40 @@
 	return true
 }
 
-// readRows lists the rows and retries until it succeeds or the term ends. States are
-// listed after the jobs, so that each listed job has its state.
+// readRows lists the rows and retries until it succeeds or the term ends. While the
+// table is slow each list takes long, so those that do not depend on each other are
+// read at the same time. States are listed after the jobs, so that each listed job has
+// its state. The fence keeps the rows of progress from changing.
 func (t *term) readRows(ctx context.Context) (storedRows, bool) {
 	var s storedRows
-	lists := []struct {
-		prefix     string
-		partitions []string
-		into       *platform.Snapshot
-	}{
-		{prefixJob, partitionNames(), &s.jobs}, {prefixState, partitionNames(), &s.states},
-		{prefixProgress, partitionNames(), &s.progress}, {prefixAgent, nil, &s.agents},
-	}
-	for _, l := range lists {
-		for {
-			callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-			snapshot, err := listAll(callCtx, t.c.opts.Changes, l.prefix, l.partitions)
-			cancel()
-			if err == nil {
-				*l.into = snapshot
-				break
-			}
-			sleep(ctx, jitter(recoverRetryDelay))
-			if ctx.Err() != nil {
-				return s, false
-			}
+	var lists errgroup.Group
+	lists.Go(func() error {
+		if err := t.readPrefix(ctx, prefixJob, partitionNames(), &s.jobs); err != nil {
+			return err
+		}
+		return t.readPrefix(ctx, prefixState, partitionNames(), &s.states)
+	})
+	lists.Go(func() error { return t.readPrefix(ctx, prefixProgress, partitionNames(), &s.progress) })
+	lists.Go(func() error { return t.readPrefix(ctx, prefixAgent, nil, &s.agents) })
+	return s, lists.Wait() == nil
+}
+
+// readPrefix lists the rows of a prefix and retries until it succeeds. It returns an
+// error if the term has ended.
+func (t *term) readPrefix(ctx context.Context, prefix string, partitions []string, into *platform.Snapshot) error {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		snapshot, err := listAll(callCtx, t.c.opts.Changes, prefix, partitions)
+		cancel()
+		if err == nil {
+			*into = snapshot
+			return nil
+		}
+		sleep(ctx, jitter(recoverRetryDelay))
+		if ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
-	return s, true
 }
 
 // addJobs adds the stored jobs to the core, and the final states of jobs whose other
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -33,9 +33,8 @@
 	// that it fits into the 100 entries of a transaction: a job that has ended needs
 	// four, an expired state one, the fence two, which gives at most 92.
 	maxChanges = 18
-	// releaseTimeout bounds each of the last writes when the process stops: the
-	// last batch and the release of the lease.
-	releaseTimeout = 500 * time.Millisecond
+	// lastBatchTimeout bounds the last batch when the process stops.
+	lastBatchTimeout = 500 * time.Millisecond
 )
 
 // term is one period of ownership by this process.
@@ -122,13 +121,14 @@
 // release releases the lease, so that another entry can take over without waiting
 // for leaseTTL.
 func (t *term) release() {
+	if t.holder.NeedsRead() {
+		t.readLease(context.Background())
+	}
 	renewal, ok := t.holder.Release()
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	_, err := t.writeLease(ctx, renewal)
+	_, err := t.writeLease(context.Background(), renewal)
 	t.log.Log(eventOwnershipReleased, err, nil)
 }
 
@@ -177,7 +177,7 @@
 	})
 	select {
 	case <-done:
-	case <-time.After(releaseTimeout):
+	case <-time.After(lastBatchTimeout):
 	}
 }
 
@@ -309,12 +309,14 @@
 	}
 }
 
+// writeLease writes the lease. The end of the term does not cancel a call: the
+// release needs the revision of the last renewal.
 func (t *term) writeLease(ctx context.Context, r lease.Renewal) (platform.TxnResult, error) {
 	value, err := r.Row.Encode()
 	if err != nil {
 		return platform.TxnResult{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tableTimeout)
 	defer cancel()
 	key := lease.Key(jobsShard)
 	return t.c.opts.Table.Commit(ctx, platform.Txn{
