Remove fields and functions that nothing reads

Owner.began, task.boot and phaseFailed of workflow, jobState.sent of shard, WriteRules and RulesWithRetryBudget of localrun, and the parameter of addedLoad that its only caller sets. No change of behaviour; tests of internal/core and localrun pass.

--- a/internal/core/shard/batch.go
+++ b/internal/core/shard/batch.go
@@ -139,7 +139,6 @@
 			continue
 		}
 		j.dirty = false
-		j.sent = true
 		f.jobs = append(f.jobs, j)
 		key := task.JobKey(o.cfg.Shard, j.row.Job.ID)
 		f.batch.Writes = append(f.batch.Writes, RowWrite{Key: key, Value: value, Revision: j.revision})
@@ -270,7 +269,6 @@
 		o.activate(t)
 	}
 	for _, j := range f.jobs {
-		j.sent = false
 		j.revision = revision
 		j.row.Finished = true
 		o.removeJob(j)
@@ -290,7 +288,6 @@
 	}
 	o.dirty = append(front, o.dirty...)
 	for _, j := range f.jobs {
-		j.sent = false
 		o.queueFinalRow(j)
 	}
 }
--- a/internal/core/shard/owner.go
+++ b/internal/core/shard/owner.go
@@ -56,9 +56,6 @@
 	// ended is the number of tasks that have ended.
 	ended int
 	dirty bool
-	// sent is set while the final row is in the batch in flight, as
-	// taskState.inFlight is for a task's row.
-	sent bool
 }
 
 // taskState is the owner's state of one task.
--- a/internal/core/workflow/interference.go
+++ b/internal/core/workflow/interference.go
@@ -185,18 +185,12 @@
 	}
 }
 
-// addedLoad returns the load that filling images add to a standing image. With
-// withMargin, which the only caller sets, it is computed from the factors with
-// their margin, otherwise from their means.
-func (o *Owner) addedLoad(standing string, uses []imageUse, withMargin bool) float64 {
+// addedLoad returns the load that filling images add to a standing image,
+// computed from the factors with their margin.
+func (o *Owner) addedLoad(standing string, uses []imageUse) float64 {
 	sum := 0.0
 	for _, u := range uses {
-		k := imagePair{u.image, standing}
-		if withMargin {
-			sum += u.share * o.interference.expected(o.now, k)
-		} else {
-			sum += u.share * o.interference.get(o.now, k).mean
-		}
+		sum += u.share * o.interference.expected(o.now, imagePair{u.image, standing})
 	}
 	return sum
 }
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -48,9 +48,7 @@
 // for concurrent use. All times are on one monotonic clock that includes
 // suspension, except fields in Unix time.
 type Owner struct {
-	cfg Config
-	// began is the start of the term. It is not read.
-	began   time.Duration
+	cfg     Config
 	now     time.Duration
 	unix    time.Duration
 	queues  map[string]Queue
@@ -111,7 +109,7 @@
 // New returns an owner whose term begins at now.
 func New(cfg Config, now time.Duration) *Owner {
 	return &Owner{
-		cfg: cfg, began: now, now: now,
+		cfg: cfg, now: now,
 		queues: make(map[string]Queue), vms: make(map[types.VMID]*vm), jobs: make(map[types.JobID]*job), cancelled: make(map[types.JobID]uint64), finished: make(map[types.JobID]bool),
 		health: health.New(healthOptions()), interference: newInterference(), runTimes: make(runTimes), placeDue: true, confirmed: true,
 	}
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -202,7 +202,7 @@
 			continue
 		}
 		users := o.forecastLoad(s)
-		room := limit - users - o.addedLoad(s.step.spec.Image, uses, true)
+		room := limit - users - o.addedLoad(s.step.spec.Image, uses)
 		spareShare = min(spareShare, room/max(1e-6, o.interference.expected(o.now, imagePair{image, s.step.spec.Image})))
 	}
 	return max(0, spareShare)
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -19,7 +19,6 @@
 	// for proof that it has ended.
 	phaseStopping
 	phaseDone
-	phaseFailed // not in use
 )
 
 func (p phase) live() bool {
@@ -32,12 +31,10 @@
 	index int
 	phase phase
 
-	// run, vm and boot belong to the current or last run, except that a gang
-	// that did not fit leaves the last VM tried and its boot here. boot is set
-	// but not read.
-	run  uint64
-	vm   *vm
-	boot Boot
+	// run and vm belong to the current or last run, except that a gang that did
+	// not fit leaves the last VM tried here.
+	run uint64
+	vm  *vm
 	// starts counts the starts in the term of this owner.
 	starts    uint64
 	startedAt time.Duration
@@ -310,7 +307,7 @@
 
 // bind assigns a task to a VM.
 func (v *vm) bind(t *task) {
-	t.vm, t.boot = v, v.boot
+	t.vm = v
 	v.tasks = append(v.tasks, t)
 	v.reserved = v.reserved.Add(t.step.reservation())
 	if t.step.spec.Fills {
--- a/internal/localrun/files.go
+++ b/internal/localrun/files.go
@@ -75,18 +75,6 @@
 	return nil
 }
 
-// WriteRules replaces the rules file. It does not apply the inventory.
-func (d *Deployment) WriteRules(rules string) error {
-	return os.WriteFile(filepath.Join(d.inventoryDir(), "rules.toml"), []byte(rules), 0o600)
-}
-
-// RulesWithRetryBudget returns the default rules with the given retry budget.
-// Applying these rules changes the configuration but not the teams, services and
-// jobs.
-func RulesWithRetryBudget(retryBudget float64) string {
-	return strings.Replace(defaultRules, "retry_budget = 0.1", fmt.Sprintf("retry_budget = %.4f", retryBudget), 1)
-}
-
 const vmsPerRack = 3
 
 func (d *Deployment) vmInventory(workers int) string {
