--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -83,7 +83,8 @@
 	})
 	lists.Go(func() error { return t.readPrefix(ctx, prefixProgress, partitionNames(), &s.progress) })
 	lists.Go(func() error { return t.readPrefix(ctx, prefixAgent, nil, &s.agents) })
-	return s, lists.Wait() == nil
+	err := lists.Wait()
+	return s, err == nil
 }
 
 // readPrefix lists the rows of a prefix and retries until it succeeds. It returns an
