Return the rows of a prefix instead of filling a parameter

Found by reading the diff as a newcomer: readPrefix had an output parameter, a test field was called patience, and two comments did not give their reason.

--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -26,7 +26,8 @@
 	// below it.
 	tailHigh   = 0.97
 	tailWanted = 0.90
-	// tailRising is the tail from which on a VM is polled often.
+	// tailRising is the tail above which a VM with filling tasks is polled often,
+	// to notice early that the tail exceeds tailHigh.
 	tailRising = 0.80
 	// minPace is the lowest pace above 0, and paceStep the smallest increase.
 	minPace  = 5
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -20,8 +20,8 @@
 	recoverRetryDelay = 100 * time.Millisecond
 	// listTimeout bounds the listing of all partitions of one prefix. A partition
 	// takes up to 250 ms while the table is slow, and 16 of the 32 partitions are
-	// listed at a time (maxConcurrentLists), so that the listing takes up to 0.5 s.
-	// The timeout is eight times as long.
+	// listed at a time (maxConcurrentLists), so that the listing takes up to 0.5 s. The
+	// timeout leaves time for a partition that is overloaded by other calls.
 	listTimeout = 4 * time.Second
 )
 
@@ -75,32 +75,38 @@
 func (t *term) readRows(ctx context.Context) (storedRows, bool) {
 	var s storedRows
 	var lists errgroup.Group
-	lists.Go(func() error {
-		if err := t.readPrefix(ctx, prefixJob, partitionNames(), &s.jobs); err != nil {
+	lists.Go(func() (err error) {
+		if s.jobs, err = t.readPrefix(ctx, prefixJob, partitionNames()); err != nil {
 			return err
 		}
-		return t.readPrefix(ctx, prefixState, partitionNames(), &s.states)
+		s.states, err = t.readPrefix(ctx, prefixState, partitionNames())
+		return err
+	})
+	lists.Go(func() (err error) {
+		s.progress, err = t.readPrefix(ctx, prefixProgress, partitionNames())
+		return err
+	})
+	lists.Go(func() (err error) {
+		s.agents, err = t.readPrefix(ctx, prefixAgent, nil)
+		return err
 	})
-	lists.Go(func() error { return t.readPrefix(ctx, prefixProgress, partitionNames(), &s.progress) })
-	lists.Go(func() error { return t.readPrefix(ctx, prefixAgent, nil, &s.agents) })
 	err := lists.Wait()
 	return s, err == nil
 }
 
-// readPrefix lists the rows of a prefix and retries until it succeeds. It returns an
-// error if the term has ended.
-func (t *term) readPrefix(ctx context.Context, prefix string, partitions []string, into *platform.Snapshot) error {
+// readPrefix lists the rows of a prefix, and retries until it succeeds or the context
+// ends.
+func (t *term) readPrefix(ctx context.Context, prefix string, partitions []string) (platform.Snapshot, error) {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		snapshot, err := listAll(callCtx, t.c.opts.Changes, prefix, partitions)
 		cancel()
 		if err == nil {
-			*into = snapshot
-			return nil
+			return snapshot, nil
 		}
 		sleep(ctx, jitter(recoverRetryDelay))
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return platform.Snapshot{}, ctx.Err()
 		}
 	}
 }
--- a/internal/jobs/slowtable_test.go
+++ b/internal/jobs/slowtable_test.go
@@ -42,19 +42,19 @@
 }
 
 // leaseTable is a table with one row, whose writes take a fixed time. It records the
-// time that the last caller was ready to wait.
+// timeout of the last call.
 type leaseTable struct {
 	TableWithChanges
 	writeTime time.Duration
 	mu        sync.Mutex
 	row       platform.Row
-	patience  time.Duration
+	timeout   time.Duration
 }
 
 func (l *leaseTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
 	if end, ok := ctx.Deadline(); ok {
 		l.mu.Lock()
-		l.patience = time.Until(end)
+		l.timeout = time.Until(end)
 		l.mu.Unlock()
 	}
 	done := make(chan platform.TxnResult, 1)
@@ -99,8 +99,8 @@
 	table.row = platform.Row{Revision: 7} // the takeover conflicts, so that no term begins
 	c := NewCandidate(CandidateOptions{VM: "a", Table: watched, Takeovers: table, Telemetry: &telemetry.Telemetry{Log: telemetry.Discard()}})
 	c.takeOver(t.Context(), lease.Takeover{Row: lease.Row{Shard: jobsShard, Owner: "a", Epoch: 1}})
-	if table.patience < takeoverTimeout-100*time.Millisecond {
-		t.Errorf("the takeover was given %v, want %v", table.patience, takeoverTimeout)
+	if table.timeout < takeoverTimeout-100*time.Millisecond {
+		t.Errorf("the timeout of the takeover is %v, want %v", table.timeout, takeoverTimeout)
 	}
 }
 
