Let the next boot's lists decide starts that may have reached it

Cause: an order names only the worker's ID. Until the agent's next call is answered it passes orders for the old boot on, and the new boot carries them out. When the owner learned the new boot, it took each answered start for one of the old boot and started the task elsewhere, before it used the lists that showed the run.

Change: a run that a list of the old boot has shown ended with that boot. Any other start waits for the first list of the new boot under the raised fence; the same over the path of a refused connection, whose report now carries the number of the refused call. A deadline for the old boot leaves the new one with its own longest lease, which the owner now waits for. The agent's first call after a failed one names no lease and no acknowledgement; a late leave message of an earlier boot no longer keeps the agent unregistered; a start refused by the fence of a new boot no longer ends the ownership.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -97,6 +97,9 @@
 	refusals int
 	// silent is set while the worker does not answer.
 	silent bool
+	// verified is set if the last call was answered by the boot of the report. After
+	// a failed call another boot may listen.
+	verified bool
 	// leavingBootID is the boot that has announced its end; empty if none has.
 	leavingBootID string
 	// lastEnd is the highest number of an end that the current boot has listed.
@@ -133,7 +136,9 @@
 		a.log.Log(eventAnnounced, nil, telemetry.Fields{
 			"boot": n.Boot.ID, "born": n.Boot.Born, "draining": n.Draining, "remaining": n.Remaining.String(), "service": n.Service, "rack": n.Rack,
 		})
-		if fresh {
+		if fresh || !n.Draining {
+			// The leave message names no start time. If the boot is ready, the message
+			// came from an earlier boot with the same ID.
 			a.leavingBootID = ""
 		}
 		a.updateUpstream()
@@ -280,25 +285,29 @@
 	defer a.mu.Unlock()
 	a.cancelHold = nil
 	if err != nil {
-		return a.handleHoldError(ctx, err)
+		a.verified = false
+		return a.handleHoldError(ctx, seq, err)
 	}
+	a.verified = true
 	return a.applyLists(req, seq, &lists)
 }
 
 // nextHoldRequest returns the next request to the worker, its sequence number, and
 // the context of the call with its cancel function. The worker answers at once, as
 // Wait is 0, if the fence has changed since the last answer, the lists of runs are
-// not known, or an end is not acknowledged.
+// not known, an end is not acknowledged, or the last call failed. In the last case
+// the call carries no lease and no acknowledgement: a new boot with the same ID would
+// take them for its own.
 func (a *Agent) nextHoldRequest(ctx context.Context) (HoldRequest, uint64, context.Context, context.CancelFunc) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.seq++
 	req := HoldRequest{Fence: a.grant.Fence, Wait: a.holdWait, BootID: a.report.Boot.ID}
-	if a.grant.Boot.Born != 0 && a.grant.Boot.Born == a.report.Boot.Born {
+	if a.verified && a.grant.Boot.Born != 0 && a.grant.Boot.Born == a.report.Boot.Born {
 		req.LeaseEnd = a.grant.LeaseEnd
 		req.Acknowledged = a.grant.Acknowledged
 	}
-	if req.Fence != a.report.Fence || a.report.Boot.Born == 0 || req.Acknowledged < a.lastEnd {
+	if !a.verified || req.Fence != a.report.Fence || a.report.Boot.Born == 0 || req.Acknowledged < a.lastEnd {
 		req.Wait = 0
 	}
 	callCtx, cancel := context.WithTimeout(ctx, req.Wait+holdGrace)
@@ -346,9 +355,9 @@
 	return 0
 }
 
-// handleHoldError updates the report after a failed call, and returns the pause
-// before the next call. The caller holds the lock.
-func (a *Agent) handleHoldError(ctx context.Context, err error) time.Duration {
+// handleHoldError updates the report after a failed call with the given sequence
+// number, and returns the pause before the next call. The caller holds the lock.
+func (a *Agent) handleHoldError(ctx context.Context, seq uint64, err error) time.Duration {
 	switch {
 	case ctx.Err() != nil:
 		return 0
@@ -367,9 +376,9 @@
 			return holdRetryDelay
 		}
 		a.log.Log(eventWorkerGone, err, telemetry.Fields{"born": a.report.Boot.Born})
-		a.markGone()
+		a.markGone(seq)
 	case errors.Is(err, ErrWrongBoot):
-		a.markGone()
+		a.markGone(seq)
 		return unacknowledgedInterval
 	default:
 		if !a.silent {
@@ -380,9 +389,10 @@
 	return holdRetryDelay
 }
 
-// markGone records that no run of the last boot is left. The caller holds the lock.
-func (a *Agent) markGone() {
-	a.report = workflow.Report{VM: a.opts.VM, Agent: a.opts.Incarnation, Gone: true, Fence: a.report.Fence}
+// markGone records that no run of the last boot is left, as the call with the given
+// sequence number has shown. The caller holds the lock.
+func (a *Agent) markGone(seq uint64) {
+	a.report = workflow.Report{VM: a.opts.VM, Agent: a.opts.Incarnation, Gone: true, Fence: a.report.Fence, ListSeq: seq}
 	a.lastEnd = 0
 	a.notifyWatchers()
 }
@@ -442,6 +452,9 @@
 	defer cancel()
 	begin := time.Now()
 	result, err := a.opts.WorkerClient.Execute(ctx, fence, o)
+	if result == workflow.ResultFenced && a.fenceRaisedSince(fence) {
+		result = workflow.ResultWrongBoot
+	}
 	if result != workflow.ResultDone {
 		a.log.Log(eventOrderNotConfirmed, err, telemetry.Fields{
 			"kind": o.Kind.String(), "task": o.Task.String(), "run": o.Run, "epoch": fence.Epoch(), "result": result.String(),
@@ -450,3 +463,12 @@
 	}
 	return result
 }
+
+// fenceRaisedSince reports whether the fence has been raised for a new boot of the
+// worker in the epoch of an earlier fence. That boot refuses orders for the earlier
+// one, which does not mean that another owner has taken over.
+func (a *Agent) fenceRaisedSince(fence workflow.Fence) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.grant.Fence > fence && a.grant.Fence.Epoch() == fence.Epoch()
+}
--- /dev/null
+++ b/internal/agent/restart_test.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/workflow"
+)
+
+// Guards against an owner that gives up the ownership because a new boot of a worker
+// refuses an order for the previous boot: the order had been checked before the agent
+// knew the new boot.
+func TestOrderForAnEarlierBootIsNotASupersededOwner(t *testing.T) {
+	born := int64(3)
+	var a *Agent
+	a = newAgent(&scriptedWorker{
+		hold: func(HoldRequest) (RunLists, error) { return RunLists{Born: born}, nil },
+		execute: func(workflow.Fence, *workflow.Order) workflow.Result {
+			born = 4
+			a.hold(t.Context()) // the agent notices the boot while the order is under way
+			a.hold(t.Context())
+			return workflow.ResultFenced
+		},
+	})
+	watchOnce(a, 2)
+	a.hold(t.Context())
+	order := workflow.Order{Kind: workflow.OrderStart, Boot: workflow.Boot{Born: 3}}
+	if r := a.Carry(t.Context(), 2, []workflow.Order{order}); r[0].Result != workflow.ResultWrongBoot {
+		t.Errorf("order refused by a new boot: %s, want wrong-boot", r[0].Result)
+	}
+}
+
+// Guards against a new boot that takes the lease and the acknowledgement of the
+// previous one for its own. A worker that restarts breaks the call in progress.
+func TestCallAfterAFailedOneNamesNoLease(t *testing.T) {
+	var last HoldRequest
+	err := error(nil)
+	a := newAgent(&scriptedWorker{hold: func(r HoldRequest) (RunLists, error) {
+		last = r
+		return RunLists{Born: 3, Clock: time.Second, Ended: []workflow.End{{Number: 5}}}, err
+	}})
+	grant := workflow.Grant{Fence: workflow.FirstFence(2), Boot: workflow.Boot{Born: 3}, LeaseEnd: time.Minute, Acknowledged: 5}
+	watchOnce(a, 2)
+	a.hold(t.Context())
+	a.Watch(t.Context(), grant, 0, 7, 0)
+	a.hold(t.Context())
+	if last.LeaseEnd != time.Minute || last.Acknowledged != 5 {
+		t.Fatalf("call to a known boot: %+v, want the lease and the acknowledgement", last)
+	}
+	err = errors.New("connection reset")
+	a.hold(t.Context())
+	err = nil
+	a.hold(t.Context())
+	if last.LeaseEnd != 0 || last.Acknowledged != 0 || last.Wait != 0 {
+		t.Errorf("first call after a failed one: %+v, want no lease, acknowledgement or wait", last)
+	}
+	a.hold(t.Context())
+	if last.LeaseEnd != time.Minute || last.Acknowledged != 5 {
+		t.Errorf("second call after a failed one: %+v, want the lease and the acknowledgement", last)
+	}
+}
+
+// Guards against a worker that never counts as present again: a leave message names
+// only the ID, and one of an earlier boot arrived after the next boot with that ID had
+// announced itself.
+func TestLateLeaveOfAnEarlierBoot(t *testing.T) {
+	a := newAgent(nil)
+	a.Announce(announcement(5, 1))
+	a.Leave("i")
+	if a.WorkerPresent() {
+		t.Error("present after its leave message")
+	}
+	a.Announce(announcement(5, 2))
+	if !a.WorkerPresent() {
+		t.Error("not present although the boot has announced that it is ready since")
+	}
+}
--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -118,7 +118,7 @@
 	Clock time.Duration
 	// ListSeq orders the lists relative to the results of orders: a run whose
 	// start was answered with a lower sequence number and that is not listed
-	// has ended.
+	// has ended. If Gone, it is the number of the call that found no worker.
 	ListSeq uint64
 	Running []Run
 	Ended   []End
--- a/internal/core/workflow/orders.go
+++ b/internal/core/workflow/orders.go
@@ -143,7 +143,9 @@
 	for _, v := range o.vmOrder {
 		if !v.provenIdle && o.now >= o.leaseExpiry(v) {
 			o.recordDecision(Decision{Kind: DecisionVMLost, VM: v.id, Reason: "lease has expired", Age: o.now - v.lastContact})
-			o.releaseTasks(v, false, "lease has expired")
+			for _, t := range slices.Clone(v.tasks) {
+				o.requeue(t, "lease has expired")
+			}
 			v.provenIdle, v.reached = true, false
 		}
 		allReached = allReached && (v.reached || v.provenIdle)
@@ -158,9 +160,13 @@
 // expired.
 func (o *Owner) leaseExpiry(v *vm) time.Duration {
 	if v.grantedUntil == 0 {
-		return v.unreachedSince + maxTrueDuration(o.cfg.MaxLeaseDuration, o.cfg.ClockDrift) + leaseMargin
+		longest := o.cfg.MaxLeaseDuration
+		if v.restarted {
+			longest = o.cfg.WorkerMaxLease
+		}
+		return v.unreachedSince + maxTrueDuration(longest, o.cfg.ClockDrift) + leaseMargin
 	}
-	return v.clockAt + maxTrueDuration(v.grantedUntil-v.clock, o.cfg.ClockDrift) + leaseMargin
+	return v.clockAt + maxTrueDuration(max(v.grantedUntil, v.earlierOrdersUntil)-v.clock, o.cfg.ClockDrift) + leaseMargin
 }
 
 // maxTrueDuration returns the longest true time that a duration on a slow clock
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -17,6 +17,9 @@
 	LeaseDuration time.Duration
 	// MaxLeaseDuration is the longest lease that any owner may have granted.
 	MaxLeaseDuration time.Duration
+	// WorkerMaxLease is the longest lease that a worker takes, whatever deadline an
+	// order names.
+	WorkerMaxLease time.Duration
 	// ClockDrift is by how much a worker's clock may run slow, as a share: 0.02
 	// for 2%.
 	ClockDrift float64
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -89,7 +90,7 @@
 	}
 	v.agent = r.Agent
 	if r.Gone {
-		o.workerGone(v, "worker is gone")
+		o.workerGone(v, &r)
 		return
 	}
 	if r.Boot.Born == 0 {
@@ -127,6 +128,9 @@
 		o.requeueUnlisted(v, &r, listed)
 		if !v.reached {
 			v.reached, v.provenIdle = true, false
+			if v.restarted {
+				v.earlierOrdersUntil = v.clock + o.cfg.WorkerMaxLease
+			}
 			o.extendLease(v) // renew the lease, which may have expired
 			o.placeDue = true
 			o.recordDecision(Decision{Kind: DecisionVMReached, VM: v.id, Reason: v.boot.ID})
@@ -137,14 +141,27 @@
 // newBoot switches a VM to another boot of its worker. All runs of the previous
 // boot have ended.
 func (o *Owner) newBoot(v *vm, b Boot) {
-	o.releaseTasks(v, b.ID == "" || v.boot.ID == "" || v.boot.ID == b.ID, "worker has restarted")
+	const reason = "worker has restarted"
+	sameID := b.ID == "" || v.boot.ID == "" || v.boot.ID == b.ID
+	undecided := 0
+	for _, t := range slices.Clone(v.tasks) {
+		if !sameID || t.listed {
+			o.requeue(t, reason)
+			continue
+		}
+		o.awaitNextBoot(t)
+		undecided++
+	}
+	if v.boot.Born != 0 {
+		o.recordDecision(Decision{Kind: DecisionVMLost, VM: v.id, Reason: fmt.Sprintf("%s; the lists of the new boot decide on %d starts", reason, undecided)})
+	}
 	if v.boot.Born != 0 {
 		v.fence = max(v.fence, FirstFence(o.cfg.Epoch)).NextBoot()
 	}
 	v.boot = b
 	v.announced, v.left = false, false
-	v.reached = false
-	v.clock, v.clockAt, v.grantedUntil = 0, o.now, 0
+	v.reached, v.restarted, v.hadBoot = false, sameID && v.hadBoot, true
+	v.clock, v.clockAt, v.grantedUntil, v.earlierOrdersUntil = 0, o.now, 0, 0
 	v.endSeen, v.endDurable = 0, 0
 	v.unreachedSince = o.now
 	clear(v.untrackedRuns)
@@ -153,33 +170,43 @@
 	o.health.Reset(v.id)
 }
 
-// workerGone releases the tasks of a VM whose worker process has ended.
-func (o *Owner) workerGone(v *vm, reason string) {
+// awaitNextBoot keeps a task on a VM whose worker may have been replaced by a boot
+// with the same ID before the last order reached it. The start may have been carried
+// out by either boot. One that was answered is decided by the first list of the new
+// boot that is newer than the answer. One that was not may still arrive, so the run
+// is stopped, and the task waits until the new boot has acknowledged the stop, or no
+// late order can arrive any more.
+func (o *Owner) awaitNextBoot(t *task) {
+	if t.phase == phaseRunning {
+		return
+	}
+	t.phase, t.stopAcked, t.inFlight = phaseStopping, false, false
+	t.orderedAt = o.now - o.cfg.OrderRetry
+}
+
+// workerGone releases the tasks of a VM whose worker process has ended. Nothing
+// listened when the agent sent call r.ListSeq, so starts that were answered before
+// that call went to the process that has ended, and later ones to its next boot.
+func (o *Owner) workerGone(v *vm, r *Report) {
+	const reason = "worker is gone"
 	if v.boot.Born != 0 {
 		o.recordDecision(Decision{Kind: DecisionVMLost, VM: v.id, Reason: reason})
 	}
-	o.releaseTasks(v, true, reason)
+	for _, t := range slices.Clone(v.tasks) {
+		answeredLater := r.Agent == t.answerAgent && t.answerSeq > r.ListSeq
+		switch {
+		case t.listed || t.startAnswered() && !answeredLater:
+			o.requeue(t, reason)
+		default:
+			o.awaitNextBoot(t)
+		}
+	}
 	v.left = v.left || v.announced && v.upstream.Draining
 	v.reached, v.announced = false, false
 	v.boot = Boot{}
 	v.provenIdle = true // the worker has ended
 }
 
-// releaseTasks requeues all tasks of a VM whose worker no longer runs them. If
-// a later boot may have the same ID, an unanswered start may still reach it.
-// Such a task waits until that boot has acknowledged a stop of the run, or no
-// late order can arrive any more.
-func (o *Owner) releaseTasks(v *vm, mayReuseID bool, reason string) {
-	for _, t := range slices.Clone(v.tasks) {
-		if mayReuseID && !t.startAnswered() {
-			t.phase, t.stopAcked, t.inFlight = phaseStopping, false, false
-			t.orderedAt = o.now - o.cfg.OrderRetry
-			continue
-		}
-		o.requeue(t, reason)
-	}
-}
-
 // startAnswered reports whether the last start has been answered.
 func (t *task) startAnswered() bool {
 	return t.phase == phaseRunning || t.answerSeq > 0
@@ -230,6 +257,7 @@
 		o.stopUntracked(v, r.Task, r.Run)
 		return nil
 	}
+	t.listed = true
 	if t.phase == phaseStarting {
 		o.markRunning(t)
 	}
--- /dev/null
+++ b/internal/core/workflow/restart_test.go
@@ -0,0 +1,136 @@
+package workflow
+
+import (
+	"testing"
+	"time"
+)
+
+// restartHarness is a harness whose VM "a" has one task. The start has been answered,
+// but no list has shown the run yet.
+func restartHarness(t *testing.T) (h *harness, answered uint64) {
+	h = newHarness(t, 2, nil)
+	h.step(120 * time.Millisecond)
+	h.submit("j", fillingStep("f", 1))
+	h.o.vms["b"].slowUntil = h.now + time.Second
+	h.now += 120 * time.Millisecond
+	orders := h.o.Poll(h.now, h.now).Orders
+	if len(orders) != 1 || orders[0].VM != "a" {
+		t.Fatalf("orders %+v, want one start on VM a", orders)
+	}
+	h.o.vms["b"].slowUntil = 0
+	h.carryOut(orders[0])
+	h.seq++
+	h.o.ApplyResults(h.now, 1, []OrderResult{{Order: orders[0], Result: ResultDone, Seq: h.seq}})
+	return h, h.seq
+}
+
+// rebooted returns a report of the next boot of the worker on VM a.
+func (h *harness) rebooted(id string, fence Fence) Report {
+	h.seq++
+	r := h.report("a", 0)
+	r.Boot, r.Fence = Boot{ID: id, Born: 2}, fence
+	r.Upstream.Boot = r.Boot
+	return r
+}
+
+// ordersAfter applies a report and returns the orders of the next placement.
+func (h *harness) ordersAfter(r Report) []Order {
+	h.o.Report(h.now, r)
+	h.now += 120 * time.Millisecond
+	return h.o.Poll(h.now, h.now).Orders
+}
+
+func countStarts(orders []Order) int {
+	n := 0
+	for _, o := range orders {
+		if o.Kind == OrderStart {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a task that runs twice: the worker crashes and is up again at once
+// under its ID, the new boot carries out a start for the old one, and the owner takes
+// the run for one of the old boot (review/1).
+func TestStartCarriedOutByTheNextBoot(t *testing.T) {
+	h, _ := restartHarness(t)
+	if n := countStarts(h.ordersAfter(h.rebooted("a", FirstFence(1)))); n != 0 {
+		t.Fatalf("%d starts before a list of the new boot under a higher fence", n)
+	}
+	if orders := h.ordersAfter(h.rebooted("a", FirstFence(1).NextBoot())); len(orders) != 0 {
+		t.Errorf("orders for a run that the new boot lists: %+v", orders)
+	}
+	if task := h.o.findTask(TaskKey{Job: "j"}); task.phase != phaseRunning || task.vmID() != "a" {
+		t.Errorf("the task is in phase %d on VM %q, want running on a", task.phase, task.vmID())
+	}
+}
+
+// Guards against a task that never starts again because its worker restarted before
+// a list showed the run, and the new boot does not know it.
+func TestStartLostWithTheOldBoot(t *testing.T) {
+	h, _ := restartHarness(t)
+	clear(h.running["a"])
+	h.ordersAfter(h.rebooted("a", FirstFence(1)))
+	if n := countStarts(h.ordersAfter(h.rebooted("a", FirstFence(1).NextBoot()))); n != 1 {
+		t.Errorf("%d starts after a list without the run, want 1", n)
+	}
+}
+
+// Guards against a task that waits for lists of a boot that cannot have its run: one
+// with another ID refuses orders for the old one, and a run that the old boot listed
+// has ended with it.
+func TestRunEndsWithItsBoot(t *testing.T) {
+	for name, test := range map[string]struct {
+		id     string
+		listed bool
+	}{"other ID": {"a2", false}, "listed": {"a", true}} {
+		t.Run(name, func(t *testing.T) {
+			h, _ := restartHarness(t)
+			if test.listed {
+				h.seq++
+				h.o.Report(h.now, h.report("a", 0))
+			}
+			clear(h.running["a"])
+			if n := countStarts(h.ordersAfter(h.rebooted(test.id, FirstFence(1)))); n != 1 {
+				t.Errorf("%d starts after the restart, want 1", n)
+			}
+		})
+	}
+}
+
+// Guards against a task that runs twice: the agent finds no worker, and before the
+// owner learns it, the next boot carries out and answers a start.
+func TestStartAnsweredAfterTheWorkerWasGone(t *testing.T) {
+	h, answered := restartHarness(t)
+	if n := countStarts(h.ordersAfter(Report{VM: "a", Agent: 1, Gone: true, ListSeq: answered - 1})); n != 0 {
+		t.Errorf("%d starts although the run may be on the next boot", n)
+	}
+	if orders := h.ordersAfter(h.rebooted("a", FirstFence(1))); len(orders) != 0 {
+		t.Errorf("orders for a run that the next boot lists: %+v", orders)
+	}
+	h, answered = restartHarness(t)
+	clear(h.running["a"])
+	if n := countStarts(h.ordersAfter(Report{VM: "a", Agent: 1, Gone: true, ListSeq: answered + 1})); n != 1 {
+		t.Errorf("%d starts of a task whose worker ended after it had answered, want 1", n)
+	}
+}
+
+// Guards against a worker given up too early: a start for the earlier boot leaves the
+// new one with the longest lease that it takes, not with the one that the owner grants.
+func TestOrderForAnEarlierBootExtendsTheLease(t *testing.T) {
+	h, _ := restartHarness(t)
+	h.ordersAfter(h.rebooted("a", FirstFence(1)))
+	h.ordersAfter(h.rebooted("a", FirstFence(1).NextBoot()))
+	h.o.Report(h.now, Report{VM: "b", Agent: 1, Gone: true})
+	reached := h.now
+	for h.now < reached+h.o.cfg.WorkerMaxLease {
+		if n := countStarts(h.o.Poll(h.now, h.now).Orders); n != 0 {
+			t.Fatalf("the task starts again %v after the last contact; the worker may keep it for %v", h.now-reached, h.o.cfg.WorkerMaxLease)
+		}
+		if _, idle := h.o.ProvenIdle(h.now, "a"); idle {
+			t.Fatalf("the VM counts as idle %v after the last contact", h.now-reached)
+		}
+		h.now += 500 * time.Millisecond
+	}
+}
--- a/internal/core/workflow/search_test.go
+++ b/internal/core/workflow/search_test.go
@@ -72,6 +72,7 @@
 	for i := range 2 {
 		faults = append(faults,
 			fault{name: fmt.Sprintf("worker %d restarts under its ID", i), do: func(s *sim) { s.searchRestart(i, "") }},
+			fault{name: fmt.Sprintf("worker %d restarts at once under its ID", i), do: func(s *sim) { s.boot(s.workers[i], s.workers[i].boot.ID) }},
 			fault{name: fmt.Sprintf("worker %d restarts under another ID", i), do: func(s *sim) { s.searchRestart(i, "'") }},
 			fault{name: fmt.Sprintf("worker %d is unreachable for 2 s", i), do: func(s *sim) { s.workers[i].cutUntil = s.now + 2*time.Second }, unconfirmed: true},
 			fault{name: fmt.Sprintf("worker %d is unreachable for 7 s", i), do: func(s *sim) { s.workers[i].cutUntil = s.now + 7*time.Second }, unconfirmed: true},
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -50,6 +50,8 @@
 	orderedAt   time.Duration
 	// inFlight: an order for the run has been sent and not answered.
 	inFlight bool
+	// listed: a list of the worker's current boot has shown the run.
+	listed bool
 
 	failures   Failures
 	checkpoint string
@@ -180,6 +182,14 @@
 	// grantedUntil is the latest deadline granted to the boot, on the worker's
 	// clock.
 	grantedUntil time.Duration
+	// hadBoot: this owner has seen a boot of the worker. restarted: the current
+	// boot may have the ID of such an earlier one, so orders for that one may have
+	// reached it.
+	hadBoot, restarted bool
+	// earlierOrdersUntil is the latest deadline, on the worker's clock, that orders
+	// for an earlier boot can have left. Theirs are on the clock of that boot, so
+	// only the worker's own limit bounds it. 0 if there can be none.
+	earlierOrdersUntil time.Duration
 	// unreachedSince is when the owner began to wait for the worker's current
 	// boot.
 	unreachedSince time.Duration
@@ -351,6 +361,6 @@
 	}
 	t.step.job.live--
 	t.step.live--
-	t.inFlight, t.stopAcked, t.answerSeq = false, false, 0
+	t.inFlight, t.listed, t.stopAcked, t.answerSeq = false, false, false, 0
 	t.progress, t.measurement, t.stalledSince, t.forced, t.advance = 0, 0, 0, false, advance{}
 }
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -77,6 +77,8 @@
 	// reading of the worker's clock. All owners must use the same value: a new
 	// owner waits this long for the leases that its predecessor granted.
 	LeaseDuration time.Duration
+	// WorkerMaxLease is the longest lease that a worker takes.
+	WorkerMaxLease time.Duration
 	// StateRetention is how long the state of a finished job stays readable.
 	StateRetention time.Duration
 }
