Divide a job's progress and batches by the limits of the table

Cause: the progress of the job exceeded row_bytes. The settings name that limit, and nothing used it. The store refused the owner's transaction for good, the owner repeated it for as long as its term lasted, and nothing else was stored meanwhile. A rejected transaction left no log line.

TestLargeJobDoesNotStopTheOthers times out if the progress is written in one row.

Change: a progress above the limit takes several rows, written and deleted in one transaction. A batch is divided so that no transaction exceeds its entries and bytes. Beyond that a job loses checkpoints before it can hold up others. The stand-in store now enforces the limits, which is why no test saw this.

--- a/internal/cli/jobroles.go
+++ b/internal/cli/jobroles.go
@@ -75,7 +75,7 @@
 			defer func() { _ = metrics.Close() }()
 		}
 		go checkSettingsOnHangup(ctx, tel.Log)
-		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store), Telemetry: tel})
+		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel})
 		tel.Log.Log(eventJobRoleStopped, err, telemetry.Fields{"dropped": output.Dropped()})
 		return err
 	}
--- a/internal/core/workflow/progress.go
+++ b/internal/core/workflow/progress.go
@@ -3,14 +3,19 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/big"
+	"slices"
 )
 
 // Progress is the part of an unfinished job's state that is stored for the next
 // owner: which tasks are done, the failed runs of the others, and the
 // checkpoints.
 type Progress struct {
-	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
+	// FinishedBefore: all occurrences with a lower number are finished and not in
+	// Occurrences. Only EncodeWithin sets it.
+	FinishedBefore int                  `json:"finished_before,omitempty"`
+	Occurrences    []OccurrenceProgress `json:"occurrences,omitempty"`
 }
 
 // OccurrenceProgress is the progress of one occurrence that has begun.
@@ -43,12 +48,77 @@
 	return json.Marshal(p)
 }
 
-// DecodeProgress parses the result of Encode.
+// EncodeWithin returns the JSON form of the progress in at most limit bytes. To that
+// end it leaves out checkpoints, and then failed runs, and returns how many: tasks
+// without a checkpoint start from the beginning at the next owner, and failed runs
+// that it does not know do not count. It modifies the progress.
+func (p *Progress) EncodeWithin(limit int) (data []byte, omitted int, err error) {
+	p.compactFinished()
+	if data, err = json.Marshal(p); err != nil || len(data) <= limit {
+		return data, 0, err
+	}
+	omitted = p.omitCheckpoints(len(data) - limit)
+	if data, err = json.Marshal(p); err != nil || len(data) <= limit {
+		return data, omitted, err
+	}
+	omitted += p.omitFailures()
+	data, err = json.Marshal(p)
+	return data, omitted, err
+}
+
+// compactFinished replaces the leading finished occurrences by their number.
+func (p *Progress) compactFinished() {
+	for len(p.Occurrences) > 0 && p.Occurrences[0].Finished && p.Occurrences[0].Number == p.FinishedBefore {
+		p.FinishedBefore++
+		p.Occurrences = p.Occurrences[1:]
+	}
+}
+
+// omitCheckpoints removes checkpoints until their sizes add up to excess bytes, and
+// returns how many.
+func (p *Progress) omitCheckpoints(excess int) int {
+	omitted := 0
+	for i := range p.Occurrences {
+		for _, s := range p.Occurrences[i].Steps {
+			for _, index := range slices.Sorted(maps.Keys(s.Checkpoints)) {
+				if excess <= 0 {
+					return omitted
+				}
+				excess -= len(s.Checkpoints[index]) + len(`"":"",`)
+				delete(s.Checkpoints, index)
+				omitted++
+			}
+		}
+	}
+	return omitted
+}
+
+// omitFailures removes all failed runs and returns how many tasks had some.
+func (p *Progress) omitFailures() int {
+	omitted := 0
+	for i := range p.Occurrences {
+		for s := range p.Occurrences[i].Steps {
+			omitted += len(p.Occurrences[i].Steps[s].Failures)
+			p.Occurrences[i].Steps[s].Failures = nil
+		}
+	}
+	return omitted
+}
+
+// DecodeProgress parses the result of Encode or EncodeWithin.
 func DecodeProgress(value []byte) (Progress, error) {
 	var p Progress
 	if err := json.Unmarshal(value, &p); err != nil {
 		return p, fmt.Errorf("decode job progress: %w", err)
 	}
+	if p.FinishedBefore < 0 || p.FinishedBefore > maxOccurrences {
+		return p, fmt.Errorf("decode job progress: %d finished occurrences", p.FinishedBefore)
+	}
+	all := make([]OccurrenceProgress, 0, p.FinishedBefore+len(p.Occurrences))
+	for i := range p.FinishedBefore {
+		all = append(all, OccurrenceProgress{Number: i, Finished: true})
+	}
+	p.Occurrences, p.FinishedBefore = append(all, p.Occurrences...), 0
 	return p, nil
 }
 
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -2,26 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/boragecrank/boragecrank/internal/clock"
-	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
 	"github.com/boragecrank/boragecrank/internal/platform"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
 
-// batchPart holds the changes of a batch that are in one partition.
-type batchPart struct {
-	partition string
-	// changes are indices into the Changes of the batch.
-	changes []int
-	// expired are the jobs whose state rows are deleted.
-	expired []types.JobID
-	// fence is the last known revision of the partition's fence row.
-	fence uint64
-}
+var eventBatchRejected = telemetry.Define(555, logrus.ErrorLevel, "batch rejected",
+	"The table refuses a transaction of the owner for good, which is repeated until the term ends. Until then nothing else of the owner's jobs is stored. The error names the row or the limit; cancel the jobs that are named, and report it. Fields: partition, batch, jobs.")
 
 // outcome is the result of committing a batchPart.
 type outcome struct {
@@ -32,31 +26,6 @@
 	states []workflow.StoredState
 }
 
-// batchParts splits a batch by partition.
-func (t *term) batchParts(b *workflow.Batch) []*batchPart {
-	var parts []*batchPart
-	find := func(id types.JobID) *batchPart {
-		name := partition(id)
-		for _, p := range parts {
-			if p.partition == name {
-				return p
-			}
-		}
-		p := &batchPart{partition: name, fence: t.fences[name]}
-		parts = append(parts, p)
-		return p
-	}
-	for i := range b.Changes {
-		p := find(b.Changes[i].Job)
-		p.changes = append(p.changes, i)
-	}
-	for _, id := range b.Expired {
-		p := find(id)
-		p.expired = append(p.expired, id)
-	}
-	return parts
-}
-
 // commit stores a batch and retries without a time limit until the term ends. The
 // parts of the batch are committed concurrently.
 func (t *term) commit(ctx context.Context, b *workflow.Batch) {
@@ -82,6 +51,9 @@
 		}
 		for _, i := range o.batchPart.changes {
 			revisions[i] = o.revision
+			if o.revision != 0 {
+				t.progressRows.record(&b.Changes[i], o.batchPart.progressRows[i])
+			}
 		}
 		states = append(states, o.states...)
 	}
@@ -93,10 +65,10 @@
 
 // commitPart commits one part. It retries after every error until the term ends.
 func (t *term) commitPart(ctx context.Context, b *workflow.Batch, p *batchPart) outcome {
-	txn := t.buildTxn(b, p)
+	rejected := false
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, batchTimeout)
-		res, err := t.c.opts.Table.Commit(callCtx, txn)
+		res, err := t.c.opts.Table.Commit(callCtx, p.txn)
 		cancel()
 		switch {
 		case err == nil && res.Committed:
@@ -105,6 +77,9 @@
 			return t.resolveConflict(b, p, res.Rows)
 		case ctx.Err() != nil:
 			return outcome{batchPart: p}
+		case errors.Is(err, platform.ErrRejected) && !rejected:
+			rejected = true
+			t.log.Log(eventBatchRejected, err, telemetry.Fields{"partition": p.partition, "batch": b.Number, "jobs": p.jobs(b)})
 		}
 		t.metrics.commitRetries.Inc(1)
 		sleep(ctx, jitter(commitRetryDelay))
@@ -135,33 +110,3 @@
 	}
 	return o
 }
-
-// buildTxn returns the transaction that stores a part. The fence row is its first
-// condition and the first row that it reads.
-func (t *term) buildTxn(b *workflow.Batch, p *batchPart) platform.Txn {
-	fence := fenceKey(p.partition)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: fence, Revision: p.fence}},
-		Writes:     []platform.Write{{Key: fence, Value: encode(fenceRow{Epoch: t.epoch, Batch: b.Number})}},
-		Reads:      []string{fence},
-	}
-	for _, i := range p.changes {
-		c := &b.Changes[i]
-		if c.State != "" {
-			key := stateKey(c.Job)
-			txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Revision: c.StateRevision})
-			txn.Reads = append(txn.Reads, key)
-			txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: encode(stateRow{Queue: c.Queue, State: c.State, Timed: c.Timed})})
-		}
-		if c.Progress != nil {
-			txn.Writes = append(txn.Writes, platform.Write{Key: progressKey(c.Job), Value: encode(c.Progress)})
-		}
-		if c.Deletable {
-			txn.Writes = append(txn.Writes, platform.Write{Key: jobKey(c.Job), Delete: true}, platform.Write{Key: progressKey(c.Job), Delete: true})
-		}
-	}
-	for _, id := range p.expired {
-		txn.Writes = append(txn.Writes, platform.Write{Key: stateKey(id), Delete: true})
-	}
-	return txn
-}
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -40,6 +40,7 @@
 // Intake accepts jobs, cancels them and returns their states.
 type Intake struct {
 	table       platform.Table
+	limits      platform.Limits
 	log         *telemetry.Logger
 	onCancelled func(types.JobID, uint64)
 	// silent reports whether the table has stopped answering calls.
@@ -60,13 +61,13 @@
 	revision uint64
 }
 
-// NewIntake returns an intake. The callback cancelled, which may be nil, is called
+// NewIntake returns an intake. The limits are those of the table. The callback cancelled, which may be nil, is called
 // with each cancelled job and the revision of its state. If the table has the
 // methods Silent and ExpectedCommit, as a WatchedTable does, submissions whose
 // outcome would probably stay unknown are refused without a call.
-func NewIntake(table platform.Table, log *telemetry.Logger, cancelled func(types.JobID, uint64)) *Intake {
+func NewIntake(table platform.Table, limits platform.Limits, log *telemetry.Logger, cancelled func(types.JobID, uint64)) *Intake {
 	in := &Intake{
-		table: table, log: log, onCancelled: cancelled, states: make(map[types.JobID]knownState),
+		table: table, limits: limits, log: log, onCancelled: cancelled, states: make(map[types.JobID]knownState),
 		silent: func() bool { return false }, expectedCommit: func() time.Duration { return 0 },
 	}
 	if s, ok := table.(interface{ Silent() bool }); ok {
@@ -149,8 +150,9 @@
 
 // Submit stores a job. It returns nil if the job is stored, by this call or by an
 // earlier one with the same ID; an error of kind unavailable if it certainly is not;
-// and an error of kind uncertain if the outcome is unknown when the context ends. Any
-// other error means that the table rejected the transaction.
+// an error of kind invalid if the job is too large for the table; and an error of kind
+// uncertain if the outcome is unknown when the context ends. Any other error means
+// that the table rejected the transaction.
 func (in *Intake) Submit(ctx context.Context, job *workflow.Job, version types.Version) error {
 	begin := time.Now()
 	if in.stored(job.ID) {
@@ -159,9 +161,13 @@
 	}
 	row := stateRow{Queue: job.Queue, State: workflow.JobQueued, Timed: job.Occurrences > 0}
 	key := stateKey(job.ID)
+	spec := encode(job)
+	if limit := in.limits.ValueBytes; limit > 0 && len(spec) > limit {
+		return apperr.New(apperr.KindInvalid, fmt.Sprintf("job %q", job.ID), fmt.Sprintf("needs %d bytes in the table, which takes %d", len(spec), limit), "split it into smaller jobs")
+	}
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
-		Writes:     []platform.Write{{Key: jobKey(job.ID), Value: encode(job)}, {Key: key, Value: encode(row)}},
+		Writes:     []platform.Write{{Key: jobKey(job.ID), Value: spec}, {Key: key, Value: encode(row)}},
 		Reads:      []string{key},
 	}
 	stored, err := in.store(ctx, txn)
--- a/internal/jobs/intake_test.go
+++ b/internal/jobs/intake_test.go
@@ -38,7 +38,7 @@
 			return platform.TxnResult{Revision: 9, Rows: []platform.Row{completed}}, nil
 		},
 	}}
-	in := NewIntake(table, telemetry.Discard(), nil)
+	in := NewIntake(table, platform.Limits{}, telemetry.Discard(), nil)
 	if err := in.Submit(t.Context(), &workflow.Job{ID: "j", Queue: "q"}, 1); err != nil {
 		t.Fatal(err)
 	}
@@ -53,7 +53,7 @@
 // stored nothing and no earlier attempt lost its answer.
 func TestRefusalOnlyWhenNothingWasDone(t *testing.T) {
 	refuse := func() (platform.TxnResult, error) { return platform.TxnResult{}, platform.ErrUnavailable }
-	in := NewIntake(&scriptedTable{commits: []func() (platform.TxnResult, error){refuse}}, telemetry.Discard(), nil)
+	in := NewIntake(&scriptedTable{commits: []func() (platform.TxnResult, error){refuse}}, platform.Limits{}, telemetry.Discard(), nil)
 	if err := in.Submit(t.Context(), &workflow.Job{ID: "j", Queue: "q"}, 1); apperr.KindOf(err) != apperr.KindUnavailable {
 		t.Errorf("first attempt refused by the table: got %v, want kind unavailable", err)
 	}
@@ -63,7 +63,7 @@
 		cancel()
 		return platform.TxnResult{}, platform.ErrUnavailable
 	}
-	in = NewIntake(&scriptedTable{commits: []func() (platform.TxnResult, error){lose, last}}, telemetry.Discard(), nil)
+	in = NewIntake(&scriptedTable{commits: []func() (platform.TxnResult, error){lose, last}}, platform.Limits{}, telemetry.Discard(), nil)
 	if err := in.Submit(ctx, &workflow.Job{ID: "k", Queue: "q"}, 1); apperr.KindOf(err) != apperr.KindUncertain {
 		t.Errorf("attempt refused after a lost answer: got %v, want kind uncertain", err)
 	}
@@ -86,7 +86,7 @@
 // outcome: callers cannot repeat those. In one recorded outage, 72 of 942 jobs were
 // lost in this way.
 func TestSubmissionIsRefusedWhileTableIsSilent(t *testing.T) {
-	in := NewIntake(&silentTable{t: t}, telemetry.Discard(), nil)
+	in := NewIntake(&silentTable{t: t}, platform.Limits{}, telemetry.Discard(), nil)
 	err := in.Submit(t.Context(), &workflow.Job{ID: "j", Queue: "q"}, 1)
 	if apperr.KindOf(err) != apperr.KindUnavailable || apperr.From(err).RetryAfter == 0 {
 		t.Errorf("got %v, want a refusal with a retry time", err)
@@ -112,7 +112,7 @@
 func TestSubmissionWithoutTimeIsRefusedUnsent(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 	defer cancel()
-	err := NewIntake(&slowTable{t: t}, telemetry.Discard(), nil).Submit(ctx, &workflow.Job{ID: "j", Queue: "q"}, 1)
+	err := NewIntake(&slowTable{t: t}, platform.Limits{}, telemetry.Discard(), nil).Submit(ctx, &workflow.Job{ID: "j", Queue: "q"}, 1)
 	if apperr.KindOf(err) != apperr.KindUnavailable || apperr.From(err).RetryAfter == 0 {
 		t.Errorf("got %v, want a refusal with a retry time", err)
 	}
@@ -121,7 +121,7 @@
 // Guards against refusing a repeated submission of a stored job while the table does
 // not answer.
 func TestRepeatOfStoredSubmissionIsAccepted(t *testing.T) {
-	in := NewIntake(&silentTable{t: t}, telemetry.Discard(), nil)
+	in := NewIntake(&silentTable{t: t}, platform.Limits{}, telemetry.Discard(), nil)
 	row := platform.Row{Key: stateKey("j"), Value: encode(stateRow{Queue: "q", State: workflow.JobRunning}), Revision: 3}
 	in.apply([]platform.ChangedRow{{Row: row}})
 	if err := in.Submit(t.Context(), &workflow.Job{ID: "j", Queue: "q"}, 1); err != nil {
@@ -176,7 +176,7 @@
 	// write takes 180 ms instead of 3 ms.
 	const jobs, gap, callerTimeout = 135, time.Second / 45, 2850 * time.Millisecond
 	table := NewWatchedTable(&partitionedTable{writeTime: 180 * time.Millisecond, freeAt: make(map[string]time.Time), rows: make(map[string]bool)}, telemetry.Discard())
-	in := NewIntake(table, telemetry.Discard(), nil)
+	in := NewIntake(table, platform.Limits{}, telemetry.Discard(), nil)
 	var accepted atomic.Int32
 	var wg sync.WaitGroup
 	for i := range jobs {
--- a/internal/jobs/learned.go
+++ b/internal/jobs/learned.go
@@ -50,7 +50,7 @@
 		return
 	}
 	t.nextLearnedWrite = now + learnedWriteInterval
-	value, err := json.Marshal(o.Learned())
+	value, err := encodeLearned(o.Learned(), t.c.opts.Limits.ValueBytes)
 	if err != nil {
 		t.log.Log(eventEstimatesFailed, err, nil)
 		return
@@ -70,3 +70,16 @@
 		}
 	}()
 }
+
+// encodeLearned encodes estimates in at most limit bytes; 0 means no limit. Callers
+// choose the names of images and queues in them, so that only the encoded size shows
+// how many fit.
+func encodeLearned(l workflow.Learned, limit int) ([]byte, error) {
+	for {
+		value, err := json.Marshal(l)
+		if err != nil || limit == 0 || len(value) <= limit || len(l.Factors)+len(l.RunTimes) == 0 {
+			return value, err
+		}
+		l.Factors, l.RunTimes = l.Factors[:len(l.Factors)/2], l.RunTimes[:len(l.RunTimes)/2]
+	}
+}
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -98,9 +98,11 @@
 	// Takeovers is the table for takeovers. They write to every partition, so a
 	// timeout that is learned from smaller writes is too short for them.
 	Takeovers platform.Table
-	Changes   platform.ChangeLog
-	Agents    *http.Client
-	Timing    Timing
+	// Limits are the sizes that the table accepts.
+	Limits  platform.Limits
+	Changes platform.ChangeLog
+	Agents  *http.Client
+	Timing  Timing
 	// Advisor answers which workers may run a step; nil if there is none.
 	Advisor   Advisor
 	Telemetry *telemetry.Telemetry
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -123,14 +123,16 @@
 		}
 		states[idFromKey(r.Key)] = knownState{row, r.Revision}
 	}
-	progress := make(map[types.JobID]workflow.Progress, len(s.progress.Rows))
-	for _, r := range s.progress.Rows {
-		p, err := workflow.DecodeProgress(r.Value)
+	values, progressRows := joinProgress(s.progress.Rows)
+	t.progressRows = progressRows
+	progress := make(map[types.JobID]workflow.Progress, len(values))
+	for id, value := range values {
+		p, err := workflow.DecodeProgress(value)
 		if err != nil {
-			t.log.Log(eventRowUnreadable, err, telemetry.Fields{"key": r.Key})
+			t.log.Log(eventRowUnreadable, err, telemetry.Fields{"key": progressKey(id)})
 			continue
 		}
-		progress[idFromKey(r.Key)] = p
+		progress[id] = p
 	}
 	for i := range s.jobs.Rows {
 		id := idFromKey(s.jobs.Rows[i].Key)
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -53,7 +53,8 @@
 	end           context.CancelFunc
 	// fences are the revisions of the fence rows by partition. Only the batch in
 	// flight accesses them.
-	fences map[string]uint64
+	fences       map[string]uint64
+	progressRows progressRowCounts
 	// panicked is set when the core has panicked.
 	panicked atomic.Bool
 	// takeoverRevision is the revision of the transaction that took over the
@@ -75,7 +76,7 @@
 func newTerm(c *Candidate, h *lease.Holder, revision uint64) *term {
 	row, _ := h.Row()
 	t := &term{
-		c: c, log: c.log.With(telemetry.Fields{"epoch": row.Epoch}), epoch: row.Epoch, holder: h, fences: make(map[string]uint64), takeoverRevision: revision,
+		c: c, log: c.log.With(telemetry.Fields{"epoch": row.Epoch}), epoch: row.Epoch, holder: h, fences: make(map[string]uint64), progressRows: make(progressRowCounts), takeoverRevision: revision,
 		links: make(map[types.VMID]*link), metrics: newTermMetrics(c.opts.Telemetry.Metrics),
 	}
 	t.validUntil.Store(int64(h.ValidUntil()))
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -100,11 +100,11 @@
 	}
 	table := jobs.NewWatchedTable(o.Store, o.Telemetry.Log)
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
-		VM: types.VMID(s.Address), Cores: s.CPUCores, Incarnation: newIncarnation(), Table: table, Takeovers: o.Store, Changes: table, Agents: agentClient(),
+		VM: types.VMID(s.Address), Cores: s.CPUCores, Incarnation: newIncarnation(), Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:  jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin},
 		Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 	})
-	e.intake = jobs.NewIntake(table, o.Telemetry.Log, e.candidate.NotifyCancelled)
+	e.intake = jobs.NewIntake(table, o.Store.Limits(), o.Telemetry.Log, e.candidate.NotifyCancelled)
 	callers, err := httpserve.Listen(s.CallerAPI, &platform.CallerAPI{
 		Intake: e.intake, Config: e.config.Load, Log: o.Telemetry.Log, Tracer: o.Telemetry.Tracer,
 	}, httpserve.DefaultLimits())
--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -28,6 +28,7 @@
 type deployment struct {
 	t           *testing.T
 	store       *standin.Store
+	rowBytes    int
 	entries     []string
 	stops       []context.CancelFunc
 	stopWorkers []func()
@@ -40,7 +41,15 @@
 
 func newDeployment(t *testing.T, workers int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: standin.NewStore(), starts: map[string]int{}, running: map[string]int{}}
+	return newDeploymentWithLimit(t, workers, standin.RowBytes)
+}
+
+// newDeploymentWithLimit returns a deployment whose store takes values of at most
+// rowBytes.
+func newDeploymentWithLimit(t *testing.T, workers, rowBytes int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: standin.NewStore(), rowBytes: rowBytes, starts: map[string]int{}, running: map[string]int{}}
+	d.store.SetRowBytes(rowBytes)
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
 	store := strings.TrimPrefix(server.URL, "http://")
@@ -65,6 +74,7 @@
 
 func (d *deployment) settings(p standin.ProcessOptions) *platform.Settings {
 	d.t.Helper()
+	p.RowBytes = d.rowBytes
 	s, err := platform.ParseSettings("test", []byte(p.Settings()))
 	if err != nil {
 		d.t.Fatal(err)
@@ -85,7 +95,7 @@
 	}
 	go func() {
 		defer close(done)
-		if err := role(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store), Telemetry: tel}); err != nil {
+		if err := role(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel}); err != nil {
 			d.t.Errorf("role of %s: %v", s.Name, err)
 		}
 	}()
@@ -108,7 +118,7 @@
 	app := vm.WorkerAddress()
 	p := vm.AgentOptions(fmt.Sprintf("agent-%d", i), store, "svc", app)
 	w := standin.NewWorker(standin.WorkerOptions{
-		ID: fmt.Sprintf("i-%d", i), Service: "svc", Address: app, AgentAddress: p.Announcements, MilliCPU: 4000, RunTime: runTime, Record: d.record,
+		ID: fmt.Sprintf("i-%d", i), Service: "svc", Address: app, AgentAddress: p.Announcements, MilliCPU: 4000, RunTime: runTime, Checkpoint: "00000bb87a21d94b", Record: d.record,
 	})
 	d.workers = append(d.workers, w)
 	l, err := net.Listen("tcp", app)
@@ -228,6 +238,31 @@
 	}
 }
 
+// Load: a job whose progress takes several rows, beside small ones. Guards against a
+// table that refuses the owner's transactions for their size, after which no job was
+// completed and no end was acknowledged (review/2).
+func TestLargeJobDoesNotStopTheOthers(t *testing.T) {
+	t.Parallel()
+	d := newDeploymentWithLimit(t, 2, 2000)
+	const large = "00000000000000a2"
+	job := standin.Job("payload", standin.Step{Tasks: 200, MilliCPU: 30, RunTime: runTime, Checkpoints: true}, standin.Step{Tasks: 1, MilliCPU: 500, RunTime: runTime, After: []int{0}})
+	if code, text := d.call(0, http.MethodPost, "/q/"+large, job); code != http.StatusOK {
+		t.Fatalf("submission: %d %s", code, text)
+	}
+	for i := range 5 {
+		id := fmt.Sprintf("00000000000001a%x", i)
+		if code, text := d.call(1, http.MethodPost, "/q/"+id, twoStepJob(2)); code != http.StatusOK {
+			t.Fatalf("submission: %d %s", code, text)
+		}
+		d.awaitState(0, id, "completed")
+	}
+	d.awaitState(0, large, "completed")
+	if n := d.store.TooLarge(); n > 0 {
+		t.Errorf("the store refused %d transactions for their size", n)
+	}
+	d.await("rows of progress to be deleted", func() bool { return len(d.store.Rows("progress")) == 0 })
+}
+
 // Guards against wrong status codes for jobs and queues that do not exist, and for
 // bodies that are not jobs.
 func TestStatusOfInvalidRequests(t *testing.T) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,6 +24,9 @@
 	// ErrUncertain reports that no usable response came; the call may have taken
 	// effect.
 	ErrUncertain = errors.New("platform service gave no answer; the call may have taken effect")
+	// ErrRejected reports that the call changed nothing and never will: the service
+	// does not accept it, for example because it exceeds a limit.
+	ErrRejected = errors.New("platform service rejects the call")
 	// ErrNotFound reports that the object or task does not exist.
 	ErrNotFound = errors.New("not found on the platform")
 )
@@ -61,6 +64,15 @@
 	Reads []string
 }
 
+// Limits are the sizes that a table accepts. Zero means no limit.
+type Limits struct {
+	// ValueBytes is the largest value of a row.
+	ValueBytes int
+	// TxnEntries is the largest number of conditions and writes of a transaction,
+	// TxnBytes the largest size of its encoded form.
+	TxnEntries, TxnBytes int
+}
+
 // TxnResult is the result of a transaction.
 type TxnResult struct {
 	Committed bool
