Let a failed task return to its VM when no other may take it

Cause: a task was kept off the VM of its last failed or stalled run for good, if the owner knew any other VM, also one that lacks its label, serves another service, is too small, full, quarantined or out of reach.

--- a/internal/core/workflow/attribution.go
+++ b/internal/core/workflow/attribution.go
@@ -31,6 +31,10 @@
 // 250 ms.
 const stallTimeout = time.Second
 
+// avoidDuration is how long a task that failed or stalled waits for room on another
+// VM. It is shorter than the 3 s within which a task must run if there is room for it.
+const avoidDuration = 2 * time.Second
+
 func healthOptions() health.Options {
 	return health.Options{HalfLife: resultHalfLife, MaxShare: maxQuarantinedShare, ProbeFirst: minProbeDelay, ProbeMax: maxProbeDelay}
 }
@@ -102,12 +106,32 @@
 	if t.advance.lastAt < t.stalledSince+stallTimeout {
 		return
 	}
-	t.avoidVM = v.id
+	t.avoid(v, o.now)
 	o.health.Report(o.now, v.id, t.step.kind(), false)
 	v.probeDue = false
 	o.stop(t)
 }
 
+// avoid keeps a task off a VM for avoidDuration.
+func (t *task) avoid(v *vm, now time.Duration) {
+	t.avoidVM, t.avoidUntil = v.id, now+avoidDuration
+}
+
+// avoids reports whether a task must not run on a VM for now, because its last run
+// failed or stalled there and another VM may take it.
+func (o *Owner) avoids(t *task, v *vm) bool {
+	if v.id != t.avoidVM || o.now >= t.avoidUntil {
+		return false
+	}
+	service := o.queueOf(t.step.job).Service
+	for _, other := range o.vmOrder {
+		if other != v && other.upstream.Service == service && o.usable(other) && o.constraint(t, other) == "" && t.step.reservation().Fits(other.upstream.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayProbe reports whether a task may test a quarantined worker. The task needs
 // an attempt to spare, so tasks of a queue without a limit of attempts
 // (MaxAttempts 0) never probe. Only one task probes at a time; standing tasks
--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -83,7 +83,7 @@
 	if t.phase == phaseDone || slices.Contains(t.failures, e.Run) || s.spec.Gang && s.lastFailedGangRun == e.Run {
 		return
 	}
-	t.avoidVM = v.id
+	t.avoid(v, o.now)
 	if s.spec.Standing {
 		return // restarted regardless of the number of failures
 	}
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -103,7 +103,7 @@
 		}
 		if v == nil {
 			o.logWaitingReason(t)
-			if t.avoidVM != "" {
+			if o.now < t.avoidUntil {
 				continue
 			}
 			return
@@ -197,7 +197,7 @@
 func (o *Owner) placementGroupOf(t *task) (placementGroup, bool) {
 	spec := t.step.spec
 	q := o.queueOf(t.step.job)
-	plain := spec.Label == "" && spec.MaxPerVM == 0 && t.avoidVM == "" && !q.Advised && !spec.Standing
+	plain := spec.Label == "" && spec.MaxPerVM == 0 && o.now >= t.avoidUntil && !q.Advised && !spec.Standing
 	return placementGroup{q.Service, spec.Image, spec.Fills}, plain
 }
 
@@ -308,11 +308,24 @@
 // obstacle returns what keeps a task off a VM, apart from interference with
 // standing tasks. It is empty if there is no obstacle.
 func (o *Owner) obstacle(t *task, v *vm) string {
+	if o.avoids(t, v) {
+		return "failed or stalled there"
+	}
+	if c := o.constraint(t, v); c != "" {
+		return c
+	}
+	if !v.reserved.Add(t.step.reservation()).Fits(v.upstream.Capacity) {
+		return "no room"
+	}
+	return ""
+}
+
+// constraint returns what keeps a task off a VM whatever room the VM has. It is empty
+// if there is nothing.
+func (o *Owner) constraint(t *task, v *vm) string {
 	s := t.step
 	spec := s.spec
 	switch {
-	case v.id == t.avoidVM && len(o.vmOrder) > 1:
-		return "failed or stalled there"
 	case v.quarantined && !o.mayProbe(t, v):
 		return "quarantined"
 	case o.queueOf(s.job).Advised && s.tickets.valid(o.now, v) == "":
@@ -321,8 +334,6 @@
 		return "label"
 	case spec.MaxPerVM > 0 && s.perVM[v.id] >= spec.MaxPerVM:
 		return "limit per VM"
-	case !v.reserved.Add(s.reservation()).Fits(v.upstream.Capacity):
-		return "no room"
 	default:
 		return ""
 	}
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -55,8 +55,10 @@
 
 	failures   Failures
 	checkpoint string
-	// avoidVM is the VM of the last run that failed or stalled.
-	avoidVM types.VMID
+	// avoidVM is the VM of the last run that failed or stalled. The task avoids it
+	// until avoidUntil.
+	avoidVM    types.VMID
+	avoidUntil time.Duration
 	// notBefore is the earliest time of the next start after a worker could not
 	// run the task.
 	notBefore time.Duration
