Let any task end a quarantine as a last resort, and time end it too

Cause: a quarantine ended only with two successful probes. Standing tasks, gangs, tasks with one attempt left and tasks without a limit of attempts never probed, and no time ended a quarantine.

Change: a task that no other VM takes now may probe; a last attempt only if no other VM may take it later. A standing task that serves for 1 s is a successful probe. A probe without a result for the longest interval returns the worker, also in the product's own shards. The time that a task avoids its VM and the probes share one notion of what a VM may take.

--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -4,7 +4,8 @@
 // The tracker counts results by worker and job kind. The more often a kind
 // succeeds on other workers, the more its failure counts against a worker. A
 // quarantined worker gets single probe tasks at growing intervals and returns to
-// service after consecutive successes. The quarantined share of a shard is bounded.
+// service after consecutive successes, or if no probe has had a result for the longest
+// interval. The quarantined share of a shard is bounded.
 //
 // A Tracker is not safe for concurrent use.
 package health
@@ -70,7 +71,8 @@
 	// Probe: place one batch task on the worker that is neither urgent nor part
 	// of a gang.
 	Probe
-	// Return: place work on the worker as usual again.
+	// Return: place work on the worker as usual again, after successful probes or
+	// after a probe that brought no result for ProbeMax.
 	Return
 )
 
@@ -94,7 +96,9 @@
 	// probeInterval is the current interval between probes.
 	probeInterval time.Duration
 	nextProbe     time.Duration
-	probing       bool
+	// probing: a probe was requested at probingSince and has no result yet.
+	probing      bool
+	probingSince time.Duration
 	// probeSuccesses is the number of consecutive successful probes.
 	probeSuccesses int
 	quarantines    int
@@ -296,13 +300,15 @@
 		if !w.quarantined {
 			continue
 		}
+		unprobed := w.probing && now >= w.probingSince+t.opt.ProbeMax
 		switch {
-		case w.probeSuccesses >= probesToReturn:
+		case w.probeSuccesses >= probesToReturn || unprobed:
+			// Without tasks that may probe, nothing else would end the quarantine.
 			t.dropResults(w)
-			w.quarantined, w.probeSuccesses, w.returnedAt = false, 0, now
+			w.quarantined, w.probing, w.probeSuccesses, w.returnedAt = false, false, 0, now
 			out = append(out, Action{Kind: Return, Worker: id})
 		case !w.probing && now >= w.nextProbe:
-			w.probing = true
+			w.probing, w.probingSince = true, now
 			out = append(out, Action{Kind: Probe, Worker: id})
 		}
 	}
--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -132,3 +132,28 @@
 		t.Fatalf("%d of 10 workers quarantined at once, want 2", got)
 	}
 }
+
+// Guards against a quarantine without an end: if no task of the shard may probe, no
+// result returns the worker to service.
+func TestQuarantineWithoutProbesEnds(t *testing.T) {
+	tr, ids := newTracker(10)
+	for i, id := range ids {
+		for range 8 {
+			tr.Report(time.Second, id, "k", i > 0)
+		}
+	}
+	tr.Decide(2 * time.Second)
+	if !tr.Quarantined(ids[0]) {
+		t.Fatal("a worker that fails every task is not quarantined")
+	}
+	probed := 2*time.Second + tr.opt.ProbeFirst
+	tr.Decide(probed)
+	tr.Decide(probed + tr.opt.ProbeMax - time.Second)
+	if !tr.Quarantined(ids[0]) {
+		t.Error("the worker returned before the longest interval between probes had passed")
+	}
+	tr.Decide(probed + tr.opt.ProbeMax)
+	if tr.Quarantined(ids[0]) {
+		t.Errorf("the worker is still quarantined %v after a probe that brought no result", tr.opt.ProbeMax)
+	}
+}
--- a/internal/core/workflow/load_test.go
+++ b/internal/core/workflow/load_test.go
@@ -26,8 +26,11 @@
 	// hangs; 1 if absent.
 	speed   map[types.VMID]float64
 	running map[types.VMID]map[TaskKey]*harnessRun
+	labels  map[types.VMID][]string
 	starts  map[types.VMID]int
 	ends    uint64
+	// requests are the ticket requests of the last steps.
+	requests []TicketRequest
 	// spent is the time that the owner took in the last step.
 	spent time.Duration
 	// actual returns the run time of a task of a step; nil means the declared
@@ -109,6 +112,7 @@
 	}
 	var out Output
 	h.measure(func() { out = h.o.Poll(h.now, h.now) })
+	h.requests = append(h.requests, out.TicketRequests...)
 	for _, order := range out.Orders {
 		h.seq++
 		h.carryOut(order)
@@ -127,7 +131,7 @@
 	boot := Boot{ID: string(vm), Born: 1}
 	r := Report{
 		VM: vm, Agent: 1, Fence: FirstFence(1), Boot: boot, Clock: h.now, ListSeq: h.seq,
-		Upstream: &Upstream{Boot: boot, Service: "svc", Capacity: types.Resources{MilliCPU: harnessMilliCPU, MemoryBytes: 1 << 40}},
+		Upstream: &Upstream{Boot: boot, Service: "svc", Labels: h.labels[vm], Capacity: types.Resources{MilliCPU: harnessMilliCPU, MemoryBytes: 1 << 40}},
 	}
 	for key, run := range h.running[vm] {
 		entry := Run{Task: key, Run: run.run}
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -101,6 +101,9 @@
 		if v == nil && o.starving(s) {
 			v = o.chooseLeastDisturbed(t)
 		}
+		if v == nil {
+			v = o.chooseQuarantined(t)
+		}
 		if v == nil {
 			o.logWaitingReason(t)
 			if o.now < t.avoidUntil {
@@ -128,6 +131,9 @@
 			checkpoint = t.checkpoint
 		}
 		v := o.choose(t)
+		if v == nil {
+			v = o.chooseQuarantined(t)
+		}
 		if v == nil || o.now < t.notBefore {
 			break
 		}
@@ -314,25 +320,36 @@
 	if c := o.constraint(t, v); c != "" {
 		return c
 	}
-	if !v.reserved.Add(t.step.reservation()).Fits(v.upstream.Capacity) {
+	if !v.hasRoom(t.step) {
 		return "no room"
 	}
 	return ""
 }
 
+// hasRoom reports whether the VM has room for another task of a step.
+func (v *vm) hasRoom(s *step) bool {
+	return v.reserved.Add(s.reservation()).Fits(v.upstream.Capacity)
+}
+
 // constraint returns what keeps a task off a VM whatever room the VM has. It is empty
 // if there is nothing.
 func (o *Owner) constraint(t *task, v *vm) string {
+	if v.quarantined && !o.mayProbe(t, v) {
+		return "quarantined"
+	}
+	return o.requirement(t, v)
+}
+
+// requirement returns which requirement of a task a VM does not meet; empty if it
+// meets all.
+func (o *Owner) requirement(t *task, v *vm) string {
 	s := t.step
-	spec := s.spec
 	switch {
-	case v.quarantined && !o.mayProbe(t, v):
-		return "quarantined"
 	case o.queueOf(s.job).Advised && s.tickets.valid(o.now, v) == "":
 		return "no ticket"
-	case spec.Label != "" && !v.hasLabel(spec.Label):
+	case s.spec.Label != "" && !v.hasLabel(s.spec.Label):
 		return "label"
-	case spec.MaxPerVM > 0 && s.perVM[v.id] >= spec.MaxPerVM:
+	case s.spec.MaxPerVM > 0 && s.perVM[v.id] >= s.spec.MaxPerVM:
 		return "limit per VM"
 	default:
 		return ""
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -233,8 +233,11 @@
 	// probeDue: a task may probe the quarantined VM. It is reset by the next
 	// result of a task there.
 	probeDue bool
-	// probe is the task that tests a quarantined VM.
-	probe *task
+	// probe is the task that tests a quarantined VM. servingSince is when a standing
+	// one began to serve, or was last counted as a successful probe; 0 if it does
+	// not serve.
+	probe        *task
+	servingSince time.Duration
 }
 
 // imageCount is the number of live tasks of one image with a tail target.
