Request tickets for all workers of a service in turn

Cause: a ticket request names 30 workers, always the first ones. If the policy allows only later ones, or the allowed ones among the first are full or gone, the same request was repeated for good: a state without a way out, like avoidVM.

Evidence: TestTicketRequestsReachAllWorkers fails on the old code in both forms.

Change: each request begins where the last one ended, until all workers have been named once; it goes on also while the workers with a ticket have no room. After tickets have expired, the workers that brought them are asked first.

--- a/internal/core/workflow/advice.go
+++ b/internal/core/workflow/advice.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -54,6 +55,12 @@
 	pending bool
 	// retryAt is the earliest time of the next request.
 	retryAt time.Duration
+	// next is the position among the candidate workers at which the next request
+	// begins, useful that of the last request that brought tickets.
+	next, useful int
+	// named counts the workers in the pending request, asked those in all answered
+	// requests since the step last had no ticket.
+	named, asked int
 }
 
 // valid returns the unexpired ticket for the current boot of a VM's worker, or
@@ -66,31 +73,47 @@
 	return held.value
 }
 
-// requestTickets adds a ticket request for a waiting step that has no valid
-// ticket for any usable VM.
+// requestTickets adds a ticket request for a waiting step, unless a VM with a valid
+// ticket has room for one of its tasks. A request names only some of the candidate
+// workers. The next one names others, until all have been named: the policy may allow
+// only workers that are full or gone among those named first.
 func (o *Owner) requestTickets(s *step) {
 	if s.tickets.pending || o.now < s.tickets.retryAt {
 		return
 	}
 	service := o.queueOf(s.job).Service
 	var ids []string
+	held := false
 	for _, v := range o.vmOrder {
-		if v.upstream.Service != service || !o.usable(v) || v.quarantined || v.boot.ID == "" {
+		if v.upstream.Service != service || !o.usable(v) || v.quarantined && !o.probeFree(v) || v.boot.ID == "" {
 			continue
 		}
 		if s.tickets.valid(o.now, v) != "" {
-			return
+			if v.reserved.Add(s.reservation()).Fits(v.upstream.Capacity) {
+				return
+			}
+			held = true
 		}
 		if s.spec.Label == "" || v.hasLabel(s.spec.Label) {
 			ids = append(ids, v.boot.ID)
 		}
 	}
-	if len(ids) == 0 {
+	if !held {
+		s.tickets.asked = 0
+		if len(s.tickets.held) > 0 { // they have expired, or their workers are gone
+			s.tickets.next = s.tickets.useful
+			clear(s.tickets.held)
+		}
+	}
+	if len(ids) == 0 || s.tickets.asked >= len(ids) {
 		return
 	}
 	s.tickets.pending = true
+	s.tickets.named = min(len(ids), maxTicketWorkers)
+	s.tickets.next %= len(ids)
+	workers := slices.Concat(ids[s.tickets.next:], ids[:s.tickets.next])[:s.tickets.named]
 	key := TaskKey{Job: s.job.spec.ID, Occurrence: s.occurrence.number, Step: s.index}
-	o.ticketRequests = append(o.ticketRequests, TicketRequest{Step: key, Workers: ids[:min(len(ids), maxTicketWorkers)]})
+	o.ticketRequests = append(o.ticketRequests, TicketRequest{Step: key, Workers: workers})
 }
 
 // Advised applies the answer to a ticket request. r.Tickets is nil if the
@@ -110,7 +133,12 @@
 	for _, v := range o.vmOrder {
 		if value, ok := r.Tickets[v.boot.ID]; ok && v.boot.ID != "" {
 			held.held[v.id] = ticket{value: value, boot: v.boot.ID, until: now + r.Valid - ticketMargin}
+			held.useful = held.next
 		}
 	}
+	if r.Tickets != nil {
+		held.next += held.named
+		held.asked += held.named
+	}
 	o.placeDue = true
 }
--- a/internal/core/workflow/advice_test.go
+++ b/internal/core/workflow/advice_test.go
@@ -38,3 +38,47 @@
 		t.Errorf("starts %v after the ticket was refused", out.Orders)
 	}
 }
+
+// ticketRequest returns the next ticket request, or nil if there is none within 2 s.
+func (h *harness) ticketRequest() *TicketRequest {
+	for range 20 {
+		h.step(100 * time.Millisecond)
+		if requests := h.requests; len(requests) > 0 {
+			h.requests = nil
+			return &requests[0]
+		}
+	}
+	return nil
+}
+
+// Load: more workers than a ticket request names. Guards against a job that waits for
+// good because the policy allows none of the workers named first, or only ones that
+// are full (review, "Tried without a case").
+func TestTicketRequestsReachAllWorkers(t *testing.T) {
+	for name, allowedFirst := range map[string]string{"none of the first": "", "a full one of the first": "a"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, maxTicketWorkers+4, nil)
+			h.o.SetQueues(map[string]Queue{"q": {Name: "q", Service: "svc", MaxAttempts: 3, Advised: true}, "full": {Name: "full", Service: "svc"}})
+			h.step(100 * time.Millisecond)
+			last := h.vms[len(h.vms)-1]
+			h.o.vms["a"].reserved.MilliCPU = harnessMilliCPU
+			h.submit("j", Step{Tasks: 2, Demand: types.Resources{MilliCPU: 1000}, RunTime: time.Minute})
+			for range 4 {
+				q := h.ticketRequest()
+				if q == nil {
+					break
+				}
+				tickets := map[string]string{}
+				for _, id := range q.Workers {
+					if id == allowedFirst || id == string(last) {
+						tickets[id] = "t"
+					}
+				}
+				h.o.Advised(h.now, TicketResponse{Step: q.Step, Tickets: tickets, Valid: 5 * time.Second})
+			}
+			if n := len(h.running[last]); n != 2 {
+				t.Errorf("%d tasks run on the allowed VM with room, want 2", n)
+			}
+		})
+	}
+}
