--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -19,6 +19,8 @@
 	host    = "jobs.example"
 	prefix  = "/q/"
 	service = "svc"
+	// largeJobTasks is the number of tasks of a job whose progress takes several rows.
+	largeJobTasks = 120
 	// callTimeout is how long a caller waits for a response.
 	callTimeout = 4 * time.Second
 )
@@ -31,10 +33,13 @@
 	done       map[string]int
 	starts     int
 	violations []string
+	// twice holds the tasks that have had two runs at the same time. Their further
+	// events are reported, which shows how the runs ended.
+	twice map[string]bool
 }
 
 func (w *runChecker) reset() {
-	w.running, w.done = make(map[string]int), make(map[string]int)
+	w.running, w.done, w.twice = make(map[string]int), make(map[string]int), make(map[string]bool)
 }
 
 // record implements standin.WorkerOptions.Record. Every event other than start
@@ -42,12 +47,17 @@
 func (w *runChecker) record(event, task string, run uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now().Format("15:04:05.000")
+	if w.twice[task] {
+		w.violations = append(w.violations, fmt.Sprintf("%s task %s run %d: %s", now, task, run, event))
+	}
 	switch event {
 	case "start":
 		w.starts++
 		w.running[task]++
 		if w.running[task] > 1 {
-			w.violations = append(w.violations, fmt.Sprintf("task %s run %d started while another run was in progress", task, run))
+			w.twice[task] = true
+			w.violations = append(w.violations, fmt.Sprintf("%s task %s run %d started while another run was in progress", now, task, run))
 		}
 		return
 	case "done":
@@ -146,11 +156,12 @@
 	var wg sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%016x", uint64(n)+1)
-		first, entry := 1+rng.IntN(4), rng.IntN(len(j.w.callerAddresses))
+		body, tasks := j.randomJob(rng)
+		entry := rng.IntN(len(j.w.callerAddresses))
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			j.submit(context.WithoutCancel(ctx), id, first, entry)
+			j.submit(context.WithoutCancel(ctx), id, body, tasks, entry)
 		}()
 		select {
 		case <-ctx.Done():
@@ -160,12 +171,32 @@
 	wg.Wait()
 }
 
+// randomJob returns a job of two steps, with the number of its tasks. With faults of
+// workers, jobs differ in their run times and sizes, and some may run on one worker
+// only.
+func (j *jobClient) randomJob(rng *rand.Rand) (body any, tasks int) {
+	first := 1 + rng.IntN(4)
+	run, label := runTime, ""
+	if j.w.opts.WorkerFaults {
+		run = []time.Duration{40 * time.Millisecond, runTime, 2 * time.Second}[rng.IntN(3)]
+		switch rng.IntN(20) {
+		case 0:
+			first = largeJobTasks
+		case 1, 2:
+			label = labelOfOne
+		}
+	}
+	step := standin.Step{Tasks: first, MilliCPU: 4000 / 8, RunTime: run, Checkpoints: true, Label: label}
+	if first == largeJobTasks {
+		step.MilliCPU = 20
+	}
+	last := standin.Step{Tasks: 1, MilliCPU: 500, RunTime: run, After: []int{0}}
+	return standin.Job(run.String(), step, last), first + 1
+}
+
 // submit submits a job. Without a response it retries at other entries, as
 // callers do, with up to 4 attempts in all.
-func (j *jobClient) submit(ctx context.Context, id string, first, entry int) {
-	step := standin.Step{Tasks: first, MilliCPU: 500, RunTime: runTime}
-	last := standin.Step{Tasks: 1, MilliCPU: 500, RunTime: runTime, After: []int{0}}
-	body := standin.Job("soak", step, last)
+func (j *jobClient) submit(ctx context.Context, id string, body any, tasks, entry int) {
 	outcome := outcomeUnknown
 	for try := 0; try < 4 && outcome == outcomeUnknown; try++ {
 		switch code, _ := j.call(ctx, (entry+try)%len(j.w.callerAddresses), http.MethodPost, id, body); code {
@@ -181,7 +212,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.outcomes[id], j.taskCounts[id] = outcome, first+1
+	j.outcomes[id], j.taskCounts[id] = outcome, tasks
 }
 
 // awaitCompletion waits up to settleTimeout for the accepted jobs to complete
--- a/internal/faultsoak/cmd/main.go
+++ b/internal/faultsoak/cmd/main.go
@@ -25,10 +25,12 @@
 	entries := flag.Int("entries", 3, "number of entry processes")
 	workers := flag.Int("workers", 4, "number of workers, each with an agent process")
 	rate := flag.Float64("jobs", 4, "jobs submitted per second")
+	workerFaults := flag.Bool("workerfaults", true, "also restart workers and let them fail tasks")
+	rowBytes := flag.Int("rowbytes", 0, "maximum size of a value in the store, 0 for one that divides the progress of large jobs")
 	binary := flag.String("binary", "bin/boragecrank", "path of the product's binary")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := runAll(ctx, *first, *seeds, faultsoak.Options{Binary: *binary, Entries: *entries, Workers: *workers, Faults: *faults, JobsPerSecond: *rate})
+	code := runAll(ctx, *first, *seeds, faultsoak.Options{Binary: *binary, Entries: *entries, Workers: *workers, Faults: *faults, WorkerFaults: *workerFaults, RowBytes: *rowBytes, JobsPerSecond: *rate})
 	stop()
 	os.Exit(code)
 }
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -1,11 +1,10 @@
 package faultsoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -26,6 +25,10 @@
 	Entries, Workers int
 	// Faults is how long faults are injected. Zero means no faults.
 	Faults time.Duration
+	// WorkerFaults adds restarts and failures of workers.
+	WorkerFaults bool
+	// RowBytes is the maximum size of a value in the store; 0 means defaultRowBytes.
+	RowBytes int
 	// JobsPerSecond is the number of jobs submitted per second.
 	JobsPerSecond float64
 }
@@ -46,6 +49,8 @@
 const (
 	// runTime is how long a task runs at a worker.
 	runTime = 400 * time.Millisecond
+	// defaultRowBytes lets the progress of the largest jobs take several rows.
+	defaultRowBytes = 2000
 	// faultInterval is the mean time between faults. Some faults last up to
 	// 5 s, so faults overlap.
 	faultInterval = 700 * time.Millisecond
@@ -58,9 +63,11 @@
 type soakRun struct {
 	opts            Options
 	rng             *rand.Rand
+	workerRNG       *rand.Rand
 	store           *standin.Store
 	entries         []*process
 	agents          []*process
+	workers         []*soakWorker
 	proxies         []*proxy
 	callerAddresses []string
 	closers         []func()
@@ -73,7 +80,10 @@
 
 // Run performs a run with one seed.
 func Run(ctx context.Context, o Options) (Result, error) {
+	o.RowBytes = cmp.Or(o.RowBytes, defaultRowBytes)
 	w := &soakRun{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 11)), store: standin.NewStore()} //nolint:gosec // reproducible
+	w.workerRNG = rand.New(rand.NewPCG(o.Seed, 13))                                           //nolint:gosec // reproducible
+	w.store.SetRowBytes(o.RowBytes)
 	w.res.Faults = make(map[string]int)
 	w.runChecker.reset()
 	w.jobClient = newJobClient(w)
@@ -115,7 +125,7 @@
 func (w *soakRun) startProcesses() error {
 	server := httptest.NewServer(w.store)
 	w.closers = append(w.closers, server.Close)
-	config := standin.Configuration(1, standin.Queue{Name: "r-q", Host: host, Prefix: prefix, Service: service, Attempts: 3})
+	config := standin.Configuration(1, standin.Queue{Name: "r-q", Host: host, Prefix: prefix, Service: service})
 	if err := w.store.Put(standin.ConfigTable, standin.ConfigKey, config); err != nil {
 		return err
 	}
@@ -150,6 +160,7 @@
 		return err
 	}
 	settings := standin.NewLocalVM().EntryOptions(fmt.Sprintf("entry-%d", i), proxyAddress)
+	settings.RowBytes = w.opts.RowBytes
 	p, err := newProcess(w.opts.Dir, w.opts.Binary, "jobs-entry", settings)
 	if err != nil {
 		return err
@@ -168,18 +179,19 @@
 		return err
 	}
 	settings := vm.AgentOptions(fmt.Sprintf("agent-%d", i), store, service, proxyAddress)
-	worker := standin.NewWorker(standin.WorkerOptions{
-		ID: fmt.Sprintf("i-%d", i), Service: service, Address: proxyAddress, AgentAddress: settings.Announcements, MilliCPU: 4000, RunTime: runTime, Record: w.runChecker.record,
-	})
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", app)
-	if err != nil {
+	options := standin.WorkerOptions{
+		ID: fmt.Sprintf("i-%d", i), Service: service, Address: proxyAddress, AgentAddress: settings.Announcements, MilliCPU: 4000, RunTime: runTime,
+		Checkpoint: "00000bb87a21d94b", Record: w.runChecker.record,
+	}
+	if i == 0 {
+		options.Labels = []string{labelOfOne}
+	}
+	sw := &soakWorker{worker: standin.NewWorker(options), id: options.ID, address: app}
+	if err := sw.start(); err != nil {
 		return err
 	}
-	server := &http.Server{Handler: worker, ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(l) }()
-	announcing, stop := context.WithCancel(context.Background())
-	go worker.Announce(announcing, 300*time.Millisecond)
-	w.closers = append(w.closers, stop, func() { _ = server.Close() })
+	w.workers = append(w.workers, sw)
+	w.closers = append(w.closers, sw.stop)
 	p, err := newProcess(w.opts.Dir, w.opts.Binary, "jobs-agent", settings)
 	if err != nil {
 		return err
@@ -232,8 +244,12 @@
 	return delay
 }
 
-// injectFault injects one random fault, which may overlap earlier ones.
+// injectFault injects one random fault, which may overlap earlier ones. Faults of
+// workers are drawn from a generator of their own.
 func (w *soakRun) injectFault() {
+	if w.opts.WorkerFaults {
+		w.injectWorkerFault()
+	}
 	all := append(append([]*process(nil), w.entries...), w.agents...)
 	p := all[w.rng.IntN(len(all))]
 	switch w.rng.IntN(7) {
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -50,3 +50,33 @@
 		})
 	}
 }
+
+// workerRegressions maps seeds with faults of workers that once failed to the causes.
+var workerRegressions = map[uint64]string{
+	3200: "a new boot of a worker carried out a start for the previous one, and the task ran twice",
+	3300: "failed tasks of jobs for one worker never started there again",
+}
+
+// Guards against jobs that are lost or run twice when workers crash, restart under
+// their ID or another one, and fail their tasks, with jobs of several sizes beside the
+// faults of TestRegressionSeeds.
+func TestWorkerFaultSeeds(t *testing.T) {
+	binary := buildBinary(t)
+	for seed, cause := range workerRegressions {
+		t.Run(cause, func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(t.Context(), Options{
+				Seed: seed, Binary: binary, Dir: t.TempDir(), Entries: 3, Workers: 6, Faults: 12 * time.Second, WorkerFaults: true, JobsPerSecond: 12,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range r.Violations {
+				t.Errorf("seed %d: %s", seed, v)
+			}
+			if r.Completed == 0 || r.Faults["worker restarts"] == 0 {
+				t.Errorf("seed %d completed no job or restarted no worker: %+v", seed, r)
+			}
+		})
+	}
+}
