--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -82,9 +82,11 @@
 	holdWait   time.Duration
 	// lastContact is when an owner last called, or OwnerTimedOut last reported true.
 	lastContact time.Time
-	// announced is the last accepted announcement; nil before the first.
-	announced *Announcement
-	report    workflow.Report
+	// announced is the last accepted announcement; nil before the first. It was
+	// accepted after call announcedSeq was sent.
+	announced    *Announcement
+	announcedSeq uint64
+	report       workflow.Report
 	// version counts the changes of report that are passed on to Watch calls.
 	version uint64
 	// seq numbers the calls to the worker and the results of orders.
@@ -121,16 +123,19 @@
 func (a *Agent) Incarnation() types.Incarnation { return a.opts.Incarnation }
 
 // Announce records an announcement. It returns false for one that is out of date:
-// announcements may arrive after newer ones of the same boot or of a later boot.
+// announcements may arrive after newer ones of the same boot or of a later boot. A
+// later boot must answer calls, or else an announcement with a mistaken start time
+// would keep out all those that follow.
 func (a *Agent) Announce(n Announcement) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	old := a.announced
-	if old != nil && (n.Boot.Born < old.Boot.Born || n.Boot.Born == old.Boot.Born && n.Sequence <= old.Sequence) {
+	answersCalls := n.Boot.Born == a.report.Boot.Born && a.report.ListSeq > a.announcedSeq
+	if old != nil && (n.Boot.Born < old.Boot.Born && !answersCalls || n.Boot.Born == old.Boot.Born && n.Sequence <= old.Sequence) {
 		a.log.Log(eventAnnouncementIgnored, nil, telemetry.Fields{"boot": n.Boot.ID, "born": n.Boot.Born, "sequence": n.Sequence})
 		return false
 	}
-	a.announced = &n
+	a.announced, a.announcedSeq = &n, a.seq
 	fresh := old == nil || old.Boot != n.Boot
 	if fresh || old.Draining != n.Draining {
 		a.log.Log(eventAnnounced, nil, telemetry.Fields{
--- a/internal/agent/restart_test.go
+++ b/internal/agent/restart_test.go
@@ -76,3 +76,20 @@
 		t.Error("not present although the boot has announced that it is ready since")
 	}
 }
+
+// Guards against a worker that stays unusable: an announcement with a mistaken start
+// time came from another writer, and all later ones of the worker were older.
+func TestMistakenStartTimeDoesNotKeepOutTheWorker(t *testing.T) {
+	a := newAgent(&scriptedWorker{hold: func(HoldRequest) (RunLists, error) { return RunLists{Born: 5}, nil }})
+	watchOnce(a, 1)
+	a.Announce(announcement(5, 1))
+	a.hold(t.Context())
+	a.Announce(announcement(1<<41, 1))
+	if a.Announce(announcement(5, 2)) {
+		t.Error("an older boot was accepted before a call showed that the later one does not answer")
+	}
+	a.hold(t.Context())
+	if !a.Announce(announcement(5, 3)) || watchOnce(a, 1).Upstream == nil {
+		t.Error("the boot that answers calls is not accepted")
+	}
+}
--- a/internal/jobs/agentrow_test.go
+++ b/internal/jobs/agentrow_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/boragecrank/boragecrank/internal/platform"
 	"github.com/boragecrank/boragecrank/internal/standin"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
@@ -79,3 +82,20 @@
 	cancel()
 	<-ended
 }
+
+// Guards against an odd row among those of the agents: it must not hide the others,
+// and a new owner must not wait for the lease of a worker without an address.
+func TestOddRowsOfAgentsAreLeftOut(t *testing.T) {
+	term := &term{log: telemetry.Discard()}
+	const good = `{"address":"10.0.0.1:7720","name":"a","failure_domain":"z","incarnation":"7"}`
+	rows := []platform.Row{{Key: prefixAgent + "good", Value: []byte(good)}}
+	for i, value := range []string{
+		strings.Repeat("[", 20000) + strings.Repeat("]", 20000), strings.Replace(good, `"7"`, `"99999999999999999999999"`, 1),
+		strings.Replace(good, "7720", "99999", 1), strings.Replace(good, "7720", "0", 1), strings.Replace(good, ":7720", "", 1), strings.Replace(good, "10.0.0.1", "", 1),
+	} {
+		rows = append(rows, platform.Row{Key: fmt.Sprintf("%s%d", prefixAgent, i), Value: []byte(value)})
+	}
+	if agents := term.agents(rows); len(agents) != 1 || agents["good"].Address != "10.0.0.1:7720" {
+		t.Errorf("agents %v, want the good one only", agents)
+	}
+}
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -213,6 +213,9 @@
 	agents := make(map[types.VMID]agentRow, len(rows))
 	for _, r := range rows {
 		row, err := decode[agentRow](r.Key, r.Value)
+		if err == nil {
+			err = row.check()
+		}
 		if err != nil {
 			t.log.Log(eventRowUnreadable, err, telemetry.Fields{"key": r.Key})
 			continue
--- a/internal/jobs/rows.go
+++ b/internal/jobs/rows.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -51,6 +52,19 @@
 	revision uint64
 }
 
+// check returns an error if the row names no address that an agent can have. A new
+// owner would wait for the lease of its worker, which nobody can reach.
+func (r *agentRow) check() error {
+	host, port, err := net.SplitHostPort(r.Address)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return fmt.Errorf("address %q of agent %q is not a host and a port from 1 to 65535", r.Address, r.Name)
+	}
+	return nil
+}
+
 // fenceRow is the fence row of one partition. The takeover of ownership and each
 // batch write it, and a batch is conditional on its revision. Thus a batch that the
 // platform carries out late, after another batch or after a takeover, fails. The row
