Collect cancellations for a term from before it reads the states

Cause: an entry that does not own the jobs kept the first 1,024 cancellations that it learned of and dropped later ones. When it took over, cancellations that were stored after the new term had listed the states and before its core ran were dropped too, and nothing else tells the term of them.

With the limit put back, the owner in TestCancellationsDuringATakeover knows 1,024 of 2,000 cancellations.

Change: without a term nothing is kept; a term opens the collection before it lists the states and takes all of it once its core runs.

--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -269,7 +269,9 @@
 	o.now = now
 	j := o.jobs[id]
 	if j == nil {
-		o.cancelled[id] = revision // the job itself has not been read yet
+		if !o.finished[id] {
+			o.cancelled[id] = revision // the job itself has not been read yet
+		}
 		return
 	}
 	if j.revision > revision || j.outcome == JobCancelled {
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -115,12 +115,11 @@
 // Candidate takes over the ownership of all jobs when the lease is free, and acts as
 // the owner until it loses the lease.
 type Candidate struct {
-	opts     CandidateOptions
-	log      *telemetry.Logger
-	observer *lease.Observer
-	rng      *rand.Rand
-	// cancellations passes cancellations to the current term.
-	cancellations chan cancellation
+	opts          CandidateOptions
+	log           *telemetry.Logger
+	observer      *lease.Observer
+	rng           *rand.Rand
+	cancellations pendingCancellations
 	queuesChanged chan struct{}
 	// takeoverDue is set once the lease at takeoverDueRevision has expired. This
 	// candidate may then take over from takeoverDueAt on.
@@ -129,15 +128,6 @@
 	takeoverDueAt       time.Duration
 }
 
-type cancellation struct {
-	job      types.JobID
-	revision uint64
-}
-
-// maxPendingCancellations bounds the cancellations that wait for the owner. Further
-// ones are dropped; see NotifyCancelled.
-const maxPendingCancellations = 1024
-
 func leaseConfig() lease.Config {
 	return lease.Config{TTL: leaseTTL, Renewal: leaseRenewalInterval, Margin: leaseMargin, Jitter: leaseJitter, ReclaimOwnLease: true, MaxReadAge: leaseMaxReadAge, RenewalGrace: leaseRenewalGrace}
 }
@@ -148,7 +138,7 @@
 		opts: o, log: o.Telemetry.Log,
 		observer:      lease.NewObserver(leaseConfig(), jobsShard, o.VM, o.Incarnation),
 		rng:           rand.New(rand.NewPCG(uint64(o.Incarnation), 1)), //nolint:gosec // jitter
-		cancellations: make(chan cancellation, maxPendingCancellations),
+		cancellations: newPendingCancellations(),
 		queuesChanged: make(chan struct{}, 1),
 	}
 }
@@ -156,12 +146,7 @@
 // NotifyCancelled notifies the owner that a job was cancelled, with the revision of
 // its state row. It does not block.
 func (c *Candidate) NotifyCancelled(id types.JobID, revision uint64) {
-	select {
-	case c.cancellations <- cancellation{id, revision}:
-	default:
-		// Only an owner drains the channel. A term that begins later reads all
-		// states; a current one finds the cancellation when its batch conflicts.
-	}
+	c.cancellations.add(cancellation{id, revision})
 }
 
 // NotifyQueuesChanged notifies the owner that a new configuration is in effect.
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -98,6 +98,8 @@
 	ctx, end := context.WithCancel(context.WithoutCancel(parent))
 	t.ctx, t.end = ctx, end
 	defer end()
+	t.c.cancellations.setOpen(true)
+	defer t.c.cancellations.setOpen(false)
 	t.wg.Add(1)
 	go t.maintainLease(ctx)
 	if t.recoverGuarded(ctx) {
@@ -141,8 +143,13 @@
 		select {
 		case <-tick.C:
 			t.applyInput(func(*workflow.Owner) {})
-		case x := <-t.c.cancellations:
-			t.applyInput(func(o *workflow.Owner) { o.Cancel(clock.Now(), x.job, x.revision) })
+		case <-t.c.cancellations.added:
+			all := t.c.cancellations.take()
+			t.applyInput(func(o *workflow.Owner) {
+				for _, x := range all {
+					o.Cancel(clock.Now(), x.job, x.revision)
+				}
+			})
 		case <-t.c.queuesChanged:
 			t.applyInput(t.setQueues)
 		case <-parent.Done():
