--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -123,9 +123,9 @@
 func (a *Agent) Incarnation() types.Incarnation { return a.opts.Incarnation }
 
 // Announce records an announcement. It returns false for one that is out of date:
-// announcements may arrive after newer ones of the same boot or of a later boot. A
-// later boot must answer calls, or else an announcement with a mistaken start time
-// would keep out all those that follow.
+// announcements may arrive after newer ones of the same boot or of a later boot. The
+// boot that answers calls is accepted even if a later start time has been announced:
+// that time may be a mistake of another writer.
 func (a *Agent) Announce(n Announcement) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/core/workflow/advice.go
+++ b/internal/core/workflow/advice.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		if s.tickets.valid(o.now, v) != "" {
-			if v.reserved.Add(s.reservation()).Fits(v.upstream.Capacity) {
+			if v.hasRoom(s) {
 				return
 			}
 			held = true
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -154,10 +154,11 @@
 	}
 	if v.boot.Born != 0 {
 		o.recordDecision(Decision{Kind: DecisionVMLost, VM: v.id, Reason: fmt.Sprintf("%s; the lists of the new boot decide on %d starts", reason, undecided)})
-	}
-	if v.boot.Born != 0 {
 		v.fence = max(v.fence, FirstFence(o.cfg.Epoch)).NextBoot()
 	}
+	if undecided > 0 {
+		v.provenIdle = false // the boot may run them, until a list or its lease decides
+	}
 	v.boot = b
 	v.announced, v.left = false, false
 	v.reached, v.restarted, v.hadBoot = false, sameID && v.hadBoot, true
--- a/internal/core/workflow/restart_test.go
+++ b/internal/core/workflow/restart_test.go
@@ -116,6 +116,26 @@
 	}
 }
 
+// Guards against a task that waits for good: its start may have reached the next boot
+// of a worker that was gone, and that boot is never heard of again.
+func TestUndecidedStartEndsWithTheLease(t *testing.T) {
+	h, answered := restartHarness(t)
+	h.ordersAfter(Report{VM: "a", Agent: 1, Gone: true, ListSeq: answered - 1})
+	r := h.rebooted("a", FirstFence(1))
+	r.More = true // the list is not complete, so it decides nothing
+	h.ordersAfter(r)
+	end, starts := h.now+2*h.o.cfg.WorkerMaxLease, 0
+	for ; h.now < end; h.now += 500 * time.Millisecond {
+		h.seq++
+		h.o.Report(h.now, h.report("b", 0))
+		h.o.Grant("b")
+		starts += countStarts(h.o.Poll(h.now, h.now).Orders)
+	}
+	if starts != 1 {
+		t.Errorf("%d starts on the other VM within twice the longest lease, want 1", starts)
+	}
+}
+
 // Guards against a worker given up too early: a start for the earlier boot leaves the
 // new one with the longest lease that it takes, not with the one that the owner grants.
 func TestOrderForAnEarlierBootExtendsTheLease(t *testing.T) {
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -429,16 +429,6 @@
 	}
 }
 
-// restartAtOnce restarts a worker under its ID before its agent misses it.
-func (s *sim) restartAtOnce() {
-	w := s.workers[s.restartRNG.IntN(len(s.workers))]
-	if w.up && s.restartRNG.Float64() < 0.01 {
-		s.faults["worker restarts at once"]++
-		s.boot(w, w.boot.ID)
-		s.event("%s restarts at once", w.id)
-	}
-}
-
 // isolate cuts the owner off from the store, and from some workers shortly
 // before. Its successor does not reach some of the others for a while.
 func (s *sim) isolate() {
--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// restartAtOnce restarts a worker under its ID before its agent misses it.
+func (s *sim) restartAtOnce() {
+	w := s.workers[s.restartRNG.IntN(len(s.workers))]
+	if w.up && s.restartRNG.Float64() < 0.01 {
+		s.faults["worker restarts at once"]++
+		s.boot(w, w.boot.ID)
+		s.event("%s restarts at once", w.id)
+	}
+}
+
 // poll grants a lease and reports the worker's lists.
 func (s *sim) poll(w *simWorker) {
 	// A worker may wait for an end before it answers, so its lists carry the
