Keep the fault soak from signalling a process that has not started

Change: the command is replaced once it has started, under a lock.

Result: TestSignalDuringRestart reports a data race without the change and passes with it.

--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,8 +21,10 @@
 // processes that the soak itself has started, through their handles.
 type process struct {
 	name, binary, role, settings, log string
-	cmd                               *exec.Cmd
-	ended                             chan struct{}
+	// mu guards cmd: the end of a pause may come while the process is restarted.
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
 	// pausedUntil is the end of a pause of the process, in Unix nanoseconds.
 	pausedUntil atomic.Int64
 }
@@ -37,18 +40,21 @@
 	if err != nil {
 		return err
 	}
-	p.cmd = exec.CommandContext(context.Background(), p.binary, p.role)
-	p.cmd.Env = append(os.Environ(), standin.SettingsVariable+"="+p.settings)
-	p.cmd.Stdout, p.cmd.Stderr = out, out
-	if err := p.cmd.Start(); err != nil {
+	cmd := exec.CommandContext(context.Background(), p.binary, p.role)
+	cmd.Env = append(os.Environ(), standin.SettingsVariable+"="+p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
 		_ = out.Close()
 		return fmt.Errorf("process %s cannot be started: %w", p.name, err)
 	}
+	p.mu.Lock()
+	p.cmd = cmd
+	p.mu.Unlock()
 	ended := make(chan struct{})
 	p.ended = ended
 	p.pausedUntil.Store(0)
 	go func() {
-		_ = p.cmd.Wait() // the status of a killed process is not an error here
+		_ = cmd.Wait() // the status of a killed process is not an error here
 		_ = out.Close()
 		close(ended)
 	}()
@@ -56,6 +62,8 @@
 }
 
 func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	_ = p.cmd.Process.Signal(s) // the process may have ended already
 }
 
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -80,3 +81,33 @@
 		})
 	}
 }
+
+// Guards against a driver that crashes when a pause of a process ends while the process
+// is restarted (seed 31107, once): the new command had no process yet.
+func TestSignalDuringRestart(t *testing.T) {
+	p := &process{name: "sleep", binary: "sleep", role: "60", log: filepath.Join(t.TempDir(), "log")}
+	if err := p.start(); err != nil {
+		t.Fatal(err)
+	}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				p.signal(syscall.SIGCONT)
+			}
+		}
+	}()
+	for range 30 {
+		p.kill()
+		if err := p.start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(stop)
+	<-done
+	p.kill()
+}
