Keep unexpired tickets of VMs that pause, and name two fields

Cause: reading the diff showed that a request made while the only VM with a ticket pauses (for want of room, say) dropped that ticket, and that next and useful do not say of what.

Change: only expired tickets are dropped; the fields are nextWorker and usefulWorker.

Result: TestTicketsOutlastAPauseOfTheirVM fails with the earlier form.

--- a/internal/core/workflow/advice.go
+++ b/internal/core/workflow/advice.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -55,9 +56,9 @@
 	pending bool
 	// retryAt is the earliest time of the next request.
 	retryAt time.Duration
-	// next is the position among the candidate workers at which the next request
-	// begins, useful that of the last request that brought tickets.
-	next, useful int
+	// nextWorker is the position among the candidate workers at which the next
+	// request begins, usefulWorker that of the last request that brought tickets.
+	nextWorker, usefulWorker int
 	// named counts the workers in the pending request, asked those in all answered
 	// requests since the step last had no ticket.
 	named, asked int
@@ -73,6 +74,13 @@
 	return held.value
 }
 
+// dropExpired removes the expired tickets and reports whether there were any.
+func (t *tickets) dropExpired(now time.Duration) bool {
+	before := len(t.held)
+	maps.DeleteFunc(t.held, func(_ types.VMID, held ticket) bool { return now >= held.until })
+	return len(t.held) < before
+}
+
 // requestTickets adds a ticket request for a waiting step, unless a VM with a valid
 // ticket has room for one of its tasks. A request names only some of the candidate
 // workers. The next one names others, until all have been named: the policy may allow
@@ -100,9 +108,8 @@
 	}
 	if !held {
 		s.tickets.asked = 0
-		if len(s.tickets.held) > 0 { // they have expired, or their workers are gone
-			s.tickets.next = s.tickets.useful
-			clear(s.tickets.held)
+		if s.tickets.dropExpired(o.now) {
+			s.tickets.nextWorker = s.tickets.usefulWorker
 		}
 	}
 	if len(ids) == 0 || s.tickets.asked >= len(ids) {
@@ -110,8 +117,8 @@
 	}
 	s.tickets.pending = true
 	s.tickets.named = min(len(ids), maxTicketWorkers)
-	s.tickets.next %= len(ids)
-	workers := slices.Concat(ids[s.tickets.next:], ids[:s.tickets.next])[:s.tickets.named]
+	s.tickets.nextWorker %= len(ids)
+	workers := slices.Concat(ids[s.tickets.nextWorker:], ids[:s.tickets.nextWorker])[:s.tickets.named]
 	key := TaskKey{Job: s.job.spec.ID, Occurrence: s.occurrence.number, Step: s.index}
 	o.ticketRequests = append(o.ticketRequests, TicketRequest{Step: key, Workers: workers})
 }
@@ -133,11 +140,11 @@
 	for _, v := range o.vmOrder {
 		if value, ok := r.Tickets[v.boot.ID]; ok && v.boot.ID != "" {
 			held.held[v.id] = ticket{value: value, boot: v.boot.ID, until: now + r.Valid - ticketMargin}
-			held.useful = held.next
+			held.usefulWorker = held.nextWorker
 		}
 	}
 	if r.Tickets != nil {
-		held.next += held.named
+		held.nextWorker += held.named
 		held.asked += held.named
 	}
 	o.placeDue = true
--- a/internal/core/workflow/advice_test.go
+++ b/internal/core/workflow/advice_test.go
@@ -82,3 +82,18 @@
 		})
 	}
 }
+
+// Guards against tickets that are lost while their VM cannot be used for a moment.
+func TestTicketsOutlastAPauseOfTheirVM(t *testing.T) {
+	h := newHarness(t, 2, nil)
+	h.o.SetQueues(map[string]Queue{"q": {Name: "q", Service: "svc", MaxAttempts: 3, Advised: true}})
+	h.step(100 * time.Millisecond)
+	h.submit("j", Step{Tasks: 1, Demand: types.Resources{MilliCPU: 1000}, RunTime: time.Minute})
+	q := h.ticketRequest()
+	h.o.Advised(h.now, TicketResponse{Step: q.Step, Tickets: map[string]string{"a": "t"}, Valid: 5 * time.Second})
+	h.o.vms["a"].noRoomUntil = h.now + time.Second
+	h.overTarget(2 * time.Second)
+	if n := len(h.running["a"]); n != 1 {
+		t.Errorf("%d tasks run on the VM with the ticket after its pause, want 1", n)
+	}
+}
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -66,8 +66,7 @@
 
 type sim struct {
 	rng *rand.Rand
-	// restartRNG draws the restarts without downtime, so that the other faults of
-	// a seed stay the same.
+	// restartRNG draws restarts without downtime apart from the seed's other faults.
 	restartRNG     *rand.Rand
 	mutant         mutant
 	now            time.Duration
