Make the test of the last resort fail without its rule

Cause: TestQuarantinedWorkerIsTheLastResort passed with the rule for last attempts removed: its filler jobs took the quarantined worker, and the task had ended before it was looked for.

Change: the filler jobs need a label of the other VMs, the test asserts that the worker is idle and due for a probe, and it counts starts. No product code changes.

Result: the test fails with the rule removed and passes with it.

--- a/internal/core/workflow/quarantine_test.go
+++ b/internal/core/workflow/quarantine_test.go
@@ -13,7 +13,7 @@
 func quarantineHarness(t *testing.T) *harness {
 	t.Helper()
 	h := newHarness(t, 3, nil)
-	h.labels = map[types.VMID][]string{"b": {"only-b"}}
+	h.labels = map[types.VMID][]string{"a": {"not-b"}, "b": {"only-b"}, "c": {"not-b"}}
 	h.o.SetQueues(map[string]Queue{
 		"q":   {Name: "q", Service: "svc", MaxAttempts: 8},
 		"one": {Name: "one", Service: "svc", MaxAttempts: 1},
@@ -103,14 +103,18 @@
 		t.Errorf("%d standing tasks run on the quarantined worker although others have room", n)
 	}
 	full := batchStep(2)
-	full.Demand.MilliCPU, full.RunTime = harnessMilliCPU-6000, time.Minute
+	full.Demand.MilliCPU, full.RunTime, full.Label = harnessMilliCPU-6000, time.Minute, "not-b"
 	h.submitTo("q", "full", full)
 	h.overTarget(500 * time.Millisecond)
+	if b := h.o.vms["b"]; !b.quarantined || !b.probeDue || len(b.tasks) > 0 {
+		t.Fatal("the quarantined worker is not idle and due for a probe")
+	}
 	last := batchStep(1)
 	last.Demand.MilliCPU = harnessMilliCPU
+	before := h.starts["b"]
 	h.submitTo("one", "last", last)
 	h.overTarget(time.Second)
-	if h.vmOf(TaskKey{Job: "last"}) == "b" {
+	if h.starts["b"] > before {
 		t.Error("the last attempt of a task runs on the quarantined worker although other VMs may take it later")
 	}
 }
