workflow: request tickets for the tasks that placement leaves waiting

Cause: requestTickets asked for nothing while any worker with a ticket had room, without the limit per VM, and began again at the workers that had last brought a ticket. The record of the policy service shows the same 30 workers and one useless ticket every 3 s.

Change: tickets are requested after a placement pass, for steps of which tasks still wait; a request names the workers that could take such a task but for a ticket, and answers are kept for each boot, refusals for 30 s. Event 549 reports each answer. Gangs and wide steps that need more workers than one answer allows waited in the same way, without any disruption.

--- a/internal/core/workflow/advice.go
+++ b/internal/core/workflow/advice.go
@@ -1,7 +1,7 @@
 package workflow
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,12 +12,16 @@
 	// maxTicketWorkers limits the workers in a ticket request. The policy
 	// service takes time for each.
 	maxTicketWorkers = 30
-	// ticketRetryInterval is the pause after a ticket request that got no
-	// answer, or an answer without a usable worker.
+	// ticketRetryInterval is the pause after a ticket request that got no usable
+	// answer, and after a worker has rejected a ticket.
 	ticketRetryInterval = 500 * time.Millisecond
 	// ticketMargin is subtracted from the validity of tickets, since a start
-	// takes time to reach the worker.
+	// takes time to reach the worker. It is at most half of the validity.
 	ticketMargin = 300 * time.Millisecond
+	// refusalLifetime is how long a worker to which the policy service gave no
+	// ticket is not named again. The policy does not change, but the service may
+	// not have known the worker yet.
+	refusalLifetime = 30 * time.Second
 )
 
 // TicketRequest asks the policy service for tickets: which workers may run a
@@ -40,87 +44,128 @@
 	Valid time.Duration
 }
 
-// ticket permits one boot of a VM's worker to run the tasks of a step.
+// ticket is the last answer of the policy service about one boot of a VM's worker.
 type ticket struct {
+	boot Boot
+	// value permits the boot to run the tasks of the step; it is empty if the policy
+	// does not allow that.
 	value string
-	boot  string
+	// until is the time from which the answer is no longer used.
 	until time.Duration
 }
 
 // tickets holds the tickets of a step and the state of its request to the
 // policy service.
 type tickets struct {
-	// held maps VMs to their tickets.
-	held map[types.VMID]ticket
-	// pending: a request has been sent and has not been answered yet.
-	pending bool
+	// answers maps VMs to the last answer about their workers.
+	answers map[types.VMID]ticket
+	// pending holds the boots named in the request that has not been answered yet;
+	// nil if there is none.
+	pending map[types.VMID]Boot
 	// retryAt is the earliest time of the next request.
 	retryAt time.Duration
-	// nextWorker is the position among the candidate workers at which the next
-	// request begins, usefulWorker that of the last request that brought tickets.
-	nextWorker, usefulWorker int
-	// named counts the workers in the pending request, asked those in all answered
-	// requests since the step last had no ticket.
-	named, asked int
+}
+
+// answer returns the answer about the current boot of a VM's worker, and false if
+// there is none that can still be used.
+func (t *tickets) answer(now time.Duration, v *vm) (ticket, bool) {
+	a, ok := t.answers[v.id]
+	return a, ok && a.boot == v.boot && now < a.until
 }
 
 // valid returns the unexpired ticket for the current boot of a VM's worker, or
 // the empty string.
 func (t *tickets) valid(now time.Duration, v *vm) string {
-	held, ok := t.held[v.id]
-	if !ok || held.boot != v.boot.ID || now >= held.until {
+	a, ok := t.answer(now, v)
+	if !ok {
 		return ""
 	}
-	return held.value
+	return a.value
+}
+
+// refused reports whether the last answer about the current boot of a VM's worker,
+// however old, was that it may not run the step.
+func (t *tickets) refused(v *vm) bool {
+	a, ok := t.answers[v.id]
+	return ok && a.boot == v.boot && a.value == ""
 }
 
-// dropExpired removes the expired tickets and reports whether there were any.
-func (t *tickets) dropExpired(now time.Duration) bool {
-	before := len(t.held)
-	maps.DeleteFunc(t.held, func(_ types.VMID, held ticket) bool { return now >= held.until })
-	return len(t.held) < before
+// reject drops the ticket of a VM whose worker has rejected it.
+func (t *tickets) reject(now time.Duration, v *vm) {
+	delete(t.answers, v.id)
+	t.retryAt = now + ticketRetryInterval
 }
 
-// requestTickets adds a ticket request for a waiting step, unless a VM with a valid
-// ticket has room for one of its tasks. A request names only some of the candidate
-// workers. The next one names others, until all have been named: the policy may allow
-// only workers that are full or gone among those named first.
+// ticketRank orders the workers in a ticket request; lower ranks are named first.
+type ticketRank int
+
+const (
+	// rankRoom is a worker with room for a task, rankNoRoom one that may take a task
+	// later, and rankRefused one to which the service gave no ticket some time ago.
+	rankRoom ticketRank = iota
+	rankNoRoom
+	rankRefused
+)
+
+// requestTickets adds a ticket request for a step of which tasks still wait after a
+// placement pass. It names the workers that could take one of them but for a ticket,
+// and about which there is no answer. Placement alone decides whether the tickets at
+// hand suffice, so a ticket that the waiting tasks cannot use never keeps others from
+// being requested.
 func (o *Owner) requestTickets(s *step) {
-	if s.tickets.pending || o.now < s.tickets.retryAt {
+	if s.tickets.pending != nil || o.now < s.tickets.retryAt {
 		return
 	}
-	service := o.queueOf(s.job).Service
-	var ids []string
-	held := false
-	for _, v := range o.vmOrder {
-		if v.upstream.Service != service || !o.usable(v) || v.quarantined && !o.probeFree(v) || v.boot.ID == "" {
-			continue
-		}
-		if s.tickets.valid(o.now, v) != "" {
-			if v.hasRoom(s) {
-				return
-			}
-			held = true
-		}
-		if s.spec.Label == "" || v.hasLabel(s.spec.Label) {
-			ids = append(ids, v.boot.ID)
-		}
+	i := slices.IndexFunc(s.tasks, func(t task) bool { return t.phase == phaseWaiting && o.now >= t.notBefore })
+	if i < 0 {
+		return
+	}
+	t := &s.tasks[i]
+	type candidate struct {
+		vm    *vm
+		rank  ticketRank
+		score float64
 	}
-	if !held {
-		s.tickets.asked = 0
-		if s.tickets.dropExpired(o.now) {
-			s.tickets.nextWorker = s.tickets.usefulWorker
+	var candidates []candidate
+	for _, v := range o.vmOrder {
+		if rank, ok := o.ticketRank(t, v); ok {
+			candidates = append(candidates, candidate{v, rank, o.score(t, v)})
 		}
 	}
-	if len(ids) == 0 || s.tickets.asked >= len(ids) {
+	if len(candidates) == 0 {
 		return
 	}
-	s.tickets.pending = true
-	s.tickets.named = min(len(ids), maxTicketWorkers)
-	s.tickets.nextWorker %= len(ids)
-	workers := slices.Concat(ids[s.tickets.nextWorker:], ids[:s.tickets.nextWorker])[:s.tickets.named]
-	key := TaskKey{Job: s.job.spec.ID, Occurrence: s.occurrence.number, Step: s.index}
-	o.ticketRequests = append(o.ticketRequests, TicketRequest{Step: key, Workers: workers})
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.score, b.score))
+	})
+	candidates = candidates[:min(len(candidates), maxTicketWorkers)]
+	request := TicketRequest{Step: TaskKey{Job: s.job.spec.ID, Occurrence: s.occurrence.number, Step: s.index}}
+	s.tickets.pending = make(map[types.VMID]Boot, len(candidates))
+	for _, c := range candidates {
+		s.tickets.pending[c.vm.id] = c.vm.boot
+		request.Workers = append(request.Workers, c.vm.boot.ID)
+	}
+	o.ticketRequests = append(o.ticketRequests, request)
+}
+
+// ticketRank returns the rank of a VM's worker in a ticket request for a waiting task,
+// and false if the request need not name it.
+func (o *Owner) ticketRank(t *task, v *vm) (ticketRank, bool) {
+	s := t.step
+	if v.upstream.Service != o.queueOf(s.job).Service || !o.usable(v) || v.quarantined && !o.probeFree(v) || v.boot.ID == "" || o.mismatch(t, v) != "" {
+		return 0, false
+	}
+	_, answered := s.tickets.answer(o.now, v)
+	switch {
+	case answered:
+		return 0, false
+	case s.tickets.refused(v):
+		return rankRefused, true
+	case o.avoids(t, v), v.quarantined && !o.mayProbe(t, v), !v.hasRoom(s), s.spec.Fills && !o.mayFill(s.spec, v):
+		return rankNoRoom, true
+	default:
+		return rankRoom, true
+	}
 }
 
 // Advised applies the answer to a ticket request. r.Tickets is nil if the
@@ -132,20 +177,21 @@
 		return
 	}
 	held := &t.step.tickets
-	held.pending = false
-	held.retryAt = now + ticketRetryInterval
-	if held.held == nil {
-		held.held = make(map[types.VMID]ticket)
+	pending := held.pending
+	held.pending = nil
+	if r.Tickets == nil || r.Valid <= 0 {
+		held.retryAt = now + ticketRetryInterval
+		return
 	}
-	for _, v := range o.vmOrder {
-		if value, ok := r.Tickets[v.boot.ID]; ok && v.boot.ID != "" {
-			held.held[v.id] = ticket{value: value, boot: v.boot.ID, until: now + r.Valid - ticketMargin}
-			held.usefulWorker = held.nextWorker
-		}
+	if held.answers == nil {
+		held.answers = make(map[types.VMID]ticket)
 	}
-	if r.Tickets != nil {
-		held.nextWorker += held.named
-		held.asked += held.named
+	for id, boot := range pending {
+		a := ticket{boot: boot, value: r.Tickets[boot.ID], until: now + refusalLifetime}
+		if a.value != "" {
+			a.until = now + r.Valid - min(ticketMargin, r.Valid/2)
+		}
+		held.answers[id] = a
 	}
 	o.placeDue = true
 }
--- a/internal/core/workflow/load_test.go
+++ b/internal/core/workflow/load_test.go
@@ -27,6 +27,7 @@
 	speed   map[types.VMID]float64
 	running map[types.VMID]map[TaskKey]*harnessRun
 	labels  map[types.VMID][]string
+	racks   map[types.VMID]types.Rack
 	starts  map[types.VMID]int
 	ends    uint64
 	// requests are the ticket requests of the last steps.
@@ -131,7 +132,7 @@
 	boot := Boot{ID: string(vm), Born: 1}
 	r := Report{
 		VM: vm, Agent: 1, Fence: FirstFence(1), Boot: boot, Clock: h.now, ListSeq: h.seq,
-		Upstream: &Upstream{Boot: boot, Service: "svc", Labels: h.labels[vm], Capacity: types.Resources{MilliCPU: harnessMilliCPU, MemoryBytes: 1 << 40}},
+		Upstream: &Upstream{Boot: boot, Service: "svc", Rack: h.racks[vm], Labels: h.labels[vm], Capacity: types.Resources{MilliCPU: harnessMilliCPU, MemoryBytes: 1 << 40}},
 	}
 	for key, run := range h.running[vm] {
 		entry := Run{Task: key, Run: run.run}
--- a/internal/core/workflow/orders.go
+++ b/internal/core/workflow/orders.go
@@ -64,7 +64,7 @@
 			o.stop(t)
 		}
 	case ResultNoTicket:
-		delete(t.step.tickets.held, t.vm.id)
+		t.step.tickets.reject(o.now, t.vm)
 		o.requeue(t, r.Result.String())
 	case ResultNoRoom:
 		t.vm.noRoomUntil = o.now + noRoomBackoff
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -71,14 +71,14 @@
 		if s.live > 0 {
 			s.idleSince = o.now
 		}
-		if o.queueOf(s.job).Advised {
-			o.requestTickets(s)
-		}
 		if s.spec.Gang {
 			o.placeGang(s)
-			continue
+		} else {
+			o.placeStep(s)
+		}
+		if o.queueOf(s.job).Advised {
+			o.requestTickets(s)
 		}
-		o.placeStep(s)
 	}
 }
 
@@ -343,10 +343,17 @@
 // requirement returns which requirement of a task a VM does not meet; empty if it
 // meets all.
 func (o *Owner) requirement(t *task, v *vm) string {
+	if o.queueOf(t.step.job).Advised && t.step.tickets.valid(o.now, v) == "" {
+		return "no ticket"
+	}
+	return o.mismatch(t, v)
+}
+
+// mismatch returns which requirement of a task, apart from a ticket, a VM does not
+// meet; empty if it meets all.
+func (o *Owner) mismatch(t *task, v *vm) string {
 	s := t.step
 	switch {
-	case o.queueOf(s.job).Advised && s.tickets.valid(o.now, v) == "":
-		return "no ticket"
 	case s.spec.Label != "" && !v.hasLabel(s.spec.Label):
 		return "label"
 	case s.spec.MaxPerVM > 0 && s.perVM[v.id] >= s.spec.MaxPerVM:
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -65,6 +65,8 @@
 		"The table does not answer. Until the workers' leases expire, running tasks continue and the owner starts further tasks of known jobs. Fields: epoch; age, the time since the owner's lease ceased to be valid.")
 	eventAdviceFailed = telemetry.Define(546, logrus.WarnLevel, "policy service gives no advice",
 		"The step's tasks wait until it answers. Fields: step, workers. Check the service and the network path to it.")
+	eventTicketsReceived = telemetry.Define(549, logrus.InfoLevel, "policy service has answered",
+		"The tasks of the step may start on the workers that got a ticket. Fields: step; workers, the number of workers named in the request; tickets; ms. If a step of which tasks wait (659) is not named for long, or no ticket comes for any worker, check its queue's policy.")
 	eventOwnerPanicked = telemetry.Define(548, logrus.ErrorLevel, "owner of jobs has panicked",
 		"The owner had an unexpected error and gives up the ownership; this entry continues to serve callers. Running tasks continue under their leases, and the next owner reads the rows again. Report the stack. If every owner panics, cancel the job that was submitted last before the first such event. Fields: epoch, stack.")
 	eventLeaseRestored = telemetry.Define(545, logrus.InfoLevel, "lease of jobs is renewed again",
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -243,11 +243,16 @@
 			defer t.wg.Done()
 			advice := workflow.TicketResponse{Step: q.Step}
 			err := errors.New("no policy service is set in the settings")
+			begin := time.Now()
 			if t.c.opts.Advisor != nil {
 				advice, err = t.c.opts.Advisor.Advise(context.Background(), q)
 			}
 			if err != nil {
 				t.log.Log(eventAdviceFailed, err, telemetry.Fields{"step": q.Step.String(), "workers": len(q.Workers)})
+			} else {
+				t.log.Log(eventTicketsReceived, nil, telemetry.Fields{
+					"step": q.Step.String(), "workers": len(q.Workers), "tickets": len(advice.Tickets), "ms": time.Since(begin).Milliseconds(),
+				})
 			}
 			t.applyInput(func(o *workflow.Owner) { o.Advised(clock.Now(), advice) })
 		}()
