shard: place a task elsewhere while it waits for an eviction

Cause: a task for which an eviction frees capacity was placed on that VM or not at all. If the victim's checkpoint does not come, it waited for up to EvictTimeout (30 s), although another VM had become free meanwhile.

Change: while the held capacity is not free, a task that is not part of an unstarted gang takes a VM that has room without evictions; that releases the hold.

Result: TestHeldTaskTakesAFreeVM failed before (pending after 2.3 s) and passes now; the searches and random walks of the package pass.

--- a/internal/core/shard/owner_test.go
+++ b/internal/core/shard/owner_test.go
@@ -67,6 +67,34 @@
 	s.wantTask("low/0", task.Running, 2)
 }
 
+// Load: urgent work on a full shard. Guards against an urgent task that waits for an
+// eviction, up to EvictTimeout, although another VM has become free.
+func TestHeldTaskTakesAFreeVM(t *testing.T) {
+	s := newSim(t, 2, 4)
+	s.run(2 * time.Second)
+	s.submit(job("low", 2, 4))
+	s.run(3 * time.Second)
+	victim := s.workers[0]
+	victim.ignoresCheckpoints = true
+	urgent := job("high", 1, 4)
+	urgent.Urgent = true
+	s.submit(urgent)
+	s.run(time.Second)
+	if held := s.owner.tasks["high/0"].heldOn; held == nil || held.vm.ID != victim.vm {
+		t.Fatalf("the urgent task is not held on %s: %+v", victim.vm, held)
+	}
+	for _, tr := range s.workers[1].tasks {
+		tr.Phase = PhaseDone
+	}
+	s.run(2300 * time.Millisecond)
+	if r := s.wantTask("high/0", task.Running, 1); r.VM != s.workers[1].vm {
+		t.Errorf("the urgent task runs on %s, want %s", r.VM, s.workers[1].vm)
+	}
+	if held := s.owner.vms[victim.vm].held; !held.IsZero() {
+		t.Errorf("%+v are still held for the task that runs elsewhere", held)
+	}
+}
+
 // Guards against placing only a part of a gang.
 func TestGangAllOrNone(t *testing.T) {
 	s := newSim(t, 2, 4)
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -54,6 +54,9 @@
 		return o.placeGang(now, t.job)
 	}
 	d, ok := o.decide(t)
+	if !ok && t.heldOn != nil {
+		d, ok = o.decideWithoutHold(t)
+	}
 	if !ok {
 		return false
 	}
@@ -203,13 +206,7 @@
 	if v := t.heldOn; v != nil {
 		return o.useHold(t, v)
 	}
-	demand := Demand{
-		Now: o.now, Task: t.row.Task, Job: &t.job.row.Job, Waiting: t.job.countWaiting(), Failures: t.row.Failures, LastVM: t.row.VM,
-	}
-	if o.now < t.avoidUntil {
-		demand.Avoid = t.avoidVM
-	}
-	d := o.placer.Place(demand, o.candidates)
+	d := o.placer.Place(o.demand(t), o.candidates)
 	if d.Infeasible != "" {
 		o.apply(t, task.Event{Kind: task.EventInfeasible, Reason: d.Infeasible})
 		return d, false
@@ -221,6 +218,26 @@
 	return d, true
 }
 
+// demand returns the placer's view of a waiting task.
+func (o *Owner) demand(t *taskState) Demand {
+	d := Demand{
+		Now: o.now, Task: t.row.Task, Job: &t.job.row.Job, Waiting: t.job.countWaiting(), Failures: t.row.Failures, LastVM: t.row.VM,
+	}
+	if o.now < t.avoidUntil {
+		d.Avoid = t.avoidVM
+	}
+	return d
+}
+
+// decideWithoutHold returns a VM that has room now for a task whose held capacity is
+// not free yet. The evictions there may take until EvictTimeout; binding the task
+// releases the hold.
+func (o *Owner) decideWithoutHold(t *taskState) (Decision, bool) {
+	d := o.placer.Place(o.demand(t), o.candidates)
+	v := o.vms[d.VM]
+	return d, d.Infeasible == "" && len(d.Evict) == 0 && v != nil && o.acceptsWork(v)
+}
+
 // useHold returns the VM on which capacity is held for the task, and reports
 // whether the evictions have freed that capacity. The hold is released if the
 // VM no longer accepts work.
--- a/internal/core/shard/sim_test.go
+++ b/internal/core/shard/sim_test.go
@@ -153,6 +153,8 @@
 	// onStart changes the initial state of an attempt; if nil, the attempt
 	// runs.
 	onStart func(*TaskReport)
+	// ignoresCheckpoints: the worker never saves a checkpoint.
+	ignoresCheckpoints bool
 }
 
 func newSimWorker(cfg Config, vm types.VMID, i types.Incarnation) *simWorker {
@@ -246,7 +248,7 @@
 			tr.Phase = PhaseStopped
 		}
 	case CommandCheckpoint:
-		if tr != nil && !tr.Phase.terminal() {
+		if tr != nil && !tr.Phase.terminal() && !w.ignoresCheckpoints {
 			tr.Checkpoint = c.Checkpoint
 		}
 	case CommandForget:
