faultsoak: workers that restart behind a silent network and are cut off

Cause: on the users' machines tasks ran twice when workers came back under their IDs, took calls for their earlier lives and were cut off soon after. The soak had no such series, and its cuts did not reach agents.

Change: with -silentrestarts about half of the workers restart under their IDs while calls to them are held, which the new boot then receives; in half of the series the owner is killed; then the agents are cut off from owners and the store for 5 to 14 s, while they go on calling their workers. The stand-in store rewrites the addresses of agents to those of proxies. The checker also reports a start after an end as done that is acknowledged. The longest lease is an option.

--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -21,25 +21,38 @@
 	service = "svc"
 	// largeJobTasks is the number of tasks of a job whose progress takes several rows.
 	largeJobTasks = 120
+	// longRunTime is longer than any lease.
+	longRunTime = 12 * time.Second
 	// callTimeout is how long a caller waits for a response.
 	callTimeout = 4 * time.Second
 )
 
 // runChecker counts the runs that the workers record and checks that no task
-// runs twice at the same time.
+// runs twice at the same time, or starts again after an end as done that is
+// acknowledged.
 type runChecker struct {
 	mu         sync.Mutex
 	running    map[string]int
 	done       map[string]int
 	starts     int
 	violations []string
+	// doneRuns holds the runs of each task that have ended as done.
+	doneRuns map[string][]doneRun
 	// twice holds the tasks that have had two runs at the same time. Their further
 	// events are reported, which shows how the runs ended.
 	twice map[string]bool
 }
 
+// doneRun is a run that has ended as done. The task may start again only if the end is
+// never acknowledged: the worker's lease has expired before.
+type doneRun struct {
+	run                     uint64
+	acknowledged, restarted bool
+}
+
 func (w *runChecker) reset() {
 	w.running, w.done, w.twice = make(map[string]int), make(map[string]int), make(map[string]bool)
+	w.doneRuns = make(map[string][]doneRun)
 }
 
 // record implements standin.WorkerOptions.Record. Every event other than start
@@ -51,7 +64,18 @@
 	if w.twice[task] {
 		w.violations = append(w.violations, fmt.Sprintf("%s task %s run %d: %s", now, task, run, event))
 	}
+	for i := range w.doneRuns[task] {
+		d := &w.doneRuns[task][i]
+		d.acknowledged = d.acknowledged || event == "noted" && d.run == run
+		d.restarted = d.restarted || event == "start"
+		if d.acknowledged && d.restarted && !w.twice[task] {
+			w.twice[task] = true
+			w.violations = append(w.violations, fmt.Sprintf("%s task %s run %d: %s, so that it started again although the end of run %d as done is acknowledged", now, task, run, event, d.run))
+		}
+	}
 	switch event {
+	case "noted":
+		return
 	case "start":
 		w.starts++
 		w.running[task]++
@@ -62,6 +86,7 @@
 		return
 	case "done":
 		w.done[task]++
+		w.doneRuns[task] = append(w.doneRuns[task], doneRun{run: run})
 	}
 	w.running[task]--
 }
@@ -186,11 +211,18 @@
 			label = labelOfOne
 		}
 	}
-	step := standin.Step{Tasks: first, MilliCPU: 4000 / 8, RunTime: run, Checkpoints: true, Label: label}
+	size := int64(4000 / 8)
+	if j.w.opts.SilentRestarts {
+		size = 4000 / 40
+		if rng.IntN(3) == 0 {
+			run = longRunTime
+		}
+	}
+	step := standin.Step{Tasks: first, MilliCPU: size, RunTime: run, Checkpoints: true, Label: label}
 	if first == largeJobTasks {
 		step.MilliCPU = 20
 	}
-	last := standin.Step{Tasks: 1, MilliCPU: 500, RunTime: run, After: []int{0}}
+	last := standin.Step{Tasks: 1, MilliCPU: size, RunTime: run, After: []int{0}}
 	return standin.Job(run.String(), step, last), first + 1
 }
 
--- a/internal/faultsoak/cmd/main.go
+++ b/internal/faultsoak/cmd/main.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/faultsoak"
+	"github.com/boragecrank/boragecrank/platform/standin"
 )
 
 func main() {
@@ -26,11 +27,16 @@
 	workers := flag.Int("workers", 4, "number of workers, each with an agent process")
 	rate := flag.Float64("jobs", 4, "jobs submitted per second")
 	workerFaults := flag.Bool("workerfaults", true, "also restart workers and let them fail tasks")
+	silentRestarts := flag.String("silentrestarts", "off", "workers that restart behind a silent network and are cut off soon after: off, also, or only (no other faults)")
+	maxLease := flag.Duration("maxlease", standin.DefaultMaxLease, "longest lease of a worker")
 	rowBytes := flag.Int("rowbytes", 0, "maximum size of a value in the store, 0 for one that divides the progress of large jobs")
 	binary := flag.String("binary", "bin/boragecrank", "path of the product's binary")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := runAll(ctx, *first, *seeds, faultsoak.Options{Binary: *binary, Entries: *entries, Workers: *workers, Faults: *faults, WorkerFaults: *workerFaults, RowBytes: *rowBytes, JobsPerSecond: *rate})
+	code := runAll(ctx, *first, *seeds, faultsoak.Options{
+		Binary: *binary, Entries: *entries, Workers: *workers, Faults: *faults, WorkerFaults: *workerFaults, RowBytes: *rowBytes, JobsPerSecond: *rate,
+		SilentRestarts: *silentRestarts != "off", OnlySilentRestarts: *silentRestarts == "only", MaxLease: *maxLease,
+	})
 	stop()
 	os.Exit(code)
 }
--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -29,10 +29,13 @@
 	// silent drops the data in both directions and leaves connections open.
 	silent
 	modeCount
+	// hold keeps the data of both directions, and new connections, until the mode
+	// changes, even if their senders have given up by then. It is not drawn at random.
+	hold
 )
 
 func (m mode) String() string {
-	return [...]string{"pass", "delay", "reset", "one-way", "silent"}[m]
+	return [...]string{"pass", "delay", "reset", "one-way", "silent", "", "hold"}[m]
 }
 
 // proxyDelay is the delay of each chunk of data in mode delay.
@@ -44,7 +47,9 @@
 	listener net.Listener
 	mu       sync.Mutex
 	mode     mode
-	conns    map[net.Conn]bool
+	// changed is closed and replaced when the mode changes.
+	changed chan struct{}
+	conns   map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -52,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: l, conns: make(map[net.Conn]bool)}
+	p := &proxy{target: target, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -69,18 +74,14 @@
 	}
 }
 
-func (p *proxy) currentMode() mode {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.mode
-}
-
 // setMode changes the mode. A connection that has lost data in a direction
 // stays silent in that direction, because its data stream has a gap.
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	close(p.changed)
+	p.changed = make(chan struct{})
 	if m != reset {
 		return
 	}
@@ -89,9 +90,22 @@
 	}
 }
 
+// awaitRelease waits while the mode is hold and returns the mode after it.
+func (p *proxy) awaitRelease() mode {
+	for {
+		p.mu.Lock()
+		m, changed := p.mode, p.changed
+		p.mu.Unlock()
+		if m != hold {
+			return m
+		}
+		<-changed
+	}
+}
+
 func (p *proxy) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	if p.currentMode() == reset {
+	if p.awaitRelease() == reset {
 		return
 	}
 	s, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", p.target)
@@ -120,10 +134,11 @@
 	dropping := false
 	for {
 		n, err := from.Read(buffer)
+		m := p.awaitRelease()
 		if err != nil {
-			return
+			return // a closed connection is not noticed before the release either
 		}
-		switch m := p.currentMode(); {
+		switch {
 		case m == delay:
 			time.Sleep(proxyDelay)
 		case m == silent, m == oneWay && fromServer:
@@ -138,4 +153,7 @@
 	}
 }
 
-func (p *proxy) close() { _ = p.listener.Close() }
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.setMode(reset)
+}
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -1,11 +1,14 @@
 package faultsoak
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +30,12 @@
 	Faults time.Duration
 	// WorkerFaults adds restarts and failures of workers.
 	WorkerFaults bool
+	// SilentRestarts adds workers that restart under their IDs behind a silent network
+	// and are cut off soon after, and long tasks. OnlySilentRestarts leaves out all
+	// other faults.
+	SilentRestarts, OnlySilentRestarts bool
+	// MaxLease is the longest lease of a worker; 0 means standin.DefaultMaxLease.
+	MaxLease time.Duration
 	// RowBytes is the maximum size of a value in the store; 0 means defaultRowBytes.
 	RowBytes int
 	// JobsPerSecond is the number of jobs submitted per second.
@@ -61,21 +70,30 @@
 
 // soakRun is the state of one run.
 type soakRun struct {
-	opts            Options
-	rng             *rand.Rand
-	workerRNG       *rand.Rand
-	store           *standin.Store
-	entries         []*process
-	agents          []*process
-	workers         []*soakWorker
-	proxies         []*proxy
+	opts      Options
+	rng       *rand.Rand
+	workerRNG *rand.Rand
+	store     *standin.Store
+	entries   []*process
+	agents    []*process
+	workers   []*soakWorker
+	proxies   []*proxy
+	// agentProxies carry the calls of owners to each agent and those of the agent to
+	// the store.
+	agentProxies    [][]*proxy
 	callerAddresses []string
-	closers         []func()
-	runChecker      runChecker
-	jobClient       *jobClient
-	res             Result
-	resMu           sync.Mutex
-	pendingUndos    sync.WaitGroup
+	// entryAddresses are the IP addresses of the entries.
+	entryAddresses []string
+	// agentAddresses maps the addresses of agents to those of the proxies in front. It
+	// is guarded by addressesMu.
+	agentAddresses map[string]string
+	addressesMu    sync.Mutex
+	closers        []func()
+	runChecker     runChecker
+	jobClient      *jobClient
+	res            Result
+	resMu          sync.Mutex
+	pendingUndos   sync.WaitGroup
 }
 
 // Run performs a run with one seed.
@@ -101,7 +119,15 @@
 		defer submitting.Done()
 		w.jobClient.submitAll(submitCtx)
 	}()
+	silent := make(chan struct{})
+	go func() {
+		defer close(silent)
+		if o.SilentRestarts {
+			newSilentRestarts(w).run(ctx, time.Now().Add(o.Faults))
+		}
+	}()
 	w.injectFaults(ctx)
+	<-silent
 	stop()
 	submitting.Wait()
 	w.pendingUndos.Wait()
@@ -130,6 +156,8 @@
 		return err
 	}
 	store := strings.TrimPrefix(server.URL, "http://")
+	w.agentAddresses = make(map[string]string)
+	w.store.SetRewrite(w.rewriteAgentAddress)
 	for i := range w.opts.Entries {
 		if err := w.addEntry(store, i); err != nil {
 			return err
@@ -143,30 +171,45 @@
 	return nil
 }
 
-// addProxy starts a proxy in front of a target and returns its address.
-func (w *soakRun) addProxy(target string) (string, error) {
+// addProxy starts a proxy in front of a target. It is subject to random faults if
+// drawn is set.
+func (w *soakRun) addProxy(target string, drawn bool) (*proxy, error) {
 	p, err := newProxy(target)
 	if err != nil {
-		return "", err
+		return nil, err
+	}
+	if drawn {
+		w.proxies = append(w.proxies, p)
 	}
-	w.proxies = append(w.proxies, p)
 	w.closers = append(w.closers, p.close)
-	return p.address(), nil
+	return p, nil
+}
+
+// rewriteAgentAddress replaces the address of an agent in a stored row by that of the
+// proxy in front of it.
+func (w *soakRun) rewriteAgentAddress(value []byte) []byte {
+	w.addressesMu.Lock()
+	defer w.addressesMu.Unlock()
+	for agent, p := range w.agentAddresses {
+		value = bytes.ReplaceAll(value, []byte(`"`+agent+`"`), []byte(`"`+p+`"`))
+	}
+	return value
 }
 
 func (w *soakRun) addEntry(store string, i int) error {
-	proxyAddress, err := w.addProxy(store)
+	storeProxy, err := w.addProxy(store, true)
 	if err != nil {
 		return err
 	}
-	settings := standin.NewLocalVM().EntryOptions(fmt.Sprintf("entry-%d", i), proxyAddress)
-	settings.RowBytes = w.opts.RowBytes
+	settings := standin.NewLocalVM().EntryOptions(fmt.Sprintf("entry-%d", i), storeProxy.address())
+	settings.RowBytes, settings.MaxLease = w.opts.RowBytes, w.opts.MaxLease
 	p, err := newProcess(w.opts.Dir, w.opts.Binary, "jobs-entry", settings)
 	if err != nil {
 		return err
 	}
 	w.entries = append(w.entries, p)
 	w.callerAddresses = append(w.callerAddresses, settings.CallerAPI)
+	w.entryAddresses = append(w.entryAddresses, settings.IP)
 	return p.start()
 }
 
@@ -174,19 +217,33 @@
 func (w *soakRun) addWorker(store string, i int) error {
 	vm := standin.NewLocalVM()
 	app := vm.WorkerAddress()
-	proxyAddress, err := w.addProxy(app)
+	workerProxy, err := w.addProxy(app, true)
 	if err != nil {
 		return err
 	}
-	settings := vm.AgentOptions(fmt.Sprintf("agent-%d", i), store, service, proxyAddress)
+	storeProxy, err := w.addProxy(store, false)
+	if err != nil {
+		return err
+	}
+	settings := vm.AgentOptions(fmt.Sprintf("agent-%d", i), storeProxy.address(), service, workerProxy.address())
+	settings.MaxLease = w.opts.MaxLease
+	agentAddress := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InternalPort))
+	agentProxy, err := w.addProxy(agentAddress, false)
+	if err != nil {
+		return err
+	}
+	w.addressesMu.Lock()
+	w.agentAddresses[agentAddress] = agentProxy.address()
+	w.addressesMu.Unlock()
+	w.agentProxies = append(w.agentProxies, []*proxy{agentProxy, storeProxy})
 	options := standin.WorkerOptions{
-		ID: fmt.Sprintf("i-%d", i), Service: service, Address: proxyAddress, AgentAddress: settings.Announcements, MilliCPU: 4000, RunTime: runTime,
-		Checkpoint: "00000bb87a21d94b", Record: w.runChecker.record,
+		ID: fmt.Sprintf("i-%d", i), Service: service, Address: workerProxy.address(), AgentAddress: settings.Announcements, MilliCPU: 4000, RunTime: runTime,
+		Checkpoint: "00000bb87a21d94b", MaxLease: w.opts.MaxLease, Record: w.runChecker.record,
 	}
 	if i == 0 {
 		options.Labels = []string{labelOfOne}
 	}
-	sw := &soakWorker{worker: standin.NewWorker(options), id: options.ID, address: app}
+	sw := &soakWorker{worker: standin.NewWorker(options), id: options.ID, address: app, proxy: workerProxy}
 	if err := sw.start(); err != nil {
 		return err
 	}
@@ -206,7 +263,9 @@
 func (w *soakRun) injectFaults(ctx context.Context) {
 	end := time.Now().Add(w.opts.Faults)
 	for time.Now().Before(end) && ctx.Err() == nil {
-		w.injectFault()
+		if !w.opts.OnlySilentRestarts {
+			w.injectFault()
+		}
 		time.Sleep(faultInterval/2 + time.Duration(w.rng.Int64N(int64(faultInterval))))
 	}
 	if w.opts.Faults == 0 {
--- a/internal/faultsoak/worker.go
+++ b/internal/faultsoak/worker.go
@@ -19,6 +19,8 @@
 type soakWorker struct {
 	worker  *standin.Worker
 	address string
+	// proxy carries the agent's calls to the worker.
+	proxy *proxy
 	// mu is held during a restart.
 	mu            sync.Mutex
 	id            string
