platform: calls for one boot of a worker reach only this boot

Callers saw a task start again after a run of it had ended as done and this end was acknowledged. A worker restarted under its ID while its network was silent; a hold for the earlier boot, sent on a new connection, reached the next one, and its acknowledgement made that boot forget the end of a run that no one had seen. The next list lacked the run, and the task started again. Starts and leases for the earlier boot arrive in the same way.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -307,7 +307,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.seq++
-	req := HoldRequest{Fence: a.grant.Fence, Wait: a.holdWait, BootID: a.report.Boot.ID}
+	req := HoldRequest{Fence: a.grant.Fence, Wait: a.holdWait, Boot: workflow.Boot{ID: a.report.Boot.ID}}
+	if a.verified {
+		req.Boot.Born = a.report.Boot.Born
+	}
 	if a.verified && a.grant.Boot.Born != 0 && a.grant.Boot.Born == a.report.Boot.Born {
 		req.LeaseEnd = a.grant.LeaseEnd
 		req.Acknowledged = a.grant.Acknowledged
@@ -382,6 +385,8 @@
 		}
 		a.log.Log(eventWorkerGone, err, telemetry.Fields{"born": a.report.Boot.Born})
 		a.markGone(seq)
+	case errors.Is(err, ErrRestarted):
+		return unacknowledgedInterval // the next call asks for the lists of the new boot
 	case errors.Is(err, ErrWrongBoot):
 		a.markGone(seq)
 		return unacknowledgedInterval
--- a/internal/agent/restart_test.go
+++ b/internal/agent/restart_test.go
@@ -93,3 +93,35 @@
 		t.Error("the boot that answers calls is not accepted")
 	}
 }
+
+// Guards against an agent that goes on calling an earlier boot: after a call that was
+// not sent because another boot listens, the next one asks any boot, without lease and
+// acknowledgement, and does not report the worker as gone before it has the lists.
+func TestCallAfterARestartAsksAnyBoot(t *testing.T) {
+	var last HoldRequest
+	err := error(nil)
+	lists := RunLists{Born: 3, Ended: []workflow.End{{Number: 5}}}
+	a := newAgent(&scriptedWorker{hold: func(r HoldRequest) (RunLists, error) {
+		last = r
+		return lists, err
+	}})
+	a.Watch(t.Context(), workflow.Grant{Fence: workflow.FirstFence(2), Boot: workflow.Boot{Born: 3}, LeaseEnd: time.Minute, Acknowledged: 5}, 0, 7, 0)
+	a.hold(t.Context())
+	a.hold(t.Context())
+	if last.Boot.Born != 3 || last.LeaseEnd == 0 {
+		t.Fatalf("call to a known boot: %+v, want its start time and the lease", last)
+	}
+	err = ErrRestarted
+	if pause := a.hold(t.Context()); pause > unacknowledgedInterval || watchOnce(a, 2).Gone {
+		t.Errorf("pause of %v after a restart, gone: %t", pause, watchOnce(a, 2).Gone)
+	}
+	err, lists = nil, RunLists{Born: 4}
+	a.hold(t.Context())
+	if last.Boot.Born != 0 || last.LeaseEnd != 0 || last.Acknowledged != 0 || last.Wait != 0 {
+		t.Errorf("first call after a restart: %+v, want no start time, lease, acknowledgement or wait", last)
+	}
+	a.hold(t.Context())
+	if last.Boot.Born != 4 {
+		t.Errorf("second call after a restart: %+v, want the start time of the new boot", last)
+	}
+}
--- a/internal/agent/runtime.go
+++ b/internal/agent/runtime.go
@@ -22,16 +22,20 @@
 	ErrNotListening = errors.New("the worker process does not listen")
 	// ErrFenced is returned if the worker has seen a higher epoch.
 	ErrFenced = errors.New("the worker has seen a higher epoch")
-	// ErrWrongBoot is returned if another boot of the worker answered.
+	// ErrWrongBoot is returned if a boot of the worker with another ID answered.
 	ErrWrongBoot = errors.New("another boot of the worker answered")
+	// ErrRestarted is returned if a call was not sent, because another boot of the
+	// worker, which may have the same ID, listens.
+	ErrRestarted = errors.New("the worker process has restarted")
 )
 
 // HoldRequest renews a worker's leases and asks for its lists of runs. Hold is the
 // platform's name for this call.
 type HoldRequest struct {
-	// BootID is the ID of the boot that should answer; empty for any.
-	BootID string
-	Fence  workflow.Fence
+	// Boot is the boot that should answer. A call with a start time reaches only the
+	// boot that began then. Without one, an ID excludes boots with other IDs.
+	Boot  workflow.Boot
+	Fence workflow.Fence
 	// Acknowledged is the number of the last end that the worker may delete.
 	Acknowledged uint64
 	// LeaseEnd is the end of the lease on the worker's clock; 0 leaves the lease
--- a/internal/core/workflow/advice_test.go
+++ b/internal/core/workflow/advice_test.go
@@ -164,15 +164,11 @@
 	h.o.Report(h.now, Report{VM: vm, Agent: 1, Gone: true})
 }
 
-// countRunning returns how many tasks of a job run.
-func (h *harness) countRunning(id types.JobID) int {
+// countRunning returns how many tasks run.
+func (h *harness) countRunning() int {
 	n := 0
 	for _, runs := range h.running {
-		for key := range runs {
-			if key.Job == id {
-				n++
-			}
-		}
+		n += len(runs)
 	}
 	return n
 }
@@ -209,7 +205,7 @@
 				h.lose(all[0])
 				p.run(lastingTaskTimeout)
 			}
-			if n := h.countRunning("j"); n != test.step.Tasks {
+			if n := h.countRunning(); n != test.step.Tasks {
 				t.Errorf("%d of %d tasks run, though the allowed workers have room", n, test.step.Tasks)
 			}
 		})
@@ -234,7 +230,7 @@
 	}
 	h.o.vms[last].reserved.MilliCPU = 0
 	p.run(time.Second)
-	if n := h.countRunning("j"); n != 1 {
+	if n := h.countRunning(); n != 1 {
 		t.Error("the task does not run 1 s after the allowed worker has room")
 	}
 }
@@ -305,7 +301,7 @@
 		step.Tasks = rapid.IntRange(1, min(slots(), 40)).Draw(rt, "tasks")
 		h.submit("j", step)
 		p.run(3 * time.Second)
-		if n := h.countRunning("j"); n != step.Tasks {
+		if n := h.countRunning(); n != step.Tasks {
 			rt.Fatalf("%d of %d tasks run in 3 s, though the allowed workers have room for %d", n, step.Tasks, slots())
 		}
 		lost := rapid.SampledFrom(allowed).Draw(rt, "lost")
@@ -315,7 +311,7 @@
 			return
 		}
 		p.run(lastingTaskTimeout)
-		if n := h.countRunning("j"); n != step.Tasks {
+		if n := h.countRunning(); n != step.Tasks {
 			rt.Fatalf("%d of %d tasks run %v after the loss of a worker, though the others have room for %d", n, step.Tasks, lastingTaskTimeout, slots())
 		}
 	})
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -86,6 +86,7 @@
 // the causes of their failures.
 var silentRestartSeeds = map[uint64]string{
 	50001: "a new owner assumed a shorter lease than a worker had from an order for its earlier boot",
+	50101: "a call for the earlier boot made the new one forget ends that no one had seen",
 }
 
 // Guards against tasks that run twice, or again after an end that is acknowledged, when
