workflow: keep the row of a VM while a start for it is undecided

Cause: a VM whose worker is gone counted as idle although a start for it was undecided, because the worker's next boot may have taken it. If its agent was out of reach for 2.5 s, the link deleted the VM's row. The next owner would not know the VM and start the task elsewhere without waiting. Found by reading; no run with processes has shown it.

Change: ProvenIdle is false while tasks are bound to the VM, as RemoveVM already required.

Result: TestVMWithAnUndecidedStartIsNotIdle failed before.

--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -40,10 +40,10 @@
 
 // ProvenIdle returns the time since the last report on a VM, and whether
 // nothing can run there, because its worker has ended or the worker's lease has
-// expired. The time is 0 if something may run there.
+// expired, and no start is undecided. The time is 0 if something may run there.
 func (o *Owner) ProvenIdle(now time.Duration, id types.VMID) (time.Duration, bool) {
 	v := o.vms[id]
-	if v == nil || !v.provenIdle {
+	if v == nil || !v.provenIdle || len(v.tasks) > 0 {
 		return 0, false
 	}
 	return now - v.lastContact, true
--- a/internal/core/workflow/restart_test.go
+++ b/internal/core/workflow/restart_test.go
@@ -118,6 +118,22 @@
 	}
 }
 
+// Guards against a VM whose row is deleted while the next boot of its worker may run a
+// start for the earlier one: the next owner would not know the VM, and would start the
+// task elsewhere without waiting.
+func TestVMWithAnUndecidedStartIsNotIdle(t *testing.T) {
+	h, answered := restartHarness(t)
+	h.ordersAfter(Report{VM: "a", Agent: 1, Gone: true, ListSeq: answered - 1})
+	if _, idle := h.o.ProvenIdle(h.now, "a"); idle {
+		t.Error("the VM counts as idle while a start for it is undecided")
+	}
+	h, answered = restartHarness(t)
+	h.ordersAfter(Report{VM: "a", Agent: 1, Gone: true, ListSeq: answered + 1})
+	if _, idle := h.o.ProvenIdle(h.now, "a"); !idle {
+		t.Error("the VM does not count as idle although its worker has ended with all runs")
+	}
+}
+
 // Guards against a task that waits for good: its start may have reached the next boot
 // of a worker that was gone, and that boot is never heard of again.
 func TestUndecidedStartEndsWithTheLease(t *testing.T) {
