faultsoak: fewer long tasks in runs with silent restarts

Jobs of 120 tasks could be long as well: by the rates of the driver about 290 tasks at a time, for 6 workers with memory for 128 each, of which half are cut off most of the time.

Change: jobs of 120 tasks are never long, and a quarter of the others are (a third before).

--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -214,7 +214,7 @@
 	size := int64(4000 / 8)
 	if j.w.opts.SilentRestarts {
 		size = 4000 / 40
-		if rng.IntN(3) == 0 {
+		if rng.IntN(4) == 0 && first != largeJobTasks {
 			// The one worker with the label has no room for a backlog of long tasks.
 			run, label = longRunTime, ""
 		}
