--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-# Targets: make run, make test, make lint, make bench-policy, make bench-size, make soak, make faultsoak.
+# Targets: make run, make test, make lint, make bench-policy, make bench-size, make soak, make faultsoak, make silentsoak.
 BIN := bin/boragecrank
 GOLANGCI_VERSION := v2.15.0
 TOOLS ?= $(CURDIR)/.tools
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build run test lint fmt generate events bench-policy bench-size soak faultsoak clean
+.PHONY: build run test lint fmt generate events bench-policy bench-size soak faultsoak silentsoak clean
 
 build:
 	go build -o $(BIN) ./cmd/boragecrank
@@ -50,6 +50,11 @@
 faultsoak: build
 	go run ./internal/faultsoak/cmd -seeds $(SEEDS) -seed $(SEED)
 
+# make silentsoak SEEDS=n SEED=s adds workers that restart behind a silent network
+# and are cut off soon after.
+silentsoak: build
+	go run ./internal/faultsoak/cmd -seeds $(SEEDS) -seed $(SEED) -workers 6 -jobs 8 -faults 40s -silentrestarts also
+
 fmt: $(GOLANGCI)
 	$(GOLANGCI) fmt
 
