--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -68,42 +68,6 @@
 	}
 }
 
-// restartAtOnce restarts a worker under its ID before its agent misses it.
-func (s *sim) restartAtOnce() {
-	w := s.workers[s.restartRNG.IntN(len(s.workers))]
-	if w.up && s.restartRNG.Float64() < 0.01 {
-		s.faults["worker restarts at once"]++
-		s.boot(w, w.boot.ID)
-		s.event("%s restarts at once", w.id)
-		if s.silentRestarts {
-			s.followRestart(w)
-		}
-	}
-}
-
-// followRestart schedules the faults that follow a restart, and submits jobs, whose
-// starts may still be meant for the earlier boot.
-func (s *sim) followRestart(w *simWorker) {
-	for range 3 {
-		s.submit()
-	}
-	w.cutAt = s.now + s.randomDuration(simTick, 2*time.Second)
-	if s.rng.IntN(2) == 0 {
-		s.ownerDiesAt = s.now + s.randomDuration(simTick, 2*time.Second)
-	}
-}
-
-// cutRestarted cuts off the workers whose cut is due.
-func (s *sim) cutRestarted() {
-	for _, w := range s.workers {
-		if w.cutAt > 0 && s.now >= w.cutAt {
-			s.faults["worker cut off after a restart"]++
-			w.cutAt, w.cutUntil = 0, s.now+s.randomDuration(simLease, 2*simMaxLease)
-			s.event("%s cut off until %v", w.id, w.cutUntil)
-		}
-	}
-}
-
 // poll grants a lease and reports the worker's lists.
 func (s *sim) poll(w *simWorker) {
 	// A worker may wait for an end before it answers, so its lists carry the
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -28,6 +28,28 @@
 	return binary
 }
 
+// runSeed performs a run, which must have no violation, complete a job, inject a fault,
+// and inject the named faults.
+func runSeed(t *testing.T, o Options, faults ...string) {
+	t.Helper()
+	o.Dir = t.TempDir()
+	r, err := Run(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		t.Errorf("seed %d: %s", o.Seed, v)
+	}
+	if r.Completed == 0 || len(r.Faults) == 0 {
+		t.Errorf("seed %d completed no job or injected no fault: %+v", o.Seed, r)
+	}
+	for _, f := range faults {
+		if r.Faults[f] == 0 {
+			t.Errorf("seed %d injected no fault %q: %+v", o.Seed, f, r.Faults)
+		}
+	}
+}
+
 // Guards against jobs that are lost, run twice or reported wrongly when
 // processes are killed, paused, stopped and reloaded, connections fail, and the
 // store refuses calls, loses responses or compacts its history.
@@ -36,18 +58,7 @@
 	for seed, cause := range regressions {
 		t.Run(cause, func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(t.Context(), Options{
-				Seed: seed, Binary: binary, Dir: t.TempDir(), Entries: 3, Workers: 3, Faults: 8 * time.Second, JobsPerSecond: 4,
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, v := range r.Violations {
-				t.Errorf("seed %d: %s", seed, v)
-			}
-			if r.Completed == 0 || len(r.Faults) == 0 {
-				t.Errorf("seed %d completed no job or injected no fault: %+v", seed, r)
-			}
+			runSeed(t, Options{Seed: seed, Binary: binary, Entries: 3, Workers: 3, Faults: 8 * time.Second, JobsPerSecond: 4})
 		})
 	}
 }
@@ -66,18 +77,9 @@
 	for seed, cause := range workerRegressions {
 		t.Run(cause, func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(t.Context(), Options{
-				Seed: seed, Binary: binary, Dir: t.TempDir(), Entries: 3, Workers: 6, Faults: 12 * time.Second, WorkerFaults: true, JobsPerSecond: 12,
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, v := range r.Violations {
-				t.Errorf("seed %d: %s", seed, v)
-			}
-			if r.Completed == 0 || r.Faults["worker restarts"] == 0 {
-				t.Errorf("seed %d completed no job or restarted no worker: %+v", seed, r)
-			}
+			runSeed(t, Options{
+				Seed: seed, Binary: binary, Entries: 3, Workers: 6, Faults: 12 * time.Second, WorkerFaults: true, JobsPerSecond: 12,
+			}, "worker restarts")
 		})
 	}
 }
@@ -97,18 +99,9 @@
 	for seed, cause := range silentRestartSeeds {
 		t.Run(cause, func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(t.Context(), Options{
-				Seed: seed, Binary: binary, Dir: t.TempDir(), Entries: 3, Workers: 6, Faults: 30 * time.Second, SilentRestarts: true, OnlySilentRestarts: true, JobsPerSecond: 8,
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, v := range r.Violations {
-				t.Errorf("seed %d: %s", seed, v)
-			}
-			if r.Completed == 0 || r.Faults["worker restarts in silence"] == 0 || r.Faults["agents cut off after the restart"] == 0 {
-				t.Errorf("seed %d completed no job, or restarted or cut off no worker: %+v", seed, r)
-			}
+			runSeed(t, Options{
+				Seed: seed, Binary: binary, Entries: 3, Workers: 6, Faults: 30 * time.Second, SilentRestarts: true, OnlySilentRestarts: true, JobsPerSecond: 8,
+			}, "worker restarts in silence", "agents cut off after the restart")
 		})
 	}
 }
