--- a/internal/faultsoak/worker.go
+++ b/internal/faultsoak/worker.go
@@ -29,9 +29,26 @@
 	endAnnouncing context.CancelFunc
 }
 
+// The listener of an earlier boot is open until a process that the driver is starting
+// meanwhile, which inherits it, has executed its program.
+const (
+	listenTimeout       = 3 * time.Second
+	listenRetryInterval = 20 * time.Millisecond
+)
+
+// listen listens on the worker's address, and retries for listenTimeout.
+func (s *soakWorker) listen() (net.Listener, error) {
+	for end := time.Now().Add(listenTimeout); ; time.Sleep(listenRetryInterval) {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.address)
+		if err == nil || time.Now().After(end) {
+			return l, err
+		}
+	}
+}
+
 // start listens and announces the current boot.
 func (s *soakWorker) start() error {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.address)
+	l, err := s.listen()
 	if err != nil {
 		return err
 	}
