shard: look for a free VM for a held task only if one has room

That changes its random choices, and with them the seeds in which the simulation finds the dropped rule. It also searched for victims in vain.

Change: the placer is asked only if an available VM has room for the held reservation. The limit of 60 seeds stays. The comment that one seed in ten finds the rule was out of date.

--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -233,6 +234,9 @@
 // not free yet. The evictions there may take until EvictTimeout; binding the task
 // releases the hold.
 func (o *Owner) decideWithoutHold(t *taskState) (Decision, bool) {
+	if !slices.ContainsFunc(o.candidates, func(c Candidate) bool { return c.Available && t.held.Fits(c.Free) }) {
+		return Decision{}, false
+	}
 	d := o.placer.Place(o.demand(t), o.candidates)
 	v := o.vms[d.VM]
 	return d, d.Infeasible == "" && len(d.Evict) == 0 && v != nil && o.acceptsWork(v)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,8 +54,8 @@
 		{RunTasks, DropCommit, 3},
 		{RunTasks, DropProof, 3},
 		{RunTasks, DropFence, 3},
-		// About one seed in ten shows a violation. Which seeds do depends on
-		// details of the core, so the limit is 60 seeds.
+		// One or two seeds of 120 show a violation. Which seeds do depends on
+		// details of the core.
 		{RunTasks, DropIncarnation, 60},
 		{RunRequests, DropIncarnation, 3},
 		{RunRequests, DropClaim, 3},
