--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -76,10 +76,10 @@
 // Timing holds the durations of leases and of stored states.
 type Timing struct {
 	// LeaseDuration is the length of a worker's lease, counted from the last
-	// reading of the worker's clock. All owners must use the same value: a new
-	// owner waits this long for the leases that its predecessor granted.
+	// reading of the worker's clock.
 	LeaseDuration time.Duration
-	// WorkerMaxLease is the longest lease that a worker takes.
+	// WorkerMaxLease is the longest lease that a worker takes. A new owner waits this
+	// long for a worker that it cannot reach.
 	WorkerMaxLease time.Duration
 	// StateRetention is how long the state of a finished job stays readable.
 	StateRetention time.Duration
