workflow: say what a step without a running task waits for

Cause: event 659 covered steps without a live task that placement had tried.

Change: every 0.5 s the owner looks for steps of which no task has run for 2 s. Those that no VM takes are logged as 659, with the reasons separated; the others as 660, with the undecided run or the VMs out of reach, and until when that may last. The gauge jobs_idle_steps counts them by cause.

Result: TestIdleStepNamesItsCause and TestRunningStepIsNotIdle; no decision changes.

--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -306,6 +306,10 @@
 	// DecisionQuarantine: a worker was quarantined, paused because it is slow,
 	// or returned to service; see Reason.
 	DecisionQuarantine
-	// DecisionWaiting: a step has had no live task for a while; see Reason.
+	// DecisionWaiting: a step has had no running task for a while, and no VM takes
+	// one; see Reason.
 	DecisionWaiting
+	// DecisionBlocked: a step has had no running task for a while, and none may start
+	// yet; see Reason.
+	DecisionBlocked
 )
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -75,6 +75,8 @@
 	interference   *interference
 	runTimes       runTimes
 	checkWorkersAt time.Duration
+	checkIdleAt    time.Duration
+	idleSteps      map[IdleCause]int
 
 	// unplaceable holds, for each placement group, the demand that found no VM
 	// in the current placement pass.
@@ -245,7 +247,7 @@
 			continue
 		}
 		s.ready = true
-		s.idleSince = o.now
+		s.idleSince, s.runningAt = o.now, o.now
 		o.ready = append(o.ready, s)
 		o.placeDue = true
 	}
@@ -367,6 +369,7 @@
 		o.lastPlacementAt, o.nextPlacementAt = now, now+maxPlaceInterval
 		o.place()
 	}
+	o.checkIdle()
 	out := Output{Orders: o.orders, TicketRequests: o.ticketRequests, Decisions: o.decisions}
 	o.orders, o.ticketRequests, o.decisions = nil, nil, nil
 	return out
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -1,7 +1,6 @@
 package workflow
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -25,16 +24,10 @@
 // counter.
 const runEpochShift = 16
 
-// Times for steps without a live task.
-const (
-	// starvationTimeout is how long a filling step may have no live task before
-	// one is started where it may disturb standing tasks. adjustPaces then
-	// lowers the task's pace if a tail becomes too high.
-	starvationTimeout = 1200 * time.Millisecond
-	// waitingLogInterval is the time between log events on why a step has no
-	// live task.
-	waitingLogInterval = 2 * time.Second
-)
+// starvationTimeout is how long a filling step may have no live task before one is
+// started where it may disturb standing tasks. adjustPaces then lowers the task's
+// pace if a tail becomes too high.
+const starvationTimeout = 1200 * time.Millisecond
 
 // Weights of the placement score. The score is in units of a whole VM's
 // processors: 1 corresponds to all processors of one VM.
@@ -105,7 +98,6 @@
 			v = o.chooseQuarantined(t)
 		}
 		if v == nil {
-			o.logWaitingReason(t)
 			if o.now < t.avoidUntil {
 				continue
 			}
@@ -259,32 +251,6 @@
 	return false
 }
 
-// logWaitingReason records why a step that has waited for long finds no VM.
-func (o *Owner) logWaitingReason(t *task) {
-	s := t.step
-	if s.live > 0 || o.now < max(s.idleSince, s.waitingLoggedAt)+waitingLogInterval {
-		return
-	}
-	s.waitingLoggedAt = o.now
-	counts := make(map[string]int)
-	service := o.queueOf(s.job).Service
-	for _, v := range o.vmOrder {
-		switch {
-		case v.upstream.Service != service:
-			counts["other service"]++
-		case !o.usable(v):
-			counts["not usable"]++
-		default:
-			obstacle := o.obstacle(t, v)
-			if obstacle == "" {
-				obstacle = "no unused processors or would disturb standing tasks"
-			}
-			counts[obstacle]++
-		}
-	}
-	o.recordDecision(Decision{Kind: DecisionWaiting, Task: t.key(), Reason: fmt.Sprint(counts), Age: o.now - s.job.accepted})
-}
-
 // choose returns the best VM for a task now, or nil.
 func (o *Owner) choose(t *task) *vm {
 	var best *vm
@@ -363,11 +329,16 @@
 	}
 }
 
+// hasUnusedProcessors reports whether the VM has unused processors for another filling
+// task. The first filling task needs none.
+func (v *vm) hasUnusedProcessors(spec *Step) bool {
+	return v.filling == 0 || v.filling+spec.Demand.MilliCPU <= v.passLeftover
+}
+
 // mayFill reports whether the VM has unused processors for a filling task and
-// no standing task that would be disturbed too much. The first filling task on
-// a VM needs no unused processors.
+// no standing task that would be disturbed too much.
 func (o *Owner) mayFill(spec *Step, v *vm) bool {
-	if v.filling > 0 && v.filling+spec.Demand.MilliCPU > v.passLeftover {
+	if !v.hasUnusedProcessors(spec) {
 		return false
 	}
 	if v.targets == 0 {
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -108,10 +108,12 @@
 	// runTime is the estimated run time of a task, and criticalPath the
 	// estimated time of the longest path from the step on, both as of the last
 	// forecast.
-	runTime         time.Duration
-	criticalPath    time.Duration
-	waitingLoggedAt time.Duration
-	live            int
+	runTime      time.Duration
+	criticalPath time.Duration
+	// runningAt is when the step became ready or last had a running task, as of the
+	// last check for idle steps. idleLoggedAt is the last log event about it.
+	runningAt, idleLoggedAt time.Duration
+	live                    int
 	// users is the estimated load that the users of standing tasks cause.
 	users  usersLoad
 	sample runTimeSample
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -28,7 +28,9 @@
 	workflow.DecisionQuarantine: telemetry.Define(657, logrus.WarnLevel, "VM quarantined or returned",
 		"The worker failed or delayed tasks that other workers complete, or no longer does so. Look at its log. Fields: vm, reason."),
 	workflow.DecisionWaiting: telemetry.Define(659, logrus.InfoLevel, "task finds no VM",
-		"For 2 s or more, no task of the step has been running or starting. The reason counts the VMs by what prevents them from running the task. Add VMs or check those that are not usable. Fields: job, task, run, age, reason."),
+		"For 2 s or more, no task of the step has been running, and none is under way. The reason counts the VMs by what prevents them from running the task. Add VMs or check those that are not usable. Fields: job, task, run, age, reason."),
+	workflow.DecisionBlocked: telemetry.Define(660, logrus.InfoLevel, "task may not start yet",
+		"For 2 s or more, no task of the step has been running, and a new start could run a task twice. The reason says what must end first and how long this can take: a start or a stop without a certain answer, or, after a takeover, VMs out of reach. Check the VMs that it names. Fields: job, task, age, reason; run and vm of an undecided run."),
 }
 
 var eventVMLoad = telemetry.Define(658, logrus.DebugLevel, "load of a VM",
@@ -88,13 +90,26 @@
 	commitRetries tally.Counter
 	commitTime    tally.Histogram
 	jobTime       tally.Histogram
+	idleSteps     map[workflow.IdleCause]tally.Gauge
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
-	return &termMetrics{
+	m := &termMetrics{
 		scope: scope, commits: scope.Counter("jobs_batches"), commitRetries: scope.Counter("jobs_batch_retries"),
 		commitTime: scope.Histogram("jobs_batch_seconds", buckets), jobTime: scope.Histogram("jobs_duration_seconds", buckets),
+		idleSteps: make(map[workflow.IdleCause]tally.Gauge),
+	}
+	for _, cause := range workflow.IdleCauses() {
+		m.idleSteps[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("jobs_idle_steps")
+	}
+	return m
+}
+
+// setIdle updates the gauges of idle steps.
+func (m *termMetrics) setIdle(steps map[workflow.IdleCause]int) {
+	for cause, gauge := range m.idleSteps {
+		gauge.Update(float64(steps[cause]))
 	}
 }
 
