workflow: start idle filling jobs as background runs

Cause: unbounded waiting behind a resource without preemption. A filling step that would disturb standing tasks everywhere was forced onto a VM, one such task a VM. The holder of that place runs as long as it likes, a long one for half a minute, and nothing else let a waiting step start. Gangs were never forced, and of standing tasks that fill only the first.

TestJobsBesideLongFillingTasksStart failed: 7.9 s without a run.

Change: a filling job without a live task for 2 s gets one at 5% of its pace (gangs all members, standing steps each task), where it fits and half of the memory stays free. It does not count as filling, or as started in the order of work. It goes to full pace when placement would start it there, or as the forced task of its VM, and moves when it can start elsewhere. Tails slow it down like other filling work. A new owner recognizes such runs by their processor use.

Result: the listed test passes; TestPropertyNoFillingJobStarves failed after 1 check on the code before and passes 3,000.

--- a/internal/core/workflow/idle.go
+++ b/internal/core/workflow/idle.go
@@ -106,6 +106,9 @@
 	switch cause {
 	case IdleNoVM:
 		d.Kind, d.Reason = DecisionWaiting, o.obstacles(t)
+		if s.spec.Gang {
+			d.Reason = fmt.Sprintf("%d of %d members of the gang find a VM", s.membersPlaced, len(s.tasks))
+		}
 	case IdleUndecidedRun:
 		t = s.firstLive()
 		d.Run, d.VM, d.Reason = t.run, t.vm.id, o.undecidedReason(t)
--- a/internal/core/workflow/order.go
+++ b/internal/core/workflow/order.go
@@ -86,10 +86,11 @@
 	return r
 }
 
-// started reports whether a task of the occurrence is live or done.
+// started reports whether a task of the occurrence is live or done. Background runs do
+// not count: they would bring every job that waits for long before those that do not.
 func (oc *occurrence) started() bool {
 	for _, s := range oc.steps {
-		if s.live > 0 || s.done > 0 {
+		if s.live > s.background || s.done > 0 {
 			return true
 		}
 	}
@@ -111,8 +112,8 @@
 	return cmp.Or(cmp.Compare(r.tier, other.tier), cmp.Compare(r.priority, other.priority), cmp.Compare(r.unstarted, other.unstarted), cmp.Compare(r.work, other.work))
 }
 
-// waitingSteps returns the steps with waiting tasks in placement order, and
-// drops steps that will not wait again.
+// waitingSteps returns the steps with waiting tasks or background runs in placement
+// order, and drops steps that will not wait again.
 func (o *Owner) waitingSteps() []*step {
 	o.ready = slices.DeleteFunc(o.ready, func(s *step) bool {
 		return s.job.outcome != "" || s.occurrence.finished || s.done == len(s.tasks)
@@ -123,7 +124,7 @@
 	}
 	var waiting []ranked
 	for _, s := range o.ready {
-		if s.waiting > 0 && (o.takeoverComplete || !s.job.inherited) && !s.job.readUnconfirmed {
+		if (s.waiting > 0 || s.background > 0) && (o.takeoverComplete || !s.job.inherited) && !s.job.readUnconfirmed {
 			waiting = append(waiting, ranked{s, o.rankOf(s)})
 		}
 	}
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -248,6 +248,9 @@
 		}
 		s.ready = true
 		s.idleSince, s.runningAt = o.now, o.now
+		for i := range s.tasks {
+			s.tasks[i].waitingSince = o.now
+		}
 		o.ready = append(o.ready, s)
 		o.placeDue = true
 	}
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -86,11 +86,12 @@
 	}
 }
 
-// lowestPace returns the lowest wanted pace on the VM.
+// lowestPace returns the lowest wanted pace on the VM. Background runs count only if
+// they are slower than backgroundPace.
 func (v *vm) lowestPace() int {
 	lowestPace := fullPace
 	for _, t := range v.tasks {
-		if t.runningFilling() {
+		if t.runningFilling() && t.wantedPace < t.maxPace() {
 			lowestPace = min(lowestPace, t.wantedPace)
 		}
 	}
@@ -157,7 +158,7 @@
 func (o *Owner) raisePaces(v *vm) {
 	var lowered []*task
 	for _, t := range v.tasks {
-		if t.runningFilling() && t.wantedPace < fullPace {
+		if t.runningFilling() && t.wantedPace < t.maxPace() {
 			lowered = append(lowered, t)
 		}
 	}
@@ -171,8 +172,8 @@
 	for _, t := range lowered {
 		demandShare := float64(t.step.spec.Demand.MilliCPU) / v.processors()
 		spare := o.spareShare(v, t.step.spec.Image, uses)
-		pace := min(fullPace, t.wantedPace+int(fullPace*spare/demandShare))
-		if pace < t.wantedPace+paceStep && pace < fullPace {
+		pace := min(t.maxPace(), t.wantedPace+int(fullPace*spare/demandShare))
+		if pace < t.wantedPace+paceStep && pace < t.maxPace() {
 			continue
 		}
 		uses = addUse(uses, t.step.spec.Image, demandShare*float64(pace-t.wantedPace)/fullPace)
@@ -255,7 +256,7 @@
 func (o *Owner) moveThrottledTask(v *vm) {
 	for _, t := range v.tasks {
 		spec := t.step.spec
-		if !t.runningFilling() || spec.Gang || t.wantedPace >= throttledPace || o.now < t.throttledSince+throttledMoveDelay {
+		if !t.runningFilling() || t.background || spec.Gang || t.wantedPace >= throttledPace || o.now < t.throttledSince+throttledMoveDelay {
 			continue
 		}
 		if !spec.Checkpoints && o.now >= t.startedAt+maxLostRunTime {
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -64,6 +64,9 @@
 		if s.live > 0 {
 			s.idleSince = o.now
 		}
+		if s.background > 0 {
+			o.raiseBackground(s)
+		}
 		if s.spec.Gang {
 			o.placeGang(s)
 		} else {
@@ -84,16 +87,20 @@
 		if t.phase != phaseWaiting || o.now < t.notBefore {
 			continue
 		}
-		if o.knownUnplaceable(t) && !o.starving(s) {
+		if o.knownUnplaceable(t) && !o.starving(t) {
 			return
 		}
 		v := o.choose(t)
 		if v == nil {
 			o.noteUnplaceable(t)
 		}
-		if v == nil && o.starving(s) {
+		if v == nil && o.starving(t) {
 			v = o.chooseLeastDisturbed(t)
 		}
+		if v == nil && o.needsBackground(t) {
+			v = o.chooseBackground(t, o.idleTime(t))
+			t.background = v != nil
+		}
 		if v == nil {
 			v = o.chooseQuarantined(t)
 		}
@@ -115,7 +122,12 @@
 	}
 	var starts uint64
 	checkpoint := ""
-	chosen := make([]*vm, 0, len(s.tasks))
+	type choice struct {
+		vm         *vm
+		background bool
+	}
+	chosen := make([]choice, 0, len(s.tasks))
+	background, idle := o.needsBackground(&s.tasks[0]), o.idleTime(&s.tasks[0])
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		starts = max(starts, t.starts)
@@ -126,24 +138,30 @@
 		if v == nil {
 			v = o.chooseQuarantined(t)
 		}
+		if v == nil && background {
+			v = o.chooseBackground(t, idle)
+			t.background = v != nil
+		}
 		if v == nil || o.now < t.notBefore {
+			t.background = false
 			break
 		}
 		// Bind each task for now, so that the search for the next one counts
 		// its reservation; start binds the task again.
+		chosen = append(chosen, choice{v, t.background})
 		v.bind(t)
-		chosen = append(chosen, v)
 	}
 	for i := range chosen {
 		s.tasks[i].release()
 	}
+	s.membersPlaced = len(chosen)
 	if len(chosen) < len(s.tasks) {
 		return
 	}
-	for i, v := range chosen {
+	for i, c := range chosen {
 		t := &s.tasks[i]
-		t.starts, t.checkpoint = starts+1, checkpoint
-		o.start(t, v, o.runNumber(t.starts))
+		t.starts, t.checkpoint, t.background = starts+1, checkpoint, c.background
+		o.start(t, c.vm, o.runNumber(t.starts))
 	}
 }
 
@@ -167,7 +185,10 @@
 	t.run = run
 	t.inFlight = true
 	t.startedAt = o.now
-	t.undisturbed = t.checkpoint == ""
+	t.undisturbed = t.checkpoint == "" && !t.background
+	if t.background {
+		t.wantedPace = backgroundPace
+	}
 	order := Order{
 		Kind: OrderStart, VM: v.id, Boot: v.boot, Task: t.key(), Run: run,
 		Payload: t.step.job.spec.Payload, LeaseEnd: o.extendLease(v),
@@ -179,7 +200,11 @@
 		order.Checkpoint = t.checkpoint
 	}
 	o.orders = append(o.orders, order)
-	o.recordDecision(Decision{Kind: DecisionPlaced, Task: order.Task, Run: run, VM: v.id, Age: o.now - t.step.job.accepted, Load: load})
+	d := Decision{Kind: DecisionPlaced, Task: order.Task, Run: run, VM: v.id, Age: o.now - t.step.job.accepted, Load: load}
+	if t.background {
+		d.Reason = "background run: no VM takes the task at full pace"
+	}
+	o.recordDecision(d)
 }
 
 // placementGroup identifies tasks that differ, for placement, only in their
@@ -215,10 +240,10 @@
 	}
 }
 
-// starving reports whether a filling step has had no live task for
-// starvationTimeout.
-func (o *Owner) starving(s *step) bool {
-	return s.spec.Fills && s.live == 0 && o.now >= s.idleSince+starvationTimeout
+// starving reports whether a filling task has waited for starvationTimeout, with no
+// live task of its step or because it is standing.
+func (o *Owner) starving(t *task) bool {
+	return o.idleTime(t) >= starvationTimeout
 }
 
 // chooseLeastDisturbed returns the VM where a filling task does the least harm,
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -301,7 +301,8 @@
 	if givenUp {
 		defer o.stop(t)
 	}
-	t.pace, t.sentPace, t.wantedPace = unknownPace, unknownPace, fullPace
+	t.background = looksLikeBackground(t.step.spec, r)
+	t.pace, t.sentPace, t.wantedPace = unknownPace, unknownPace, t.maxPace()
 	v.bind(t)
 	o.markStarted(t.step.job)
 }
--- a/internal/core/workflow/starvation_test.go
+++ b/internal/core/workflow/starvation_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/boragecrank/boragecrank/internal/core/types"
 )
 
@@ -61,3 +63,119 @@
 		t.Errorf("job %s had nothing running for %v, want at most %v", job, idle, maxIdleTime)
 	}
 }
+
+// Load: standing tasks, filling jobs and gangs of any size and length on few VMs, one of
+// which may be lost. Guards against any accepted job that has nothing running for long.
+func TestPropertyNoFillingJobStarves(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHarness(t, rapid.IntRange(2, 5).Draw(rt, "VMs"), map[string]float64{"press": rapid.Float64Range(0, 4).Draw(rt, "factor")})
+		load := rapid.Float64Range(0.2, 0.7).Draw(rt, "load of users")
+		h.usersLoad = func(time.Duration) float64 { return load }
+		h.submit("s", standingStep(rapid.IntRange(1, 10).Draw(rt, "standing tasks")))
+		h.overTarget(time.Second)
+		for i := range rapid.IntRange(1, 20).Draw(rt, "jobs") {
+			step := fillingStep("press", rapid.IntRange(1, 8).Draw(rt, "tasks"))
+			step.RunTime = time.Duration(rapid.IntRange(1, 60).Draw(rt, "run time in s")) * time.Second
+			step.Gang = rapid.IntRange(0, 3).Draw(rt, "gang") == 0
+			step.Checkpoints = rapid.Bool().Draw(rt, "checkpoints")
+			h.submit(types.JobID(fmt.Sprintf("j%d", i)), step)
+		}
+		// The loss ends the runs there, so the idle times begin again with it.
+		for range 2 {
+			if idle, job := h.longestIdle(8 * time.Second); idle > maxIdleTime {
+				rt.Fatalf("job %s had nothing running for %v, want at most %v", job, idle, maxIdleTime)
+			}
+			h.lose("a")
+		}
+	})
+}
+
+// backgroundHarness has a VM with standing tasks whose users leave nothing to filling
+// work, a long filling task forced onto it, and a background run of job "j".
+func backgroundHarness(t *testing.T, load *float64) (*harness, *task) {
+	t.Helper()
+	h := newHarness(t, 1, map[string]float64{"press": 2})
+	*load = 0.65
+	h.usersLoad = func(time.Duration) float64 { return *load }
+	h.submit("s", standingStep(3))
+	h.overTarget(time.Second)
+	h.submit("long", Step{Tasks: 1, Demand: types.Resources{MilliCPU: 2000}, RunTime: time.Minute, Fills: true, Image: "press"})
+	h.overTarget(2 * time.Second)
+	h.submit("j", fillingStep("press", 1))
+	h.overTarget(4 * time.Second)
+	run := h.o.findTask(TaskKey{Job: "j"})
+	if run == nil || !run.background || run.pace > backgroundPace {
+		t.Fatalf("task %+v, want a background run", run)
+	}
+	return h, run
+}
+
+// Guards against background runs that stay slow after the load has fallen.
+func TestBackgroundRunIsBroughtToFullPace(t *testing.T) {
+	var load float64
+	h, _ := backgroundHarness(t, &load)
+	load = 0.05
+	h.overTarget(8 * time.Second)
+	if h.o.findTask(TaskKey{Job: "j"}) != nil {
+		t.Error("a job of 2 s is not done 8 s after the load has fallen")
+	}
+}
+
+// Guards against background runs that stay on their VM while another one has room.
+func TestBackgroundRunMovesToAFreeVM(t *testing.T) {
+	var load float64
+	h, _ := backgroundHarness(t, &load)
+	h.vms = append(h.vms, "b")
+	h.running["b"] = make(map[TaskKey]*harnessRun)
+	h.overTarget(5 * time.Second)
+	if h.o.findTask(TaskKey{Job: "j"}) != nil {
+		t.Error("a job of 2 s is not done 5 s after another VM has become free")
+	}
+}
+
+// Guards against a takeover that brings all background runs to full pace at once.
+func TestNextOwnerKeepsBackgroundRuns(t *testing.T) {
+	var load float64
+	_, run := backgroundHarness(t, &load)
+	spec, vm, number := run.step.job.spec, run.vm.id, run.run
+	next := newHarness(t, 1, nil)
+	if err := next.o.AddJob(next.now, next.now, spec, JobRunning, 1, Progress{}, false); err != nil {
+		t.Fatal(err)
+	}
+	report := next.report(vm, 0)
+	report.Running = []Run{{Task: TaskKey{Job: "j"}, Run: number, Figure: float64(spec.Steps[0].Demand.MilliCPU) * backgroundPace / fullPace}}
+	next.o.Report(next.now, report)
+	if adopted := next.o.findTask(TaskKey{Job: "j"}); adopted.wantedPace != backgroundPace {
+		t.Errorf("the next owner wants a pace of %d%%, want %d%%", adopted.wantedPace, backgroundPace)
+	}
+}
+
+// Guards against background runs that take the memory that work at full pace needs.
+func TestBackgroundRunsLeaveMemory(t *testing.T) {
+	h := newHarness(t, 1, map[string]float64{"press": 4})
+	h.usersLoad = func(time.Duration) float64 { return 0.65 }
+	h.submit("s", standingStep(3))
+	h.overTarget(time.Second)
+	for i := range 8 {
+		step := fillingStep("press", 1)
+		step.Demand.MemoryBytes, step.RunTime = harnessMemory/5, time.Minute
+		h.submit(types.JobID(fmt.Sprintf("j%d", i)), step)
+	}
+	h.overTarget(6 * time.Second)
+	if reserved := h.o.vms["a"].reserved.MemoryBytes; reserved > harnessMemory*7/10 {
+		t.Errorf("%d of %d bytes are reserved, want room for other work", reserved, int64(harnessMemory))
+	}
+}
+
+// Guards against standing tasks that fill of which only the first one runs.
+func TestEachStandingFillingTaskRuns(t *testing.T) {
+	h := newHarness(t, 1, map[string]float64{"press": 4})
+	h.usersLoad = func(time.Duration) float64 { return 0.65 }
+	h.submit("s", standingStep(3))
+	h.overTarget(time.Second)
+	h.submit("f", Step{Tasks: 3, Demand: types.Resources{MilliCPU: 2000}, Standing: true, Fills: true, Image: "press"})
+	h.overTarget(maxIdleTime)
+	if n := h.o.findTask(TaskKey{Job: "f"}).step.live; n != 3 {
+		t.Errorf("%d of 3 standing tasks run", n)
+	}
+}
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -66,6 +66,10 @@
 	// starvationTimeout, although it may disturb standing tasks on the VM. A VM
 	// takes one such task at a time.
 	forced bool
+	// background: the run has backgroundPace, since no VM could take it at full pace.
+	background bool
+	// waitingSince is when the task became ready or was last requeued.
+	waitingSince time.Duration
 
 	// pace is the last pace that the worker has confirmed, or unknownPace.
 	pace int
@@ -113,7 +117,8 @@
 	// runningAt is when the step became ready or last had a running task, as of the
 	// last check for idle steps. idleLoggedAt is the last log event about it.
 	runningAt, idleLoggedAt time.Duration
-	live                    int
+	// live counts the live tasks, background those of them that are background runs.
+	live, background int
 	// users is the estimated load that the users of standing tasks cause.
 	users  usersLoad
 	sample runTimeSample
@@ -124,6 +129,9 @@
 	// lastFailedGangRun is the last run of the gang whose failure has been
 	// counted.
 	lastFailedGangRun uint64
+	// membersPlaced is how many members of the gang found a VM in the last placement
+	// pass.
+	membersPlaced int
 }
 
 // occurrence is one execution of a job's steps.
@@ -209,9 +217,9 @@
 	// one that is listed but is not the current run of any task.
 	untrackedRuns map[runID]time.Duration
 	// reserved is the sum of reservations; filling is the processor demand of
-	// filling tasks.
-	reserved types.Resources
-	filling  int64
+	// filling tasks, except background runs, whose demand is background.
+	reserved            types.Resources
+	filling, background int64
 	// passLeftover is the result of leftover as of the current placement pass.
 	passLeftover int64
 	// targets counts the live tasks with a tail target.
@@ -327,8 +335,11 @@
 	t.vm = v
 	v.tasks = append(v.tasks, t)
 	v.reserved = v.reserved.Add(t.step.reservation())
-	if t.step.spec.Fills {
-		v.filling += t.step.spec.Demand.MilliCPU
+	filling, background := t.fillingDemand()
+	v.filling += filling
+	v.background += background
+	if t.background {
+		t.step.background++
 	}
 	if t.step.spec.TailTarget > 0 {
 		v.targets++
@@ -356,8 +367,11 @@
 		v.probe = nil
 	}
 	v.reserved = v.reserved.Sub(t.step.reservation())
-	if t.step.spec.Fills {
-		v.filling -= t.step.spec.Demand.MilliCPU
+	filling, background := t.fillingDemand()
+	v.filling -= filling
+	v.background -= background
+	if t.background {
+		t.step.background--
 	}
 	if t.step.spec.TailTarget > 0 {
 		v.targets--
@@ -369,5 +383,5 @@
 	t.step.job.live--
 	t.step.live--
 	t.inFlight, t.listed, t.stopAcked, t.answerSeq = false, false, false, 0
-	t.progress, t.measurement, t.stalledSince, t.forced, t.advance = 0, 0, 0, false, advance{}
+	t.progress, t.measurement, t.stalledSince, t.forced, t.background, t.advance = 0, 0, 0, false, false, advance{}
 }
