workflow: do not take the rounding of progress for a slow worker

Cause: progress is in whole percent, and an advance below one percent counted as one. The slowdown of a long task was then its time since the start, whatever its speed. After the loss of a worker, tasks that had run for a while looked slower than those just started again: in the failing seed of TestPropertyAdvisedStepsStart (tasks of an hour) three tasks of 3.6 s were compared with two of 0.6 s, all at 0%, and their sound worker was paused for 3 s. Its tasks moved off, to a worker with room for one, and 3.5 s later that worker was paused in the same way. The harness is right: it reports what a sound worker reports.

Change: the slowdown of a task is a range, from the advances that the whole percents allow. A task counts as slow if the lowest value is slowRatio times the median of the highest values of the others. Comparisons with tasks that may not have advanced at all are left out.

--- a/internal/core/workflow/slowness.go
+++ b/internal/core/workflow/slowness.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -68,18 +69,30 @@
 	t.advance.lastAt = now
 }
 
-// slowdown returns the run time extrapolated from the task's advance as a
-// multiple of the declared one, and false if it cannot be measured. Filling
-// tasks have no reserved processors and are left out.
-func (t *task) slowdown() (float64, bool) {
+// slowdownRange bounds the run time extrapolated from a task's advance, as a multiple
+// of the declared one. Progress is in whole percent, so the value itself is unknown.
+// most is infinite while the task may not have advanced at all.
+type slowdownRange struct {
+	least, most float64
+}
+
+// slowdown returns the range of the task's slowdown, and false if it cannot be
+// measured. Filling tasks have no reserved processors and are left out.
+func (t *task) slowdown() (slowdownRange, bool) {
 	spec := t.step.spec
 	span := t.advance.lastAt - t.advance.startAt
 	if t.phase != phaseRunning || spec.Standing || spec.Fills || spec.RunTime <= 0 || t.advance.startAt == 0 || span < minSpeedSpan || t.measurement <= 0 {
-		return 0, false
+		return slowdownRange{}, false
+	}
+	// fullPace is also 100 percent of progress here. Both ends of the advance are
+	// rounded down, so it differs from the true one by less than one percent.
+	done := t.progress - t.advance.startProgress
+	full := float64(span) / float64(spec.RunTime) * fullPace
+	bounds := slowdownRange{least: full / float64(done+1), most: math.Inf(1)}
+	if done > 1 {
+		bounds.most = full / float64(done-1)
 	}
-	// fullPace is also 100 percent of progress here.
-	done := max(1, t.progress-t.advance.startProgress)
-	return float64(span) / float64(spec.RunTime) * fullPace / float64(done), true
+	return bounds, true
 }
 
 // detectSlow finds workers that have become slow and pauses them.
@@ -122,11 +135,13 @@
 }
 
 // compareSpeeds compares the advance of each of the step's tasks with those on
-// other VMs, and adds the results to the evidence.
+// other VMs, and adds the results to the evidence. A task counts as slow only if it
+// is slow for every advance that the whole percents allow: tasks of hours show no
+// progress for a while, and those that began first must not look slow for that.
 func (s *step) compareSpeeds(evidence map[*vm]slowCounts) {
 	type speed struct {
 		vm              *vm
-		relativeRunTime float64
+		relativeRunTime slowdownRange
 	}
 	var all []speed
 	for i := range s.tasks {
@@ -139,7 +154,7 @@
 		var others []float64
 		for _, y := range all {
 			if y.vm != x.vm {
-				others = append(others, y.relativeRunTime)
+				others = append(others, y.relativeRunTime.most)
 			}
 		}
 		others = append(others, s.relativeRunTimes...)
@@ -147,9 +162,13 @@
 			continue
 		}
 		slices.Sort(others)
+		median := others[len(others)/2]
+		if math.IsInf(median, 1) {
+			continue
+		}
 		e := evidence[x.vm]
 		e.measured++
-		if x.relativeRunTime >= slowRatio*others[len(others)/2] {
+		if x.relativeRunTime.least >= slowRatio*median {
 			e.slowTasks++
 		}
 		evidence[x.vm] = e
--- a/internal/core/workflow/slowness_test.go
+++ b/internal/core/workflow/slowness_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/boragecrank/boragecrank/internal/core/types"
 )
 
@@ -143,3 +145,64 @@
 		}
 	}
 }
+
+// Guards against pausing sound workers after a loss: tasks so long that none has
+// advanced by a percent run beside those that begin again, whose times are shorter.
+func TestTasksStartedAgainDoNotMakeOthersSlow(t *testing.T) {
+	h := newHarness(t, 3, nil)
+	h.step(50 * time.Millisecond)
+	h.submit("j", Step{Tasks: 6, Demand: types.Resources{MilliCPU: harnessMilliCPU / 4}, RunTime: time.Hour, MaxPerVM: 3})
+	for range 60 {
+		h.step(50 * time.Millisecond)
+	}
+	h.lose(h.o.jobs["j"].occurrences[0].steps[0].tasks[0].vm.id)
+	for range 120 {
+		h.step(50 * time.Millisecond)
+		for _, v := range h.o.vmOrder {
+			if v.slowUntil > 0 {
+				t.Fatalf("the sound VM %q is paused", v.id)
+			}
+		}
+	}
+}
+
+// Guards against pausing sound workers because of the rounding of progress, for any
+// run time and any times between starts.
+func TestPropertySoundWorkersAreNotPaused(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHarness(t, rapid.IntRange(3, 6).Draw(rt, "workers"), nil)
+		h.step(50 * time.Millisecond)
+		runTime := time.Duration(rapid.IntRange(1, 120).Draw(rt, "run time in s")) * time.Second
+		h.submit("j", Step{Tasks: rapid.IntRange(3, 8).Draw(rt, "tasks"), Demand: types.Resources{MilliCPU: harnessMilliCPU / 4}, RunTime: runTime})
+		for range 150 {
+			h.step(50 * time.Millisecond)
+			if rapid.IntRange(0, 15).Draw(rt, "a task begins again") == 0 {
+				s := h.o.findTask(TaskKey{Job: "j"})
+				if s == nil {
+					return
+				}
+				h.o.stop(&s.step.tasks[rapid.IntRange(0, len(s.step.tasks)-1).Draw(rt, "task")])
+			}
+			for _, v := range h.o.vmOrder {
+				if v.slowUntil > 0 {
+					rt.Fatalf("the sound VM %q is paused", v.id)
+				}
+			}
+		}
+	})
+}
+
+// Guards against missing a slow worker whose tasks show only a few percent of
+// progress.
+func TestLongTasksShowSlowWorker(t *testing.T) {
+	h := newHarness(t, 4, nil)
+	h.speed = map[types.VMID]float64{"a": 1.0 / 6}
+	h.step(50 * time.Millisecond)
+	h.submit("j", Step{Tasks: 16, Demand: types.Resources{MilliCPU: harnessMilliCPU / 4}, RunTime: time.Minute, MaxPerVM: 4})
+	for range 80 {
+		h.step(50 * time.Millisecond)
+	}
+	if h.o.vms["a"].slowUntil == 0 {
+		t.Error("the slow VM has not been paused in 4 s")
+	}
+}
