workflow: let the lease of a silent worker expire

Callers would see: tasks on a worker that answers nothing, while its agent on the same VM goes on, wait until the worker answers again (LOST after 14 s). Further tasks are started there meanwhile.

Cause: the agent repeats its last report to the owner. The owner took each repetition for a fresh reading of the worker's clock, so the lease never seemed to expire, and the VM stayed usable.

Change: a reading counts from the first report with it. After the lease has expired, only a newer list makes the VM reached again.

--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -106,8 +106,14 @@
 	if r.Fence < max(v.fence, FirstFence(o.cfg.Epoch)) {
 		return // the worker still accepts older orders, which may change the lists
 	}
+	if !v.reached && r.Agent == v.listAgent && r.ListSeq <= v.listSeq {
+		return // the worker has sent no list since its lease expired
+	}
+	v.listAgent, v.listSeq = r.Agent, r.ListSeq
 	v.fence = r.Fence
-	if r.Clock >= v.clock {
+	// An agent repeats its last report while the worker does not answer. Such a reading
+	// is as old as the first report with it.
+	if r.Clock > v.clock {
 		v.clock, v.clockAt = r.Clock, now
 	}
 	for i := range r.Ended {
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -191,6 +191,9 @@
 	// the owner's clock.
 	clock   time.Duration
 	clockAt time.Duration
+	// listSeq is the ListSeq of the last report applied, from the agent listAgent.
+	listAgent types.Incarnation
+	listSeq   uint64
 	// grantedUntil is the latest deadline granted to the boot, on the worker's
 	// clock.
 	grantedUntil time.Duration
