jobs: keep the link of an agent that registers during its removal

Callers would see: tasks placed on the VM never start, and wait until the owner changes.

Cause: a link that removes its VM deletes whatever link the VM has when the table's answer arrives. If the agent registers again in between, at another address, its new link goes on reporting, so the VM looks usable, while orders find no link and are dropped. At the same address, the VM has no link until the agent registers a third time.

Change: a link deletes only itself, and goes on if a newer row for its own address has been read meanwhile.

--- a/internal/jobs/link.go
+++ b/internal/jobs/link.go
@@ -165,35 +165,47 @@
 }
 
 // removeVM deletes the row of a VM on which nothing can run and removes the VM from
-// the core. It reports whether the VM was removed. If not, run tries again after its
-// next Watch call.
+// the core. It reports whether the link is no longer needed. If it is, run tries again
+// after its next Watch call.
 func (l *link) removeVM(ctx context.Context) bool {
-	if !l.t.ownershipConfirmed(clock.Now()) || !l.deleteRow(ctx) {
+	if !l.t.ownershipConfirmed(clock.Now()) {
+		return false
+	}
+	deleted, ok := l.deleteRow(ctx)
+	if !ok {
 		return false
 	}
-	l.t.log.Log(eventAgentRemoved, nil, telemetry.Fields{"vm": l.vm})
-	l.t.coreActor.Enqueue(func(o *workflow.Owner) { o.RemoveVM(l.vm) })
 	l.t.linksMu.Lock()
 	defer l.t.linksMu.Unlock()
+	if l.t.links[l.vm] != l {
+		return true // the agent has registered at another address
+	}
+	if l.rowRevision.Load() > deleted {
+		return false // the agent has registered again at this address
+	}
+	l.t.log.Log(eventAgentRemoved, nil, telemetry.Fields{"vm": l.vm})
+	l.t.coreActor.Enqueue(func(o *workflow.Owner) { o.RemoveVM(l.vm) })
 	delete(l.t.links, l.vm)
 	return true
 }
 
-// deleteRow deletes the agent's row and reports whether the row no longer exists.
+// deleteRow deletes the agent's row and reports whether the row of the returned
+// revision no longer exists.
 // The agent may register again at any time, and the table may carry out an
 // unanswered write later. If that deleted a newer row, the next owner would not
 // learn what runs on the VM. Therefore the write is conditional on the revisions of
 // the row and of the owner's lease. The condition on the lease makes every earlier
 // attempt fail once the lease is renewed, so the link pauses for about one renewal
 // between attempts. It does not call the agent again until the outcome is known.
-func (l *link) deleteRow(ctx context.Context) bool {
+func (l *link) deleteRow(ctx context.Context) (revision uint64, deleted bool) {
 	uncertain := false
 	for ctx.Err() == nil {
 		key := prefixAgent + string(l.vm)
+		revision = l.rowRevision.Load()
 		callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
 		res, err := l.t.c.opts.Table.Commit(callCtx, platform.Txn{
 			Conditions: []platform.Condition{
-				{Key: key, Revision: l.rowRevision.Load()}, {Key: lease.Key(jobsShard), Revision: l.t.leaseRevision.Load()},
+				{Key: key, Revision: revision}, {Key: lease.Key(jobsShard), Revision: l.t.leaseRevision.Load()},
 			},
 			Writes: []platform.Write{{Key: key, Delete: true}},
 			Reads:  []string{key},
@@ -201,7 +213,7 @@
 		cancel()
 		switch {
 		case err == nil && res.Committed:
-			return true
+			return revision, true
 		case err == nil:
 			// A condition no longer holds: earlier attempts have either been carried
 			// out or will fail.
@@ -209,13 +221,13 @@
 			if !gone {
 				l.rowRevision.Store(res.Rows[0].Revision)
 			}
-			return gone
+			return revision, gone
 		case errors.Is(err, platform.ErrUncertain):
 			uncertain = true
 		case !uncertain:
-			return false
+			return revision, false
 		}
 		sleep(ctx, jitter(leaseRenewalInterval))
 	}
-	return false
+	return revision, false
 }
--- a/internal/jobs/link_test.go
+++ b/internal/jobs/link_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
+	"time"
 
+	"github.com/boragecrank/boragecrank/internal/actors"
+	"github.com/boragecrank/boragecrank/internal/clock"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/core/workflow"
 	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
 
 // delayedTable stores only the revisions of rows. Every write deletes its row. The
@@ -57,7 +64,7 @@
 	table := &delayedTable{revisions: map[string]uint64{"agent/vm": 5, lease.Key(jobsShard): 9}, unanswered: 1}
 	l := newTestLink(table)
 	table.revisions["agent/vm"] = 7 // registered again while the deletion is delayed
-	if l.deleteRow(t.Context()) {
+	if _, deleted := l.deleteRow(t.Context()); deleted {
 		t.Error("the deletion succeeded although the agent has registered again")
 	}
 	table.executeDelayed(t.Context())
@@ -75,7 +82,7 @@
 	table := &delayedTable{revisions: map[string]uint64{"agent/vm": 5, lease.Key(jobsShard): 9}, unanswered: 1}
 	ctx, cancel := context.WithCancel(t.Context())
 	l := newTestLink(&cancelTable{delayedTable: table, cancel: cancel})
-	if l.deleteRow(ctx) {
+	if _, deleted := l.deleteRow(ctx); deleted {
 		t.Error("a deletion without an answer was reported as done")
 	}
 	table.revisions[lease.Key(jobsShard)] = 12 // taken over
@@ -100,7 +107,57 @@
 // lost although the table carried the deletion out.
 func TestDeletionWithLostAnswerIsDetected(t *testing.T) {
 	table := &delayedTable{revisions: map[string]uint64{lease.Key(jobsShard): 9}, unanswered: 1}
-	if !newTestLink(table).deleteRow(t.Context()) {
+	if _, deleted := newTestLink(table).deleteRow(t.Context()); !deleted {
 		t.Error("the row is deleted, but deleteRow reports that it is not")
 	}
 }
+
+// slowAnswerTable carries a transaction out and calls a function before it answers.
+type slowAnswerTable struct {
+	*delayedTable
+	beforeAnswer func()
+}
+
+func (s *slowAnswerTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	res, err := s.delayedTable.Commit(ctx, txn)
+	s.beforeAnswer()
+	return res, err
+}
+
+// Guards against a VM without a link: its agent registers again while the answer to the
+// deletion of its row is under way, and the orders for it are dropped from then on.
+func TestAgentThatRegistersDuringItsRemovalKeepsALink(t *testing.T) {
+	for name, address := range map[string]string{"other address": "127.0.0.1:2", "same address": "127.0.0.1:1"} {
+		t.Run(name, func(t *testing.T) {
+			system := actors.NewSystem()
+			defer system.Shutdown()
+			table := &slowAnswerTable{delayedTable: &delayedTable{revisions: map[string]uint64{"agent/vm": 5, lease.Key(jobsShard): 9}}}
+			tm := &term{
+				c: &Candidate{opts: CandidateOptions{System: system, Table: table, Agents: http.DefaultClient}}, log: telemetry.Discard(), epoch: 1,
+				links: make(map[types.VMID]*link),
+			}
+			tm.ctx, tm.end = context.WithCancel(t.Context())
+			tm.validUntil.Store(int64(clock.Now() + time.Hour))
+			tm.leaseRevision.Store(9)
+			core := workflow.New(workflow.Config{Epoch: 1, LeaseDuration: time.Minute, WorkerMaxLease: time.Minute, OrderRetry: orderRetry, StateRetention: time.Hour, MaxChanges: 18}, clock.Now())
+			if err := tm.spawn(core); err != nil {
+				t.Fatal(err)
+			}
+			defer tm.finish()
+			ctx, cancel := context.WithCancel(tm.ctx)
+			old := &link{t: tm, vm: "vm", row: agentRow{Address: "127.0.0.1:1"}, cancel: cancel, sendCtx: ctx}
+			old.rowRevision.Store(5)
+			tm.links["vm"] = old
+			table.beforeAnswer = func() {
+				tm.connect(tm.ctx, map[types.VMID]agentRow{"vm": {Address: address, revision: 101}})
+			}
+			ended := old.removeVM(ctx)
+			tm.linksMu.Lock()
+			now := tm.links["vm"]
+			tm.linksMu.Unlock()
+			if now == nil || now == old && ended {
+				t.Errorf("link %p, the old one %p has ended: %t; want a link that goes on", now, old, ended)
+			}
+		})
+	}
+}
