workflow: full pace before background runs, and limits of their moves

Change: background runs on a VM share 5% of its processors, do not keep work from full pace and are slowed down first. They move whatever they have done, gangs as a whole, at most every 5 s a run and 0.5 s a VM. The bound on memory counts background runs only. A wait ends when a task runs, not when a start is ordered. A new owner takes slow runs for background runs. A start counts with the pace that it begins with. One place is forced onto a VM per 1.2 s from the background. Idle standing tasks are named one by one; 658 and a gauge show background runs.

--- a/internal/core/workflow/advice.go
+++ b/internal/core/workflow/advice.go
@@ -107,8 +107,8 @@
 	rankRefused
 )
 
-// requestTickets adds a ticket request for a step of which tasks still wait after a
-// placement pass. It names the workers that could take one of them but for a ticket,
+// requestTickets adds a ticket request for a step of which tasks still wait, or run in
+// the background, after a placement pass. It names the workers that could take one of them but for a ticket,
 // and about which there is no answer. Placement alone decides whether the tickets at
 // hand suffice, so a ticket that the waiting tasks cannot use never keeps others from
 // being requested.
@@ -116,7 +116,7 @@
 	if s.tickets.pending != nil || o.now < s.tickets.retryAt {
 		return
 	}
-	i := slices.IndexFunc(s.tasks, func(t task) bool { return t.phase == phaseWaiting && o.now >= t.notBefore })
+	i := slices.IndexFunc(s.tasks, func(t task) bool { return t.background || t.phase == phaseWaiting && o.now >= t.notBefore })
 	if i < 0 {
 		return
 	}
--- a/internal/core/workflow/background.go
+++ b/internal/core/workflow/background.go
@@ -3,38 +3,69 @@
 import "time"
 
 // Background runs. Standing tasks may leave nothing to filling work, and a VM takes
-// only one task by force, which may run for long. A filling job without a live task
-// therefore gets a task at a low pace, whatever else runs. The task is brought to full
-// pace when placement would start it there, or moved when it would start elsewhere.
+// only one task by force, which may run for long. A filling job that has had nothing
+// running for a while therefore gets a task at a low pace. Work at full pace goes
+// first: background runs do not keep it from being placed or brought to full pace, and
+// are slowed down before it. A background run is brought to full pace when placement
+// would start it on its VM, and moves when placement would start it on another one.
 const (
-	// backgroundTimeout is how long a job may have no live task before one starts at
-	// backgroundPace. With the time until the start is carried out it stays below the
-	// 3 s within which an accepted job must run if there is room for it.
+	// backgroundTimeout is how long a job may have nothing running before a task starts
+	// in the background. With the time until the start is carried out it stays below
+	// the 3 s within which an accepted job must run if there is room for it.
 	backgroundTimeout = 2 * time.Second
-	// backgroundDeadline is how long a job may have no live task before its background
-	// run starts beside others on the VM that have not been slowed down yet.
+	// backgroundDeadline is how long a job may have nothing running before its
+	// background run starts beside others on the VM that have not been slowed down yet.
 	backgroundDeadline = 2500 * time.Millisecond
-	// backgroundPace is the pace of background runs, in percent.
-	backgroundPace = minPace
-	// backgroundMemoryShare is the share of a VM's memory from which on no background
-	// run starts there. The rest stays free for work at full pace.
-	backgroundMemoryShare = 0.5
-	// maxBackgroundUse is the measured processor use, in percent of its demand, up to
+	// maxBackgroundPace and minBackgroundPace limit the pace of background runs, in
+	// percent. In between, those on a VM demand backgroundShare of its processors.
+	maxBackgroundPace = minPace
+	minBackgroundPace = 1
+	backgroundShare   = 0.05
+	// maxBackgroundMemory is the share of a VM's memory from which on no further
+	// background run starts there. The rest stays free for work at full pace.
+	maxBackgroundMemory = 0.5
+	// maxBackgroundUse is the measured processor use, as a share of its demand, up to
 	// which a run that an earlier owner started is taken for a background run.
-	maxBackgroundUse = 2 * backgroundPace
+	maxBackgroundUse = 0.1
+	// moveBackoff is the time between two moves of a background run, and
+	// moveInterval that between two moves to a VM, since only one may find room there.
+	moveBackoff  = 5 * time.Second
+	moveInterval = 500 * time.Millisecond
+	// forcedInterval is the time between background runs that are brought to full pace
+	// by force on a VM. Runs shorter than the window of measurements would follow each
+	// other before the tails show what they do.
+	forcedInterval = 1200 * time.Millisecond
 )
 
-// maxPace returns the highest pace that the task may have.
-func (t *task) maxPace() int {
+// backgroundPace returns the pace of background runs on the VM.
+func (v *vm) backgroundPace() int {
+	if v.background == 0 {
+		return maxBackgroundPace
+	}
+	pace := int(fullPace * backgroundShare * v.processors() / float64(v.background))
+	return max(minBackgroundPace, min(maxBackgroundPace, pace))
+}
+
+// paceLimit returns the highest pace that a task on a VM may have.
+func (t *task) paceLimit() int {
 	if t.background {
-		return backgroundPace
+		return t.vm.backgroundPace()
 	}
 	return fullPace
 }
 
-// idleTime returns how long a filling task has waited without another task of its
-// step. Each standing task must run, so those count by themselves. It is 0 for tasks
-// that do not fill.
+// limitBackground slows down background runs after others have joined them.
+func (o *Owner) limitBackground(v *vm) {
+	for _, t := range v.tasks {
+		if t.background && t.wantedPace > t.paceLimit() {
+			t.setPace(o.now, t.paceLimit())
+		}
+	}
+}
+
+// idleTime returns how long a waiting filling task has had no running task of its step
+// beside it. Each standing task must run, so those count by themselves. It is 0 for
+// tasks that do not fill, and while a task of the step is starting or stopping.
 func (o *Owner) idleTime(t *task) time.Duration {
 	s := t.step
 	switch {
@@ -49,7 +80,7 @@
 	}
 }
 
-// needsBackground reports whether a waiting task must start at backgroundPace, because
+// needsBackground reports whether a waiting task must start in the background, because
 // its job has had nothing running for too long.
 func (o *Owner) needsBackground(t *task) bool {
 	return o.idleTime(t) >= backgroundTimeout && (t.step.spec.Standing || t.step.job.live == 0)
@@ -76,10 +107,10 @@
 	return best
 }
 
-// keepsMemoryFree reports whether enough of the VM's memory is free for a background
-// run to start there.
+// keepsMemoryFree reports whether a further background run leaves memory to work at
+// full pace.
 func (v *vm) keepsMemoryFree() bool {
-	return float64(v.reserved.MemoryBytes) < backgroundMemoryShare*float64(v.upstream.Capacity.MemoryBytes)
+	return float64(v.backgroundMemory) < maxBackgroundMemory*float64(v.upstream.Capacity.MemoryBytes)
 }
 
 // startsBackground reports whether a background run on the VM has not been slowed down
@@ -93,63 +124,120 @@
 	return false
 }
 
-// raiseBackground brings background runs of a step to full pace where placement would
-// start them now, or as the one task forced onto their VM, and stops those that can
-// start on another VM.
-func (o *Owner) raiseBackground(s *step) {
+// advanceBackground brings the background runs of a step to full pace, or stops them
+// to start elsewhere, as far as VMs can take them now.
+func (o *Owner) advanceBackground(s *step) {
+	if s.spec.Gang {
+		o.restartGang(s)
+		return
+	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if !t.background || t.phase != phaseRunning {
-			continue
+		if t.background && t.phase == phaseRunning && !o.bringToFullPace(t) {
+			o.moveBackground(t)
 		}
-		if o.usable(t.vm) && (o.mayFill(s.spec, t.vm) || !t.vm.forced()) {
-			t.forced = !o.mayFill(s.spec, t.vm)
-			o.leaveBackground(t)
-			continue
-		}
-		if s.spec.Gang || s.spec.Standing || !o.cheapToRestart(t) || o.knownUnplaceable(t) {
-			continue
-		}
-		if o.choose(t) == nil {
-			o.noteUnplaceable(t)
-			continue
-		}
-		o.stop(t)
 	}
 }
 
-// leaveBackground brings a background run to full pace.
-func (o *Owner) leaveBackground(t *task) {
-	demand := t.step.spec.Demand.MilliCPU
-	t.background = false
-	t.step.background--
-	t.vm.background -= demand
-	t.vm.filling += demand
+// bringToFullPace brings a background run to full pace if placement would start it
+// there now, or as the one task that is forced onto the VM. It reports whether it did.
+func (o *Owner) bringToFullPace(t *task) bool {
+	v := t.vm
+	if !o.usable(v) || v.quarantined {
+		return false
+	}
+	fits := o.mayFill(t.step.spec, v)
+	if !fits && (v.forced() || v.tail() > tailHigh || o.now < v.nextForcedAt) {
+		return false
+	}
+	if !fits {
+		v.nextForcedAt = o.now + forcedInterval
+	}
+	v.countFilling(t, -1)
+	t.background, t.forced = false, !fits
+	v.countFilling(t, 1)
 	t.setPace(o.now, fullPace)
-	o.recordDecision(Decision{Kind: DecisionPaced, Task: t.key(), Run: t.run, VM: t.vm.id, Reason: "background run brought to full pace"})
+	o.recordDecision(Decision{Kind: DecisionPaced, Task: t.key(), Run: t.run, VM: v.id, Reason: "background run brought to full pace"})
+	return true
 }
 
-// cheapToRestart reports whether stopping a background run discards little work.
-func (o *Owner) cheapToRestart(t *task) bool {
-	return t.step.spec.Checkpoints || (o.now-t.startedAt)*backgroundPace/fullPace <= maxLostRunTime
+// moveBackground stops a background run that another VM can take at full pace.
+func (o *Owner) moveBackground(t *task) {
+	if t.step.spec.Standing || o.now < t.nextMoveAt || o.knownUnplaceable(t) {
+		return
+	}
+	target := o.choose(t)
+	if target == nil {
+		o.noteUnplaceable(t)
+		return
+	}
+	if target == t.vm || target.quarantined || o.now < target.nextMoveAt {
+		return
+	}
+	t.nextMoveAt, target.nextMoveAt = o.now+moveBackoff, o.now+moveInterval
+	o.stop(t)
+}
+
+// restartGang stops a gang that runs in the background if VMs can take all its members
+// at full pace. Single members at full pace would wait for the others.
+func (o *Owner) restartGang(s *step) {
+	first := &s.tasks[0]
+	if o.now < first.nextMoveAt || !s.allRunning() || !o.gangFits(s) {
+		return
+	}
+	first.nextMoveAt = o.now + moveBackoff
+	for i := range s.tasks {
+		o.stop(&s.tasks[i])
+	}
+}
+
+func (s *step) allRunning() bool {
+	for i := range s.tasks {
+		if s.tasks[i].phase != phaseRunning {
+			return false
+		}
+	}
+	return true
+}
+
+// gangFits reports whether VMs that are not quarantined can take all members of a gang
+// at full pace, beside its current runs.
+func (o *Owner) gangFits(s *step) bool {
+	members := make([]task, len(s.tasks))
+	placed := 0
+	for ; placed < len(members); placed++ {
+		t := &members[placed]
+		*t = task{step: s, index: placed, failures: s.tasks[placed].failures, pace: fullPace, wantedPace: fullPace}
+		v := o.choose(t)
+		if v == nil || v.quarantined {
+			break
+		}
+		v.bind(t) // so that the search for the next member counts it
+	}
+	for i := range placed {
+		members[i].release()
+	}
+	return placed == len(members)
 }
 
 // looksLikeBackground reports whether a run that an earlier owner started is a
 // background run, which shows in its processor use.
 func looksLikeBackground(spec *Step, r *Run) bool {
-	return spec.Fills && !spec.Standing && r.Figure > 0 && r.Figure <= float64(spec.Demand.MilliCPU)*maxBackgroundUse/fullPace
+	return spec.Fills && !spec.Standing && r.Figure <= maxBackgroundUse*float64(spec.Demand.MilliCPU)
 }
 
-// fillingDemand returns the processor demand of a task, in thousandths of a core, by
-// whether it counts as filling work at full pace or as a background run. Both are 0
-// for tasks that do not fill.
-func (t *task) fillingDemand() (filling, background int64) {
+// countFilling adds a filling task to the sums of its VM and step, or with by -1
+// removes it: as work at full pace or as a background run. It does nothing for other
+// tasks.
+func (v *vm) countFilling(t *task, by int) {
+	spec := t.step.spec
 	switch {
-	case !t.step.spec.Fills:
-		return 0, 0
+	case !spec.Fills:
 	case t.background:
-		return 0, t.step.spec.Demand.MilliCPU
+		t.step.background += by
+		v.background += int64(by) * spec.Demand.MilliCPU
+		v.backgroundMemory += int64(by) * spec.Demand.MemoryBytes
 	default:
-		return t.step.spec.Demand.MilliCPU, 0
+		v.filling += int64(by) * spec.Demand.MilliCPU
 	}
 }
--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -105,12 +105,14 @@
 	}
 	j := t.step.job
 	o.recordDecision(Decision{Kind: DecisionRequeued, Task: t.key(), Run: t.run, VM: t.vmID(), Reason: reason, Age: o.now - j.accepted})
+	if t.phase == phaseRunning || t.listed {
+		t.waitingSince = o.now
+	}
 	if t.background {
 		t.step.idleSince = o.now - backgroundTimeout // it has waited before
 	}
 	t.release()
 	t.phase = phaseWaiting
-	t.waitingSince = o.now
 	t.step.waiting++
 	o.placeDue = true
 	if t.checkpoint != "" || j.outcome != "" && j.live == 0 {
@@ -128,7 +130,7 @@
 // markRunning marks a task as running after the worker has confirmed the start.
 func (o *Owner) markRunning(t *task) {
 	t.phase = phaseRunning
-	t.pace, t.sentPace, t.wantedPace = fullPace, fullPace, t.maxPace()
+	t.pace, t.sentPace, t.wantedPace = fullPace, fullPace, t.paceLimit()
 	o.markStarted(t.step.job)
 }
 
--- a/internal/core/workflow/idle.go
+++ b/internal/core/workflow/idle.go
@@ -8,7 +8,8 @@
 	"github.com/boragecrank/boragecrank/internal/core/types"
 )
 
-// Detection of idle steps: steps that could begin or go on, and of which no task runs.
+// Detection of idle steps: steps that could begin or go on, and of which no task runs,
+// or a standing one does not.
 
 const (
 	// checkIdleInterval is the time between checks for idle steps.
@@ -47,6 +48,11 @@
 	return o.idleSteps
 }
 
+// BackgroundRuns returns the number of background runs as of the last check.
+func (o *Owner) BackgroundRuns() int {
+	return o.backgroundRuns
+}
+
 // checkIdle finds the idle steps and records what they wait for.
 func (o *Owner) checkIdle() {
 	if o.now < o.checkIdleAt {
@@ -54,21 +60,21 @@
 	}
 	o.checkIdleAt = o.now + checkIdleInterval
 	o.idleSteps = make(map[IdleCause]int)
+	o.backgroundRuns = 0
 	for _, s := range o.ready {
 		if s.job.outcome != "" || s.occurrence.finished || s.done == len(s.tasks) {
 			continue
 		}
-		if s.running() {
-			s.runningAt = o.now
-		}
-		if o.now < s.runningAt+idleLogInterval {
+		o.backgroundRuns += s.background
+		t := s.idleTask(o.now)
+		if t == nil {
 			continue
 		}
-		cause := o.idleCause(s)
+		cause := o.idleCause(t)
 		o.idleSteps[cause]++
 		if o.now >= s.idleLoggedAt+idleLogInterval {
 			s.idleLoggedAt = o.now
-			o.recordIdle(s, cause)
+			o.recordIdle(t, cause)
 		}
 	}
 }
@@ -86,23 +92,50 @@
 	return false
 }
 
-func (o *Owner) idleCause(s *step) IdleCause {
-	switch {
-	case s.live > 0:
+// idleTask returns a task that has not run for idleLogInterval although its turn has
+// come, or nil: of standing steps, any task; of others, one that is starting or
+// stopping, or else one that waits, if no task of the step runs.
+func (s *step) idleTask(now time.Duration) *task {
+	if !s.spec.Standing && s.running() {
+		s.idleSince = now
+	}
+	var idle *task
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.phase == phaseRunning {
+			t.waitingSince = now
+		}
+		since := s.idleSince
+		if s.spec.Standing {
+			since = t.waitingSince
+		}
+		if t.phase == phaseDone || now < since+idleLogInterval {
+			continue
+		}
+		if idle == nil || t.phase.live() && !idle.phase.live() {
+			idle = t
+		}
+	}
+	return idle
+}
+
+func (o *Owner) idleCause(t *task) IdleCause {
+	switch j := t.step.job; {
+	case t.phase.live():
 		return IdleUndecidedRun
-	case s.job.inherited && !o.takeoverComplete:
+	case j.inherited && !o.takeoverComplete:
 		return IdleTakeover
-	case s.job.readUnconfirmed:
+	case j.readUnconfirmed:
 		return IdleUnconfirmed
 	default:
 		return IdleNoVM
 	}
 }
 
-// recordIdle records an idle step and what one of its tasks waits for.
-func (o *Owner) recordIdle(s *step, cause IdleCause) {
-	d := Decision{Kind: DecisionBlocked, Age: o.now - s.job.accepted}
-	t := s.firstUnfinished()
+// recordIdle records an idle task and what it waits for.
+func (o *Owner) recordIdle(t *task, cause IdleCause) {
+	s := t.step
+	d := Decision{Kind: DecisionBlocked, Task: t.key(), Age: o.now - s.job.accepted}
 	switch cause {
 	case IdleNoVM:
 		d.Kind, d.Reason = DecisionWaiting, o.obstacles(t)
@@ -110,35 +143,15 @@
 			d.Reason = fmt.Sprintf("%d of %d members of the gang find a VM", s.membersPlaced, len(s.tasks))
 		}
 	case IdleUndecidedRun:
-		t = s.firstLive()
 		d.Run, d.VM, d.Reason = t.run, t.vm.id, o.undecidedReason(t)
 	case IdleTakeover:
 		d.Reason = "runs of an earlier owner may go on at VMs out of reach: " + o.unreachedVMs()
 	case IdleUnconfirmed:
 		d.Reason = "job was read while the ownership was not confirmed"
 	}
-	d.Task = t.key()
 	o.recordDecision(d)
 }
 
-func (s *step) firstUnfinished() *task {
-	for i := range s.tasks {
-		if s.tasks[i].phase != phaseDone {
-			return &s.tasks[i]
-		}
-	}
-	return nil
-}
-
-func (s *step) firstLive() *task {
-	for i := range s.tasks {
-		if s.tasks[i].phase.live() {
-			return &s.tasks[i]
-		}
-	}
-	return nil
-}
-
 // undecidedReason describes the run of a starting or stopping task, and until when it
 // may take to be decided.
 func (o *Owner) undecidedReason(t *task) string {
@@ -202,6 +215,8 @@
 		return "none"
 	case !v.hasUnusedProcessors(t.step.spec):
 		return "no unused processors"
+	case !v.keepsMemoryFree():
+		return "would disturb standing tasks, and background runs hold its memory"
 	default:
 		return "would disturb standing tasks"
 	}
--- a/internal/core/workflow/interference.go
+++ b/internal/core/workflow/interference.go
@@ -126,11 +126,15 @@
 	share float64
 }
 
-// uses returns the measured processor use of the VM's filling tasks, by image.
-func (v *vm) uses() []imageUse {
+// anyTask selects all tasks for uses.
+func anyTask(*task) bool { return true }
+
+// uses returns the measured processor use of the selected filling tasks on the VM, by
+// image.
+func (v *vm) uses(selected func(*task) bool) []imageUse {
 	var uses []imageUse
 	for _, t := range v.tasks {
-		if t.phase == phaseRunning && t.step.spec.Fills && t.measurement > 0 {
+		if t.phase == phaseRunning && t.step.spec.Fills && t.measurement > 0 && selected(t) {
 			uses = addUse(uses, t.step.spec.Image, t.measurement/v.processors())
 		}
 	}
@@ -175,7 +179,7 @@
 	if o.now < v.slowUntil || o.tailsUnexplained(v) {
 		return // tails on a slow worker do not show the load of users
 	}
-	uses := v.uses()
+	uses := v.uses(anyTask)
 	for _, t := range v.tasks {
 		if t.tailKnown() && t.learnedMeasurement != t.measurement {
 			t.learnedMeasurement = t.measurement
--- a/internal/core/workflow/order.go
+++ b/internal/core/workflow/order.go
@@ -124,6 +124,9 @@
 	}
 	var waiting []ranked
 	for _, s := range o.ready {
+		if s.running() {
+			s.idleSince = o.now
+		}
 		if (s.waiting > 0 || s.background > 0) && (o.takeoverComplete || !s.job.inherited) && !s.job.readUnconfirmed {
 			waiting = append(waiting, ranked{s, o.rankOf(s)})
 		}
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -77,6 +77,7 @@
 	checkWorkersAt time.Duration
 	checkIdleAt    time.Duration
 	idleSteps      map[IdleCause]int
+	backgroundRuns int
 
 	// unplaceable holds, for each placement group, the demand that found no VM
 	// in the current placement pass.
@@ -247,7 +248,7 @@
 			continue
 		}
 		s.ready = true
-		s.idleSince, s.runningAt = o.now, o.now
+		s.idleSince = o.now
 		for i := range s.tasks {
 			s.tasks[i].waitingSince = o.now
 		}
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -62,6 +62,7 @@
 
 // adjustPaces sets the wanted paces on a VM after a report.
 func (o *Owner) adjustPaces(v *vm) {
+	o.limitBackground(v)
 	tail := v.tail()
 	if tail <= tailHigh {
 		v.tailOKAt = o.now
@@ -87,11 +88,11 @@
 }
 
 // lowestPace returns the lowest wanted pace on the VM. Background runs count only if
-// they are slower than backgroundPace.
+// they are slower than their limit.
 func (v *vm) lowestPace() int {
 	lowestPace := fullPace
 	for _, t := range v.tasks {
-		if t.runningFilling() && t.wantedPace < t.maxPace() {
+		if t.runningFilling() && t.wantedPace < t.paceLimit() {
 			lowestPace = min(lowestPace, t.wantedPace)
 		}
 	}
@@ -121,8 +122,17 @@
 	return o.interference.expected(o.now, imagePair{t.step.spec.Image, s.step.spec.Image})
 }
 
-// lowerPaces removes the excess load by lowering paces, starting with the tasks
-// that add the most load.
+// rankOfPace orders tasks for raising paces: those at full pace go before background
+// runs.
+func (t *task) rankOfPace() int {
+	if t.background {
+		return 1
+	}
+	return 0
+}
+
+// lowerPaces removes the excess load by lowering paces, starting with background runs,
+// then with the tasks that add the most load.
 func (o *Owner) lowerPaces(v *vm, interference func(*task) float64, excess float64) {
 	type contribution struct {
 		task *task
@@ -135,7 +145,9 @@
 			all = append(all, contribution{t, interference(t) * use})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b contribution) int { return cmp.Compare(b.load, a.load) })
+	slices.SortStableFunc(all, func(a, b contribution) int {
+		return cmp.Or(cmp.Compare(b.task.rankOfPace(), a.task.rankOfPace()), cmp.Compare(b.load, a.load))
+	})
 	for _, c := range all {
 		if excess <= 0 || c.load <= 0 {
 			return
@@ -152,13 +164,13 @@
 
 // raisePaces raises lowered paces as far as no standing task's expected load
 // exceeds the load at which its tail is at tailWanted, starting with the tasks
-// that interfere least. It uses all of the spare load at once: if paces rose in
+// that interfere least. Background runs come last, and do not hold up others. It uses all of the spare load at once: if paces rose in
 // small steps, a task would delay its step for seconds after the load has
 // fallen.
 func (o *Owner) raisePaces(v *vm) {
 	var lowered []*task
 	for _, t := range v.tasks {
-		if t.runningFilling() && t.wantedPace < t.maxPace() {
+		if t.runningFilling() && t.wantedPace < t.paceLimit() {
 			lowered = append(lowered, t)
 		}
 	}
@@ -166,17 +178,26 @@
 		return
 	}
 	slices.SortStableFunc(lowered, func(a, b *task) int {
-		return cmp.Compare(o.worstFactor(a.step.spec.Image, v), o.worstFactor(b.step.spec.Image, v))
+		return cmp.Or(cmp.Compare(a.rankOfPace(), b.rankOfPace()), cmp.Compare(o.worstFactor(a.step.spec.Image, v), o.worstFactor(b.step.spec.Image, v)))
 	})
-	uses := v.uses()
+	foreground := v.uses(func(t *task) bool { return !t.background })
+	all := v.uses(anyTask)
 	for _, t := range lowered {
+		uses := foreground
+		if t.background {
+			uses = all
+		}
 		demandShare := float64(t.step.spec.Demand.MilliCPU) / v.processors()
 		spare := o.spareShare(v, t.step.spec.Image, uses)
-		pace := min(t.maxPace(), t.wantedPace+int(fullPace*spare/demandShare))
-		if pace < t.wantedPace+paceStep && pace < t.maxPace() {
+		pace := min(t.paceLimit(), t.wantedPace+int(fullPace*spare/demandShare))
+		if pace < t.wantedPace+paceStep && pace < t.paceLimit() {
 			continue
 		}
-		uses = addUse(uses, t.step.spec.Image, demandShare*float64(pace-t.wantedPace)/fullPace)
+		added := demandShare * float64(pace-t.wantedPace) / fullPace
+		all = addUse(all, t.step.spec.Image, added)
+		if !t.background {
+			foreground = addUse(foreground, t.step.spec.Image, added)
+		}
 		t.setPace(o.now, pace)
 	}
 }
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -61,11 +61,8 @@
 		v.passLeftover = v.leftover()
 	}
 	for _, s := range o.waitingSteps() {
-		if s.live > 0 {
-			s.idleSince = o.now
-		}
 		if s.background > 0 {
-			o.raiseBackground(s)
+			o.advanceBackground(s)
 		}
 		if s.spec.Gang {
 			o.placeGang(s)
@@ -103,6 +100,7 @@
 		}
 		if v == nil {
 			v = o.chooseQuarantined(t)
+			t.background = v != nil && s.spec.Fills && !o.mayFill(s.spec, v)
 		}
 		if v == nil {
 			if o.now < t.avoidUntil {
@@ -122,12 +120,9 @@
 	}
 	var starts uint64
 	checkpoint := ""
-	type choice struct {
-		vm         *vm
-		background bool
-	}
-	chosen := make([]choice, 0, len(s.tasks))
-	background, idle := o.needsBackground(&s.tasks[0]), o.idleTime(&s.tasks[0])
+	chosen := make([]*vm, 0, len(s.tasks))
+	needsBackground, idle := o.needsBackground(&s.tasks[0]), o.idleTime(&s.tasks[0])
+	inBackground := false
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		starts = max(starts, t.starts)
@@ -138,7 +133,7 @@
 		if v == nil {
 			v = o.chooseQuarantined(t)
 		}
-		if v == nil && background {
+		if v == nil && needsBackground {
 			v = o.chooseBackground(t, idle)
 			t.background = v != nil
 		}
@@ -147,8 +142,10 @@
 			break
 		}
 		// Bind each task for now, so that the search for the next one counts
-		// its reservation; start binds the task again.
-		chosen = append(chosen, choice{v, t.background})
+		// it; start binds the task again.
+		chosen = append(chosen, v)
+		inBackground = inBackground || t.background
+		t.wantedPace = fullPace
 		v.bind(t)
 	}
 	for i := range chosen {
@@ -158,10 +155,11 @@
 	if len(chosen) < len(s.tasks) {
 		return
 	}
-	for i, c := range chosen {
+	for i, v := range chosen {
 		t := &s.tasks[i]
-		t.starts, t.checkpoint, t.background = starts+1, checkpoint, c.background
-		o.start(t, c.vm, o.runNumber(t.starts))
+		// One slow member holds up all others.
+		t.starts, t.checkpoint, t.background = starts+1, checkpoint, inBackground
+		o.start(t, v, o.runNumber(t.starts))
 	}
 }
 
@@ -185,10 +183,8 @@
 	t.run = run
 	t.inFlight = true
 	t.startedAt = o.now
+	t.pace, t.wantedPace = fullPace, t.paceLimit()
 	t.undisturbed = t.checkpoint == "" && !t.background
-	if t.background {
-		t.wantedPace = backgroundPace
-	}
 	order := Order{
 		Kind: OrderStart, VM: v.id, Boot: v.boot, Task: t.key(), Run: run,
 		Payload: t.step.job.spec.Payload, LeaseEnd: o.extendLease(v),
@@ -373,11 +369,12 @@
 }
 
 // expectedUses returns the expected processor use of the VM's filling tasks by
-// image: their demand at their wanted pace, since measurements lag behind.
+// image, without background runs: their demand at their wanted pace, since
+// measurements lag behind.
 func (v *vm) expectedUses() []imageUse {
 	var uses []imageUse
 	for _, t := range v.tasks {
-		if t.step.spec.Fills && t.phase != phaseStopping {
+		if t.step.spec.Fills && !t.background && t.phase != phaseStopping {
 			demand := float64(t.step.spec.Demand.MilliCPU) / v.processors()
 			uses = addUse(uses, t.step.spec.Image, demand*float64(t.wantedPace)/fullPace)
 		}
--- a/internal/core/workflow/quarantine.go
+++ b/internal/core/workflow/quarantine.go
@@ -40,7 +40,7 @@
 		if !v.quarantined || !gangProbe && !o.probeFree(v) || v.upstream.Service != service || !o.usable(v) {
 			continue
 		}
-		if o.requirement(t, v) != "" || !v.hasRoom(s) || s.spec.Fills && !o.mayFill(s.spec, v) {
+		if o.requirement(t, v) != "" || !v.hasRoom(s) || s.spec.Fills && !o.mayFill(s.spec, v) && !o.needsBackground(t) {
 			continue
 		}
 		if o.hasSpareAttempt(t) || !o.mayRunElsewhere(t, v) {
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -308,8 +308,8 @@
 		defer o.stop(t)
 	}
 	t.background = looksLikeBackground(t.step.spec, r)
-	t.pace, t.sentPace, t.wantedPace = unknownPace, unknownPace, t.maxPace()
 	v.bind(t)
+	t.pace, t.sentPace, t.wantedPace = unknownPace, unknownPace, t.paceLimit()
 	o.markStarted(t.step.job)
 }
 
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -100,7 +100,11 @@
 	// ownerDiesAt.
 	silentRestarts bool
 	ownerDiesAt    time.Duration
-	born           int64
+	// filling: most steps fill.
+	filling bool
+	// afterTick, if set, is called after each tick.
+	afterTick func()
+	born      int64
 	// delayNext and loseNext are faults of the next order; restarts are
 	// scheduled boots.
 	delayNext time.Duration
@@ -237,8 +241,15 @@
 
 // step advances the simulation by one tick.
 func (s *sim) step() {
+	if s.afterTick != nil {
+		defer s.afterTick()
+	}
 	s.now += simTick
+	known := len(s.order)
 	s.drawFaults()
+	if s.filling {
+		s.makeFilling(known)
+	}
 	s.bootDue()
 	for _, w := range s.workers {
 		s.advanceRuns(w)
--- a/internal/core/workflow/slowness.go
+++ b/internal/core/workflow/slowness.go
@@ -193,7 +193,7 @@
 // meet their targets.
 func (o *Owner) tailsUnexplained(v *vm) bool {
 	used := 0.0
-	for _, u := range v.uses() {
+	for _, u := range v.uses(anyTask) {
 		used += u.share
 	}
 	if used > maxHarmlessUse {
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -66,9 +66,12 @@
 	// starvationTimeout, although it may disturb standing tasks on the VM. A VM
 	// takes one such task at a time.
 	forced bool
-	// background: the run has backgroundPace, since no VM could take it at full pace.
+	// background: the run is slow, since no VM could take it at full pace. It does not
+	// count as filling work of its VM.
 	background bool
-	// waitingSince is when the task became ready or was last requeued.
+	// nextMoveAt is the earliest time at which a background run may move again.
+	nextMoveAt time.Duration
+	// waitingSince is when the task became ready or last ran.
 	waitingSince time.Duration
 
 	// pace is the last pace that the worker has confirmed, or unknownPace.
@@ -107,16 +110,14 @@
 	ready      bool
 	// perVM counts live tasks by VM; nil for steps without a limit.
 	perVM map[types.VMID]int
-	// idleSince is when the step last had a live task, or became ready.
-	idleSince time.Duration
+	// idleSince is when the step last had a running task, or became ready. idleLoggedAt
+	// is the last log event about it.
+	idleSince, idleLoggedAt time.Duration
 	// runTime is the estimated run time of a task, and criticalPath the
 	// estimated time of the longest path from the step on, both as of the last
 	// forecast.
 	runTime      time.Duration
 	criticalPath time.Duration
-	// runningAt is when the step became ready or last had a running task, as of the
-	// last check for idle steps. idleLoggedAt is the last log event about it.
-	runningAt, idleLoggedAt time.Duration
 	// live counts the live tasks, background those of them that are background runs.
 	live, background int
 	// users is the estimated load that the users of standing tasks cause.
@@ -220,9 +221,13 @@
 	// one that is listed but is not the current run of any task.
 	untrackedRuns map[runID]time.Duration
 	// reserved is the sum of reservations; filling is the processor demand of
-	// filling tasks, except background runs, whose demand is background.
-	reserved            types.Resources
-	filling, background int64
+	// filling tasks, except background runs, whose demands are background and
+	// backgroundMemory.
+	reserved                              types.Resources
+	filling, background, backgroundMemory int64
+	// nextMoveAt is the earliest time at which a background run may be stopped to start
+	// on the VM, nextForcedAt that at which one may be brought to full pace by force.
+	nextMoveAt, nextForcedAt time.Duration
 	// passLeftover is the result of leftover as of the current placement pass.
 	passLeftover int64
 	// targets counts the live tasks with a tail target.
@@ -338,12 +343,7 @@
 	t.vm = v
 	v.tasks = append(v.tasks, t)
 	v.reserved = v.reserved.Add(t.step.reservation())
-	filling, background := t.fillingDemand()
-	v.filling += filling
-	v.background += background
-	if t.background {
-		t.step.background++
-	}
+	v.countFilling(t, 1)
 	if t.step.spec.TailTarget > 0 {
 		v.targets++
 		v.countImage(t.step.spec.Image, 1)
@@ -370,12 +370,7 @@
 		v.probe = nil
 	}
 	v.reserved = v.reserved.Sub(t.step.reservation())
-	filling, background := t.fillingDemand()
-	v.filling -= filling
-	v.background -= background
-	if t.background {
-		t.step.background--
-	}
+	v.countFilling(t, -1)
 	if t.step.spec.TailTarget > 0 {
 		v.targets--
 		v.countImage(t.step.spec.Image, -1)
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -12,7 +12,7 @@
 
 var decisionEvents = map[workflow.DecisionKind]telemetry.Event{
 	workflow.DecisionPlaced: telemetry.Define(650, logrus.InfoLevel, "task placed",
-		"A start was ordered. Fields: job, task, run, vm, age of the job in ms, and the VM's load: kind, reserved, filling, capacity, targets, pace. No action."),
+		"A start was ordered. The reason is set for a background run, which is slow until a VM takes the task at full pace. Fields: job, task, run, vm, reason, age of the job in ms, and the VM's load: kind, reserved, filling, capacity, targets, pace. No action."),
 	workflow.DecisionEnded: telemetry.Define(651, logrus.InfoLevel, "task done",
 		"Fields: job, task, run, vm, age, reason. No action."),
 	workflow.DecisionRequeued: telemetry.Define(652, logrus.WarnLevel, "task requeued",
@@ -24,17 +24,17 @@
 	workflow.DecisionVMLost: telemetry.Define(655, logrus.WarnLevel, "nothing runs on a VM any more",
 		"The worker has ended or its lease has certainly expired; its tasks are started elsewhere. Check the VM and its worker. Fields: vm, reason."),
 	workflow.DecisionPaced: telemetry.Define(656, logrus.InfoLevel, "pace changed",
-		"Filling tasks of the VM are slowed down or sped up according to the tail latency of its standing tasks. Frequent slowing means that the images interfere with each other. Fields: vm, reason."),
+		"Filling tasks of the VM are slowed down or sped up according to the tail latency of its standing tasks, or a background run was brought to full pace. Frequent slowing means that the images interfere with each other. Fields: vm, reason; job, task and run of a background run."),
 	workflow.DecisionQuarantine: telemetry.Define(657, logrus.WarnLevel, "VM quarantined or returned",
 		"The worker failed or delayed tasks that other workers complete, or no longer does so. Look at its log. Fields: vm, reason."),
 	workflow.DecisionWaiting: telemetry.Define(659, logrus.InfoLevel, "task finds no VM",
-		"For 2 s or more, no task of the step has been running, and none is under way. The reason counts the VMs by what prevents them from running the task. Add VMs or check those that are not usable. Fields: job, task, run, age, reason."),
+		"For 2 s or more, no task of the step has been running, and none is under way; or a standing task has not. The reason counts the VMs by what prevents them from running the task. Add VMs or check those that are not usable. Fields: job, task, run, age, reason."),
 	workflow.DecisionBlocked: telemetry.Define(660, logrus.InfoLevel, "task may not start yet",
-		"For 2 s or more, no task of the step has been running, and a new start could run a task twice. The reason says what must end first and how long this can take: a start or a stop without a certain answer, or, after a takeover, VMs out of reach. Check the VMs that it names. Fields: job, task, age, reason; run and vm of an undecided run."),
+		"For 2 s or more, no task of the step, or a standing task, has been running, and a new start could run a task twice. The reason says what must end first and how long this can take: a start or a stop without a certain answer, or, after a takeover, VMs out of reach. Check the VMs that it names. Fields: job, task, age, reason; run and vm of an undecided run."),
 }
 
 var eventVMLoad = telemetry.Define(658, logrus.DebugLevel, "load of a VM",
-	"Logged once a second for each VM. Fields: vm; reserved, filling, using, leftover and capacity in thousandths of a core; tasks; targets; tail as a share of the target; pace in percent; usable. No action.")
+	"Logged once a second for each VM. Fields: vm; reserved, filling, background, using, leftover and capacity in thousandths of a core; tasks; targets; tail as a share of the target; pace in percent; usable. No action.")
 
 // loadInterval is the time between log lines with a VM's load.
 const loadInterval = time.Second
@@ -47,7 +47,7 @@
 	t.nextLoadReport = now + loadInterval
 	for _, l := range o.Loads() {
 		t.log.Log(eventVMLoad, nil, telemetry.Fields{
-			"vm": l.VM, "reserved": l.Reserved, "filling": l.Filling, "using": l.Using, "leftover": l.Leftover, "capacity": l.Capacity,
+			"vm": l.VM, "reserved": l.Reserved, "filling": l.Filling, "background": l.Background, "using": l.Using, "leftover": l.Leftover, "capacity": l.Capacity,
 			"tasks": l.Tasks, "targets": l.Targets, "pace": l.Pace, "tail": l.Tail, "usable": l.Usable,
 		})
 	}
@@ -91,6 +91,7 @@
 	commitTime    tally.Histogram
 	jobTime       tally.Histogram
 	idleSteps     map[workflow.IdleCause]tally.Gauge
+	background    tally.Gauge
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
@@ -98,7 +99,7 @@
 	m := &termMetrics{
 		scope: scope, commits: scope.Counter("jobs_batches"), commitRetries: scope.Counter("jobs_batch_retries"),
 		commitTime: scope.Histogram("jobs_batch_seconds", buckets), jobTime: scope.Histogram("jobs_duration_seconds", buckets),
-		idleSteps: make(map[workflow.IdleCause]tally.Gauge),
+		idleSteps: make(map[workflow.IdleCause]tally.Gauge), background: scope.Gauge("jobs_background_runs"),
 	}
 	for _, cause := range workflow.IdleCauses() {
 		m.idleSteps[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("jobs_idle_steps")
@@ -106,8 +107,9 @@
 	return m
 }
 
-// setIdle updates the gauges of idle steps.
-func (m *termMetrics) setIdle(steps map[workflow.IdleCause]int) {
+// setIdle updates the gauges of idle steps and background runs.
+func (m *termMetrics) setIdle(steps map[workflow.IdleCause]int, backgroundRuns int) {
+	m.background.Update(float64(backgroundRuns))
 	for cause, gauge := range m.idleSteps {
 		gauge.Update(float64(steps[cause]))
 	}
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -106,7 +106,7 @@
 		t.runCore(ctx, parent)
 	}
 	t.finish()
-	t.metrics.setIdle(nil) // the next owner reports its own
+	t.metrics.setIdle(nil, 0) // the next owner reports its own
 	if parent.Err() != nil {
 		t.release()
 	}
@@ -218,7 +218,7 @@
 	o.SetOwnershipConfirmed(now, confirmed)
 	out := o.Poll(now, unixNow())
 	t.logDecisions(out.Decisions)
-	t.metrics.setIdle(o.IdleSteps())
+	t.metrics.setIdle(o.IdleSteps(), o.BackgroundRuns())
 	t.dispatch(out.Orders)
 	t.requestAdvice(out.TicketRequests)
 	t.logLoads(o, now)
