shard: continue a placement round behind jobs that fit nowhere

Callers would see: a task stays pending although a VM has room for it.

Cause: a placement pass tries at most 128 jobs and always begins at the head of the order. With more jobs ahead that fit nowhere, later ones are never tried.

Change: a pass goes on where the last one ended: jobs that could not be placed are left out until all waiting tasks have been tried.

--- a/internal/core/shard/owner.go
+++ b/internal/core/shard/owner.go
@@ -152,8 +152,11 @@
 	waiting  []*taskState
 	unsorted bool
 	// placeDue makes the next placement pass due at once.
-	placeDue  bool
-	lastPlace time.Duration
+	placeDue bool
+	// unplaceable holds the jobs that the current round of placement passes could not
+	// place.
+	unplaceable map[*jobState]bool
+	lastPlace   time.Duration
 	// active are the tasks that may need a command.
 	active []*taskState
 	// dirty and dirtyJobs have rows to write in the next batches.
@@ -177,17 +180,18 @@
 // at takeoverAt. It places nothing before Recover is called.
 func NewOwner(cfg Config, members membership.Config, placer Placer, takeoverAt time.Duration) *Owner {
 	return &Owner{
-		cfg:        cfg,
-		placer:     placer,
-		learner:    learnerOf(placer),
-		now:        takeoverAt,
-		detector:   membership.NewDetector(members, cfg.Incarnation),
-		takeoverAt: takeoverAt,
-		lastBatch:  takeoverAt - cfg.BatchInterval,
-		vms:        make(map[types.VMID]*vmState),
-		jobs:       make(map[types.JobID]*jobState),
-		tasks:      make(map[types.TaskID]*taskState),
-		finished:   make(map[types.JobID]bool),
+		cfg:         cfg,
+		placer:      placer,
+		learner:     learnerOf(placer),
+		now:         takeoverAt,
+		detector:    membership.NewDetector(members, cfg.Incarnation),
+		takeoverAt:  takeoverAt,
+		lastBatch:   takeoverAt - cfg.BatchInterval,
+		vms:         make(map[types.VMID]*vmState),
+		jobs:        make(map[types.JobID]*jobState),
+		tasks:       make(map[types.TaskID]*taskState),
+		finished:    make(map[types.JobID]bool),
+		unplaceable: make(map[*jobState]bool),
 	}
 }
 
--- a/internal/core/shard/owner_test.go
+++ b/internal/core/shard/owner_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -243,3 +244,21 @@
 		t.Fatal("the owner acknowledged a heartbeat without a lease")
 	}
 }
+
+// Guards against a task that waits although a VM has room for it, behind more jobs that
+// fit nowhere than one placement pass tries.
+func TestPlacementReachesTasksBehindUnplaceableJobs(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.run(2 * time.Second)
+	s.submit(job("holder", 1, 2))
+	s.run(3 * time.Second)
+	for i := range 140 {
+		s.submit(job(fmt.Sprintf("large%03d", i), 1, 3))
+	}
+	s.run(3 * time.Second)
+	s.submit(job("small", 1, 1))
+	s.run(10 * time.Second)
+	if r := s.table.task(t, "small/0"); r.State != task.Running {
+		t.Errorf("the small task is %s after 10 s with 2 of 4 cores free", r.State)
+	}
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -23,22 +23,33 @@
 	o.lastPlace = now
 	o.sortWaiting()
 	o.fillCandidates()
+	if o.placeWaiting(now) {
+		clear(o.unplaceable)
+	} else {
+		o.placeDue = true
+	}
+	o.removePlaced()
+}
+
+// placeWaiting tries to place up to MaxPlacements waiting tasks, in order, without the
+// jobs that an earlier pass of the same round could not place. It reports whether the
+// round is complete: all waiting tasks have been tried. Otherwise the next pass goes on,
+// so that jobs that fit nowhere do not keep later ones from being tried.
+func (o *Owner) placeWaiting(now time.Duration) (complete bool) {
 	remaining := o.cfg.MaxPlacements
-	failed := make(map[*jobState]bool)
 	for _, t := range snapshot(o.waiting) {
-		if remaining <= 0 {
-			o.placeDue = true
-			break
-		}
-		if !t.row.State.Waiting() || t.row.Cancel || failed[t.job] || !t.backoffOver(now) {
+		if !t.row.State.Waiting() || t.row.Cancel || o.unplaceable[t.job] || !t.backoffOver(now) {
 			continue
 		}
+		if remaining <= 0 {
+			return false
+		}
 		remaining--
 		if !o.placeTask(now, t) {
-			failed[t.job] = true
+			o.unplaceable[t.job] = true
 		}
 	}
-	o.removePlaced()
+	return true
 }
 
 // RequestPlacement makes a placement pass due. Call it when a change outside
