shard: give freed capacity to the first jobs in order

Change: half of the tries of each pass go to the first jobs in order again, the other half to jobs that the round has not tried.

--- a/internal/core/shard/owner_test.go
+++ b/internal/core/shard/owner_test.go
@@ -262,3 +262,30 @@
 		t.Errorf("the small task is %s after 10 s with 2 of 4 cores free", r.State)
 	}
 }
+
+// Guards against capacity that comes in the middle of a placement round and goes to a job
+// of lower priority, because the first jobs have been tried before.
+func TestFreedCapacityGoesToTheFirstJob(t *testing.T) {
+	ranked := func(id string, cores int64, priority int) types.Job {
+		j := job(id, 1, cores)
+		j.Priority = priority
+		return j
+	}
+	for delay := range 12 {
+		s := newSim(t, 1, 4)
+		s.run(2 * time.Second)
+		s.submit(ranked("holder", 4, 9))
+		s.run(3 * time.Second)
+		s.submit(ranked("first", 4, 8))
+		for i := range 400 {
+			s.submit(ranked(fmt.Sprintf("large%03d", i), 8, 5))
+		}
+		s.submit(ranked("last", 4, 0))
+		s.run(3*time.Second + time.Duration(delay)*100*time.Millisecond)
+		s.owner.Cancel([]types.JobID{"holder"})
+		s.run(5 * time.Second)
+		if last := s.table.task(t, "last/0"); last.State == task.Running {
+			t.Errorf("capacity freed after %d ms went to the job of the lowest priority", 100*delay)
+		}
+	}
+}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -31,22 +31,31 @@
 	o.removePlaced()
 }
 
-// placeWaiting tries to place up to MaxPlacements waiting tasks, in order, without the
-// jobs that an earlier pass of the same round could not place. It reports whether the
-// round is complete: all waiting tasks have been tried. Otherwise the next pass goes on,
-// so that jobs that fit nowhere do not keep later ones from being tried.
+// placeWaiting tries to place up to MaxPlacements waiting tasks. Half of the tries go to
+// the first in order, so that capacity which has come goes to them, the others to jobs
+// that no earlier pass of the same round has tried, so that jobs that fit nowhere do not
+// keep later ones waiting. It reports whether the round is complete: all waiting tasks
+// have been tried.
 func (o *Owner) placeWaiting(now time.Duration) (complete bool) {
-	remaining := o.cfg.MaxPlacements
+	first := o.cfg.MaxPlacements / 2
+	others := o.cfg.MaxPlacements - first
+	failed := make(map[*jobState]bool)
 	for _, t := range snapshot(o.waiting) {
-		if !t.row.State.Waiting() || t.row.Cancel || o.unplaceable[t.job] || !t.backoffOver(now) {
+		if !t.row.State.Waiting() || t.row.Cancel || failed[t.job] || !t.backoffOver(now) {
 			continue
 		}
-		if remaining <= 0 {
+		switch {
+		case first > 0:
+			first--
+		case o.unplaceable[t.job]:
+			continue
+		case others > 0:
+			others--
+		default:
 			return false
 		}
-		remaining--
 		if !o.placeTask(now, t) {
-			o.unplaceable[t.job] = true
+			failed[t.job], o.unplaceable[t.job] = true, true
 		}
 	}
 	return true
