--- a/internal/jobs/link.go
+++ b/internal/jobs/link.go
@@ -86,8 +86,9 @@
 	unreachable := true
 	pause := linkBackoffMin
 	for ctx.Err() == nil {
+		seen := l.rowRevision.Load() // a later row is of an agent that this call may not reach
 		left, err := l.watch(ctx)
-		if left && l.removeVM(ctx) {
+		if left && l.removeVM(ctx, seen) {
 			return
 		}
 		switch {
@@ -103,7 +104,7 @@
 				l.t.log.Log(eventAgentUnreachable, err, telemetry.Fields{"vm": l.vm, "address": l.row.Address})
 				unreachable = true
 			}
-			if l.removeIfUnreachable(ctx) {
+			if l.removeIfUnreachable(ctx, seen) {
 				return
 			}
 			sleep(ctx, jitter(pause))
@@ -153,26 +154,26 @@
 	}()
 }
 
-// removeIfUnreachable removes the VM if its lease has expired and its last report
-// is at least vmRemovalDelay old. It reports whether the VM was removed.
-func (l *link) removeIfUnreachable(ctx context.Context) bool {
+// removeIfUnreachable removes the VM, whose row has the given revision, if its lease
+// has expired and its last report is at least vmRemovalDelay old. It reports whether the
+// link is no longer needed.
+func (l *link) removeIfUnreachable(ctx context.Context, revision uint64) bool {
 	var idleFor time.Duration
 	var idle bool
 	if err := l.t.coreActor.Do(func(o *workflow.Owner) { idleFor, idle = o.ProvenIdle(clock.Now(), l.vm) }); err != nil {
 		return false
 	}
-	return idle && idleFor >= vmRemovalDelay && l.removeVM(ctx)
+	return idle && idleFor >= vmRemovalDelay && l.removeVM(ctx, revision)
 }
 
-// removeVM deletes the row of a VM on which nothing can run and removes the VM from
-// the core. It reports whether the link is no longer needed. If it is, run tries again
+// removeVM deletes the row, of the given revision, of a VM on which nothing can run and
+// removes the VM from the core. It reports whether the link is no longer needed. If it is, run tries again
 // after its next Watch call.
-func (l *link) removeVM(ctx context.Context) bool {
+func (l *link) removeVM(ctx context.Context, revision uint64) bool {
 	if !l.t.ownershipConfirmed(clock.Now()) {
 		return false
 	}
-	deleted, ok := l.deleteRow(ctx)
-	if !ok {
+	if !l.deleteRow(ctx, revision) {
 		return false
 	}
 	l.t.linksMu.Lock()
@@ -180,28 +181,28 @@
 	if l.t.links[l.vm] != l {
 		return true // the agent has registered at another address
 	}
-	if l.rowRevision.Load() > deleted {
+	if l.rowRevision.Load() > revision {
 		return false // the agent has registered again at this address
 	}
 	l.t.log.Log(eventAgentRemoved, nil, telemetry.Fields{"vm": l.vm})
 	l.t.coreActor.Enqueue(func(o *workflow.Owner) { o.RemoveVM(l.vm) })
 	delete(l.t.links, l.vm)
+	l.cancel()
 	return true
 }
 
-// deleteRow deletes the agent's row and reports whether the row of the returned
-// revision no longer exists.
+// deleteRow deletes the agent's row of the given revision and reports whether the row
+// no longer exists.
 // The agent may register again at any time, and the table may carry out an
 // unanswered write later. If that deleted a newer row, the next owner would not
 // learn what runs on the VM. Therefore the write is conditional on the revisions of
 // the row and of the owner's lease. The condition on the lease makes every earlier
 // attempt fail once the lease is renewed, so the link pauses for about one renewal
 // between attempts. It does not call the agent again until the outcome is known.
-func (l *link) deleteRow(ctx context.Context) (revision uint64, deleted bool) {
+func (l *link) deleteRow(ctx context.Context, revision uint64) bool {
 	uncertain := false
 	for ctx.Err() == nil {
 		key := prefixAgent + string(l.vm)
-		revision = l.rowRevision.Load()
 		callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
 		res, err := l.t.c.opts.Table.Commit(callCtx, platform.Txn{
 			Conditions: []platform.Condition{
@@ -213,7 +214,7 @@
 		cancel()
 		switch {
 		case err == nil && res.Committed:
-			return revision, true
+			return true
 		case err == nil:
 			// A condition no longer holds: earlier attempts have either been carried
 			// out or will fail.
@@ -221,13 +222,13 @@
 			if !gone {
 				l.rowRevision.Store(res.Rows[0].Revision)
 			}
-			return revision, gone
+			return gone
 		case errors.Is(err, platform.ErrUncertain):
 			uncertain = true
 		case !uncertain:
-			return revision, false
+			return false
 		}
 		sleep(ctx, jitter(leaseRenewalInterval))
 	}
-	return revision, false
+	return false
 }
--- a/internal/jobs/link_test.go
+++ b/internal/jobs/link_test.go
@@ -64,7 +64,7 @@
 	table := &delayedTable{revisions: map[string]uint64{"agent/vm": 5, lease.Key(jobsShard): 9}, unanswered: 1}
 	l := newTestLink(table)
 	table.revisions["agent/vm"] = 7 // registered again while the deletion is delayed
-	if _, deleted := l.deleteRow(t.Context()); deleted {
+	if l.deleteRow(t.Context(), 5) {
 		t.Error("the deletion succeeded although the agent has registered again")
 	}
 	table.executeDelayed(t.Context())
@@ -82,7 +82,7 @@
 	table := &delayedTable{revisions: map[string]uint64{"agent/vm": 5, lease.Key(jobsShard): 9}, unanswered: 1}
 	ctx, cancel := context.WithCancel(t.Context())
 	l := newTestLink(&cancelTable{delayedTable: table, cancel: cancel})
-	if _, deleted := l.deleteRow(ctx); deleted {
+	if l.deleteRow(ctx, 5) {
 		t.Error("a deletion without an answer was reported as done")
 	}
 	table.revisions[lease.Key(jobsShard)] = 12 // taken over
@@ -107,7 +107,7 @@
 // lost although the table carried the deletion out.
 func TestDeletionWithLostAnswerIsDetected(t *testing.T) {
 	table := &delayedTable{revisions: map[string]uint64{lease.Key(jobsShard): 9}, unanswered: 1}
-	if _, deleted := newTestLink(table).deleteRow(t.Context()); !deleted {
+	if !newTestLink(table).deleteRow(t.Context(), 5) {
 		t.Error("the row is deleted, but deleteRow reports that it is not")
 	}
 }
@@ -151,7 +151,7 @@
 			table.beforeAnswer = func() {
 				tm.connect(tm.ctx, map[types.VMID]agentRow{"vm": {Address: address, revision: 101}})
 			}
-			ended := old.removeVM(ctx)
+			ended := old.removeVM(ctx, 5)
 			tm.linksMu.Lock()
 			now := tm.links["vm"]
 			tm.linksMu.Unlock()
