workflow: bring background runs to full pace in more cases

Change: gangs go to full pace where they are if all members may. A move looks at VMs that are not quarantined, then for a forced place, and after finding none waits 0.5 s. Idle times are updated in one place.

Left: standing tasks that fill do not move while they run in the background.

--- a/internal/core/workflow/background.go
+++ b/internal/core/workflow/background.go
@@ -7,7 +7,8 @@
 // running for a while therefore gets a task at a low pace. Work at full pace goes
 // first: background runs do not keep it from being placed or brought to full pace, and
 // are slowed down before it. A background run is brought to full pace when placement
-// would start it on its VM, and moves when placement would start it on another one.
+// would start it on its VM, and is stopped to start again when another VM can take it.
+// The members of a gang change together, and standing tasks do not move.
 const (
 	// backgroundTimeout is how long a job may have nothing running before a task starts
 	// in the background. With the time until the start is carried out it stays below
@@ -17,7 +18,8 @@
 	// background run starts beside others on the VM that have not been slowed down yet.
 	backgroundDeadline = 2500 * time.Millisecond
 	// maxBackgroundPace and minBackgroundPace limit the pace of background runs, in
-	// percent. In between, those on a VM demand backgroundShare of its processors.
+	// percent. In between, those on a VM demand backgroundShare of its processors; many
+	// at minBackgroundPace can demand more.
 	maxBackgroundPace = minPace
 	minBackgroundPace = 1
 	backgroundShare   = 0.05
@@ -29,7 +31,9 @@
 	maxBackgroundUse = 0.1
 	// moveBackoff is the time between two moves of a background run, and
 	// moveInterval that between two moves to a VM, since only one may find room there.
-	moveBackoff  = 5 * time.Second
+	moveBackoff = 5 * time.Second
+	// moveRetry is the time until another VM is looked for again after none was found.
+	moveRetry    = 500 * time.Millisecond
 	moveInterval = 500 * time.Millisecond
 	// forcedInterval is the time between background runs that are brought to full pace
 	// by force on a VM. Runs shorter than the window of measurements would follow each
@@ -128,7 +132,9 @@
 // to start elsewhere, as far as VMs can take them now.
 func (o *Owner) advanceBackground(s *step) {
 	if s.spec.Gang {
-		o.restartGang(s)
+		if s.allRunning() && !o.gangToFullPace(s) {
+			o.restartGang(s)
+		}
 		return
 	}
 	for i := range s.tasks {
@@ -153,36 +159,81 @@
 	if !fits {
 		v.nextForcedAt = o.now + forcedInterval
 	}
-	v.countFilling(t, -1)
-	t.background, t.forced = false, !fits
-	v.countFilling(t, 1)
-	t.setPace(o.now, fullPace)
-	o.recordDecision(Decision{Kind: DecisionPaced, Task: t.key(), Run: t.run, VM: v.id, Reason: "background run brought to full pace"})
+	t.setBackground(false)
+	t.forced = !fits
+	o.recordFullPace(t)
 	return true
 }
 
-// moveBackground stops a background run that another VM can take at full pace.
+// setBackground changes whether a task on a VM is a background run, and sets its pace.
+func (t *task) setBackground(background bool) {
+	t.vm.countFilling(t, -1)
+	t.background = background
+	t.vm.countFilling(t, 1)
+	t.wantedPace = t.paceLimit()
+	t.undisturbed = false
+}
+
+func (o *Owner) recordFullPace(t *task) {
+	o.recordDecision(Decision{Kind: DecisionPaced, Task: t.key(), Run: t.run, VM: t.vm.id, Reason: "background run brought to full pace"})
+}
+
+// moveBackground stops a background run that another VM can take at full pace, or as
+// the one task that is forced onto it.
 func (o *Owner) moveBackground(t *task) {
-	if t.step.spec.Standing || o.now < t.nextMoveAt || o.knownUnplaceable(t) {
+	if t.step.spec.Standing || o.now < t.nextMoveAt {
 		return
 	}
-	target := o.choose(t)
+	t.nextMoveAt = o.now + moveRetry
+	var target *vm
+	if !o.knownUnplaceable(t) {
+		if target = o.chooseVM(t, false); target == nil {
+			o.noteUnplaceable(t)
+		}
+	}
 	if target == nil {
-		o.noteUnplaceable(t)
-		return
+		target = o.chooseLeastDisturbed(t)
 	}
-	if target == t.vm || target.quarantined || o.now < target.nextMoveAt {
+	if target == nil || target == t.vm || target.quarantined || o.now < target.nextMoveAt {
 		return
 	}
 	t.nextMoveAt, target.nextMoveAt = o.now+moveBackoff, o.now+moveInterval
 	o.stop(t)
 }
 
+// gangToFullPace brings all background runs of a gang to full pace where they are, or
+// none: single members at full pace would wait for the others. It reports whether it did.
+func (o *Owner) gangToFullPace(s *step) bool {
+	var raised []*task
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if !t.background {
+			continue
+		}
+		if !o.usable(t.vm) || t.vm.quarantined || !o.mayFill(s.spec, t.vm) {
+			for _, r := range raised {
+				r.setBackground(true)
+			}
+			return false
+		}
+		t.setBackground(false) // counts for the next member
+		raised = append(raised, t)
+	}
+	for _, t := range raised {
+		o.recordFullPace(t)
+	}
+	return true
+}
+
 // restartGang stops a gang that runs in the background if VMs can take all its members
-// at full pace. Single members at full pace would wait for the others.
+// at full pace.
 func (o *Owner) restartGang(s *step) {
 	first := &s.tasks[0]
-	if o.now < first.nextMoveAt || !s.allRunning() || !o.gangFits(s) {
+	if o.now < first.nextMoveAt {
+		return
+	}
+	first.nextMoveAt = o.now + moveRetry
+	if !o.gangFits(s) {
 		return
 	}
 	first.nextMoveAt = o.now + moveBackoff
@@ -208,8 +259,8 @@
 	for ; placed < len(members); placed++ {
 		t := &members[placed]
 		*t = task{step: s, index: placed, failures: s.tasks[placed].failures, pace: fullPace, wantedPace: fullPace}
-		v := o.choose(t)
-		if v == nil || v.quarantined {
+		v := o.chooseVM(t, false)
+		if v == nil {
 			break
 		}
 		v.bind(t) // so that the search for the next member counts it
--- a/internal/core/workflow/order.go
+++ b/internal/core/workflow/order.go
@@ -124,9 +124,6 @@
 	}
 	var waiting []ranked
 	for _, s := range o.ready {
-		if s.running() {
-			s.idleSince = o.now
-		}
 		if (s.waiting > 0 || s.background > 0) && (o.takeoverComplete || !s.job.inherited) && !s.job.readUnconfirmed {
 			waiting = append(waiting, ranked{s, o.rankOf(s)})
 		}
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -122,9 +122,9 @@
 	return o.interference.expected(o.now, imagePair{t.step.spec.Image, s.step.spec.Image})
 }
 
-// rankOfPace orders tasks for raising paces: those at full pace go before background
+// backgroundLast orders tasks for raising paces: those at full pace go before background
 // runs.
-func (t *task) rankOfPace() int {
+func (t *task) backgroundLast() int {
 	if t.background {
 		return 1
 	}
@@ -146,7 +146,7 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b contribution) int {
-		return cmp.Or(cmp.Compare(b.task.rankOfPace(), a.task.rankOfPace()), cmp.Compare(b.load, a.load))
+		return cmp.Or(cmp.Compare(b.task.backgroundLast(), a.task.backgroundLast()), cmp.Compare(b.load, a.load))
 	})
 	for _, c := range all {
 		if excess <= 0 || c.load <= 0 {
@@ -164,9 +164,9 @@
 
 // raisePaces raises lowered paces as far as no standing task's expected load
 // exceeds the load at which its tail is at tailWanted, starting with the tasks
-// that interfere least. Background runs come last, and do not hold up others. It uses all of the spare load at once: if paces rose in
-// small steps, a task would delay its step for seconds after the load has
-// fallen.
+// that interfere least. Background runs come last, and do not hold up others. It
+// uses all of the spare load at once: if paces rose in small steps, a task would
+// delay its step for seconds after the load has fallen.
 func (o *Owner) raisePaces(v *vm) {
 	var lowered []*task
 	for _, t := range v.tasks {
@@ -178,7 +178,7 @@
 		return
 	}
 	slices.SortStableFunc(lowered, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(a.rankOfPace(), b.rankOfPace()), cmp.Compare(o.worstFactor(a.step.spec.Image, v), o.worstFactor(b.step.spec.Image, v)))
+		return cmp.Or(cmp.Compare(a.backgroundLast(), b.backgroundLast()), cmp.Compare(o.worstFactor(a.step.spec.Image, v), o.worstFactor(b.step.spec.Image, v)))
 	})
 	foreground := v.uses(func(t *task) bool { return !t.background })
 	all := v.uses(anyTask)
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -60,6 +60,11 @@
 	for _, v := range o.vmOrder {
 		v.passLeftover = v.leftover()
 	}
+	for _, s := range o.ready {
+		if s.running() {
+			s.idleSince = o.now
+		}
+	}
 	for _, s := range o.waitingSteps() {
 		if s.background > 0 {
 			o.advanceBackground(s)
@@ -93,6 +98,7 @@
 		}
 		if v == nil && o.starving(t) {
 			v = o.chooseLeastDisturbed(t)
+			t.forced = v != nil
 		}
 		if v == nil && o.needsBackground(t) {
 			v = o.chooseBackground(t, o.idleTime(t))
@@ -132,6 +138,7 @@
 		v := o.choose(t)
 		if v == nil {
 			v = o.chooseQuarantined(t)
+			t.background = v != nil && s.spec.Fills && !o.mayFill(s.spec, v)
 		}
 		if v == nil && needsBackground {
 			v = o.chooseBackground(t, idle)
@@ -242,8 +249,8 @@
 	return o.idleTime(t) >= starvationTimeout
 }
 
-// chooseLeastDisturbed returns the VM where a filling task does the least harm,
-// and marks the task as forced, so that no second one is forced onto the VM.
+// chooseLeastDisturbed returns the VM without a forced task where a filling task does
+// the least harm, or nil.
 func (o *Owner) chooseLeastDisturbed(t *task) *vm {
 	var best *vm
 	bestScore := 0.0
@@ -256,9 +263,6 @@
 			best, bestScore = v, score
 		}
 	}
-	if best != nil {
-		t.forced = true
-	}
 	return best
 }
 
@@ -272,13 +276,20 @@
 	return false
 }
 
-// choose returns the best VM for a task now, or nil.
+// choose returns the best VM for a task now, or nil. It prefers a quarantined VM that
+// is due for a probe.
 func (o *Owner) choose(t *task) *vm {
+	return o.chooseVM(t, true)
+}
+
+// chooseVM returns the best VM for a task now, or nil, with or without quarantined VMs
+// that the task may probe.
+func (o *Owner) chooseVM(t *task, probe bool) *vm {
 	var best *vm
 	bestScore := 0.0
 	service := o.queueOf(t.step.job).Service
 	for _, v := range o.vmOrder {
-		if v.upstream.Service != service || !o.usable(v) || !o.fits(t, v) {
+		if v.upstream.Service != service || !o.usable(v) || !probe && v.quarantined || !o.fits(t, v) {
 			continue
 		}
 		score := o.score(t, v)
--- a/internal/core/workflow/starvation_test.go
+++ b/internal/core/workflow/starvation_test.go
@@ -206,6 +206,43 @@
 	}
 }
 
+// Guards against gangs that stay in the background because their VMs cannot take them
+// twice.
+func TestBackgroundGangIsBroughtToFullPaceInPlace(t *testing.T) {
+	h := newHarness(t, 2, map[string]float64{"press": 2})
+	load := 0.65
+	h.usersLoad = func(time.Duration) float64 { return load }
+	h.submit("s", standingStep(6))
+	h.overTarget(time.Second)
+	gang := fillingStep("press", 2)
+	gang.Gang, gang.MaxPerVM = true, 1
+	h.submit("gang", gang)
+	h.overTarget(4 * time.Second)
+	load = 0.05
+	h.overTarget(10 * time.Second)
+	if h.o.findTask(TaskKey{Job: "gang"}) != nil {
+		t.Error("a gang of 2 s is not done 10 s after the load has fallen")
+	}
+}
+
+// Load: a wide job that is in time takes all that a free VM has. Guards against late jobs
+// that stay in the background on another one, and against a quarantined VM due for a
+// probe that hides the free one.
+func TestLateBackgroundRunIsForcedOntoAFreeVM(t *testing.T) {
+	var load float64
+	h, _ := backgroundHarness(t, &load)
+	h.submit("wide", Step{Tasks: 400, Demand: types.Resources{MilliCPU: 2000}, RunTime: 2 * time.Second, Fills: true, Image: "press", Checkpoints: true})
+	h.addVM("b")
+	h.addVM("c")
+	for end := h.now + 10*time.Second; h.now < end; {
+		h.step(120 * time.Millisecond)
+		h.o.vms["c"].quarantined, h.o.vms["c"].probeDue = true, true
+	}
+	if h.o.findTask(TaskKey{Job: "j"}) != nil {
+		t.Error("a job of 2 s is not done 10 s after a VM has become free")
+	}
+}
+
 // Load: far more filling work than standing tasks leave room for. Guards against
 // background runs that use up the load that work at full pace needs: 5 jobs were done
 // without them.
