--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -24,8 +24,8 @@
 // counter.
 const runEpochShift = 16
 
-// starvationTimeout is how long a filling step may have no live task before one is
-// started where it may disturb standing tasks. adjustPaces then lowers the task's
+// starvationTimeout is how long a filling step may have nothing running before a task
+// is started where it may disturb standing tasks. adjustPaces then lowers the task's
 // pace if a tail becomes too high.
 const starvationTimeout = 1200 * time.Millisecond
 
