--- a/internal/core/workflow/background.go
+++ b/internal/core/workflow/background.go
@@ -29,10 +29,10 @@
 	// maxBackgroundUse is the measured processor use, as a share of its demand, up to
 	// which a run that an earlier owner started is taken for a background run.
 	maxBackgroundUse = 0.1
-	// moveBackoff is the time between two moves of a background run, and
-	// moveInterval that between two moves to a VM, since only one may find room there.
-	moveBackoff = 5 * time.Second
-	// moveRetry is the time until another VM is looked for again after none was found.
+	// moveBackoff is the time between two moves of a background run, moveRetry the time
+	// until a VM is looked for again after none was found, and moveInterval the time
+	// between two moves to the same VM, since only one may find room there.
+	moveBackoff  = 5 * time.Second
 	moveRetry    = 500 * time.Millisecond
 	moveInterval = 500 * time.Millisecond
 	// forcedInterval is the time between background runs that are brought to full pace
