workflow, jobs, jobserver: nothing starts in an evacuated failure domain

Cause: the owner places tasks on VMs of failure domains that the operator has evacuated, since no process reads the rows. Change: entries follow the operator's rows and list them while the change feed fails; a new owner lists them before it builds its core; the core leaves out the VMs of evacuated domains; starts that wait in the owner's process are not sent to evacuated domains, nor after their age limit.

--- a/internal/core/workflow/background.go
+++ b/internal/core/workflow/background.go
@@ -149,7 +149,7 @@
 // there now, or as the one task that is forced onto the VM. It reports whether it did.
 func (o *Owner) bringToFullPace(t *task) bool {
 	v := t.vm
-	if !o.usable(v) || v.quarantined {
+	if !o.operational(v) || v.quarantined {
 		return false
 	}
 	fits := o.mayFill(t.step.spec, v)
@@ -210,7 +210,7 @@
 		if !t.background {
 			continue
 		}
-		if !o.usable(t.vm) || t.vm.quarantined || !o.mayFill(s.spec, t.vm) {
+		if !o.operational(t.vm) || t.vm.quarantined || !o.mayFill(s.spec, t.vm) {
 			for _, r := range raised {
 				r.setBackground(true)
 			}
--- a/internal/core/workflow/idle.go
+++ b/internal/core/workflow/idle.go
@@ -140,7 +140,7 @@
 	case IdleNoVM:
 		d.Kind, d.Reason = DecisionWaiting, o.obstacles(t)
 		if s.spec.Gang {
-			d.Reason = fmt.Sprintf("%d of %d members of the gang find a VM", s.membersPlaced, len(s.tasks))
+			d.Reason = fmt.Sprintf("%d of %d members of the gang find a VM%s", s.membersPlaced, len(s.tasks), o.evacuationNote(t))
 		}
 	case IdleUndecidedRun:
 		d.Run, d.VM, d.Reason = t.run, t.vm.id, o.undecidedReason(t)
@@ -225,6 +225,8 @@
 // unusableReason returns why a VM takes no new tasks.
 func (o *Owner) unusableReason(v *vm) string {
 	switch {
+	case v.evacuated:
+		return v.evacuatedReason()
 	case !v.reached || !v.announced:
 		return "not reached"
 	case v.upstream.Draining:
--- a/internal/core/workflow/loads.go
+++ b/internal/core/workflow/loads.go
@@ -17,6 +17,8 @@
 	// as a share of its target.
 	Pace int
 	Tail float64
+	// Evacuated: the VM's failure domain is evacuated.
+	Evacuated bool
 	// Usable: new tasks may be placed on the VM and it is not quarantined.
 	Usable bool
 }
@@ -27,7 +29,7 @@
 	for _, v := range o.vmOrder {
 		l := Load{
 			VM: v.id, Reserved: v.reserved.MilliCPU, Filling: v.filling, Background: v.background, Leftover: v.leftover(), Capacity: v.upstream.Capacity.MilliCPU,
-			Tasks: len(v.tasks), Targets: v.targets, Pace: v.lowestPace(), Tail: v.tail(), Usable: o.usable(v) && !v.quarantined,
+			Tasks: len(v.tasks), Targets: v.targets, Pace: v.lowestPace(), Tail: v.tail(), Evacuated: v.evacuated, Usable: o.usable(v) && !v.quarantined,
 		}
 		for _, t := range v.tasks {
 			if t.step.spec.Fills {
--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -270,6 +270,9 @@
 	Age time.Duration
 	// Load is the VM's load before the decision; nil unless a task was placed.
 	Load *VMLoad
+	// Evacuation is set for decisions about an evacuated failure domain, and nil
+	// otherwise.
+	Evacuation *EvacuationState
 }
 
 // VMLoad is the load of a VM on which a placement was based.
@@ -312,4 +315,13 @@
 	// DecisionBlocked: a step has had no running task for a while, and none may start
 	// yet; see Reason.
 	DecisionBlocked
+	// DecisionEvacuationBegun: nothing new starts in a failure domain from now on.
+	DecisionEvacuationBegun
+	// DecisionEvacuationEnded: a failure domain takes new tasks again.
+	DecisionEvacuationEnded
+	// DecisionEvacuationApplied: the first placement pass has left out the VMs of an
+	// evacuated failure domain.
+	DecisionEvacuationApplied
+	// DecisionEvacuationUnknown: the same, and no VM of the failure domain is known.
+	DecisionEvacuationUnknown
 )
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -100,6 +100,7 @@
 	// takeoverComplete is set once every run that an earlier owner may have
 	// started is listed or has provably ended.
 	takeoverComplete bool
+	evacuations      evacuations
 	// confirmed is false while the ownership cannot be confirmed, so another
 	// owner may be active at the same time.
 	confirmed bool
@@ -372,6 +373,7 @@
 		o.placeDue = false
 		o.lastPlacementAt, o.nextPlacementAt = now, now+maxPlaceInterval
 		o.place()
+		o.confirmEvacuations()
 	}
 	o.checkIdle()
 	out := Output{Orders: o.orders, TicketRequests: o.ticketRequests, Decisions: o.decisions}
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -256,7 +256,7 @@
 	bestScore := 0.0
 	service := o.queueOf(t.step.job).Service
 	for _, v := range o.vmOrder {
-		if v.upstream.Service != service || !o.usable(v) || o.obstacle(t, v) != "" || v.forced() {
+		if v.upstream.Service != service || !o.mayTake(t, v) || o.obstacle(t, v) != "" || v.forced() {
 			continue
 		}
 		if score := o.score(t, v); best == nil || score < bestScore {
@@ -289,7 +289,7 @@
 	bestScore := 0.0
 	service := o.queueOf(t.step.job).Service
 	for _, v := range o.vmOrder {
-		if v.upstream.Service != service || !o.usable(v) || !probe && v.quarantined || !o.fits(t, v) {
+		if v.upstream.Service != service || !o.mayTake(t, v) || !probe && v.quarantined || !o.fits(t, v) {
 			continue
 		}
 		score := o.score(t, v)
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -178,10 +178,14 @@
 
 // vm is the owner's state of one VM and its upstream worker.
 type vm struct {
-	id       types.VMID
-	agent    types.Incarnation
-	boot     Boot
-	upstream Upstream
+	id types.VMID
+	// domain is empty if it is not known.
+	domain types.FailureDomain
+	// evacuated: domain is evacuated.
+	evacuated bool
+	agent     types.Incarnation
+	boot      Boot
+	upstream  Upstream
 	// announced: upstream is set.
 	announced bool
 	// reached: the worker has confirmed the owner's epoch and sent its lists.
@@ -303,6 +307,12 @@
 
 // usable reports whether new tasks may be placed on the VM.
 func (o *Owner) usable(v *vm) bool {
+	return !v.evacuated && o.operational(v)
+}
+
+// operational reports whether the VM's worker can take more work, be it a new task or a
+// higher pace of one that it runs.
+func (o *Owner) operational(v *vm) bool {
 	return v.reached && v.announced && !v.upstream.Draining && o.now >= v.noRoomUntil && o.now >= v.refusedUntil && o.now >= v.slowUntil && o.leaseSuffices(v)
 }
 
--- a/internal/jobs/follow.go
+++ b/internal/jobs/follow.go
@@ -65,13 +65,16 @@
 	OnSuccess func()
 	// Interval is the pause between calls; 0 means followInterval.
 	Interval time.Duration
+	// ListAfterFailure is set if all rows are to be listed after each failed wait for
+	// changes, for rows that must be read even while only the change feed fails.
+	ListAfterFailure bool
 }
 
 // Run follows the rows until the context ends. After a failure it retries with
 // backoff; if the history was compacted, it lists all rows again.
 func (f *Follower) Run(ctx context.Context) {
 	var revision uint64
-	listed, lost := false, false
+	listed, lost, feedLost := false, false, false
 	pause := tableBackoffMin
 	last := time.Now()
 	interval := cmp.Or(f.Interval, followInterval)
@@ -82,8 +85,15 @@
 			listed = err == nil
 		} else {
 			revision, err = f.applyChanges(ctx, revision)
+			listed = err == nil || !f.ListAfterFailure
+			feedLost = err != nil
 		}
 		switch {
+		case err == nil && feedLost && f.ListAfterFailure:
+			// The rows were listed, but the feed has not answered since it failed.
+			f.OnSuccess()
+			sleep(ctx, interval)
+			continue
 		case err == nil:
 			if lost {
 				f.Logger.Log(eventFollowResumed, nil, telemetry.Fields{"prefix": f.Prefix, "away": time.Since(last).String()})
--- a/internal/jobs/link.go
+++ b/internal/jobs/link.go
@@ -63,7 +63,7 @@
 	defer t.linksMu.Unlock()
 	for vm, row := range agents {
 		old := t.links[vm]
-		if old != nil && old.row.Address == row.Address {
+		if old != nil && old.row.Address == row.Address && old.row.FailureDomain == row.FailureDomain {
 			old.rowRevision.Store(max(old.rowRevision.Load(), row.revision))
 			continue
 		}
@@ -82,7 +82,10 @@
 // run calls the agent until the context ends or the VM is removed.
 func (l *link) run(ctx context.Context) {
 	defer l.t.wg.Done()
-	l.t.coreActor.Enqueue(func(o *workflow.Owner) { o.AddVM(clock.Now(), l.vm) })
+	l.t.coreActor.Enqueue(func(o *workflow.Owner) {
+		o.AddVM(clock.Now(), l.vm)
+		o.SetFailureDomain(l.vm, l.row.FailureDomain)
+	})
 	unreachable := true
 	pause := linkBackoffMin
 	for ctx.Err() == nil {
@@ -142,10 +145,18 @@
 // sendOrders sends orders without waiting; the core gets their results later.
 func (l *link) sendOrders(orders []workflow.Order) {
 	l.t.wg.Add(1)
+	decided := clock.Now()
 	go func() {
 		defer l.t.wg.Done()
 		ctx, cancel := context.WithTimeout(l.sendCtx, ordersTimeout)
 		defer cancel()
+		orders, withheld := l.withhold(orders, decided)
+		if len(withheld) > 0 {
+			l.t.applyInput(func(o *workflow.Owner) { o.ApplyResults(clock.Now(), 0, withheld) })
+		}
+		if len(orders) == 0 {
+			return
+		}
 		agent, results, err := l.client.Carry(ctx, l.t.epoch, orders)
 		if err != nil {
 			l.t.log.Log(eventOrdersUnanswered, err, telemetry.Fields{"vm": l.vm, "orders": len(orders)})
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -83,6 +83,9 @@
 	WorkerMaxLease time.Duration
 	// StateRetention is how long the state of a finished job stays readable.
 	StateRetention time.Duration
+	// EvacuationBound is the time within which starts in an evacuated failure domain
+	// must cease.
+	EvacuationBound time.Duration
 }
 
 // Advisor asks the policy service which workers a queue's policy allows.
@@ -112,6 +115,12 @@
 	// Queues returns the queues of the newest known configuration, and false if
 	// there is none yet.
 	Queues func() (map[string]workflow.Queue, bool)
+	// Evacuated returns the evacuated failure domains as last read; nil means that
+	// there are none. It may be called concurrently.
+	Evacuated func() []types.FailureDomain
+	// ReadOperatorRows reads the rows on which Queues and Evacuated are based; nil if
+	// they do not change.
+	ReadOperatorRows func(context.Context) error
 }
 
 // Candidate takes over the ownership of all jobs when the lease is free, and acts as
@@ -123,6 +132,8 @@
 	rng           *rand.Rand
 	cancellations pendingCancellations
 	queuesChanged chan struct{}
+	// evacuationChanged is signalled when the evacuated failure domains have changed.
+	evacuationChanged chan struct{}
 	// takeoverDue is set once the lease at takeoverDueRevision has expired. This
 	// candidate may then take over from takeoverDueAt on.
 	takeoverDue         bool
@@ -141,7 +152,7 @@
 		observer:      lease.NewObserver(leaseConfig(), jobsShard, o.VM, o.Incarnation),
 		rng:           rand.New(rand.NewPCG(uint64(o.Incarnation), 1)), //nolint:gosec // jitter
 		cancellations: newPendingCancellations(),
-		queuesChanged: make(chan struct{}, 1),
+		queuesChanged: make(chan struct{}, 1), evacuationChanged: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -51,9 +51,11 @@
 	}, now)
 	t.setQueues(core)
 	agents := t.agents(s.agents.Rows)
-	for vm := range agents {
+	for vm, row := range agents {
 		core.AddVM(now, vm)
+		core.SetFailureDomain(vm, row.FailureDomain)
 	}
+	t.setEvacuated(core)
 	t.addJobs(core, s)
 	t.loadLearned(ctx, core)
 	if err := t.spawn(core); err != nil {
@@ -90,6 +92,7 @@
 		s.agents, err = t.readPrefix(ctx, prefixAgent, nil)
 		return err
 	})
+	lists.Go(func() error { return t.readOperatorRows(ctx) })
 	err := lists.Wait()
 	return s, err == nil
 }
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -28,13 +28,17 @@
 	workflow.DecisionQuarantine: telemetry.Define(657, logrus.WarnLevel, "VM quarantined or returned",
 		"The worker failed or delayed tasks that other workers complete, or no longer does so. Look at its log. Fields: vm, reason."),
 	workflow.DecisionWaiting: telemetry.Define(659, logrus.InfoLevel, "task finds no VM",
-		"For 2 s or more, no task of the step has been running, and none is under way; or a standing task has not. The reason counts the VMs by what prevents them from running the task. Add VMs or check those that are not usable. Fields: job, task, run, age, reason."),
+		"For 2 s or more, no task of the step has been running, and none is under way; or a standing task has not. The reason counts the VMs by what prevents them from running the task, and names evacuated failure domains. Add VMs or check those that are not usable. Fields: job, task, run, age, reason."),
 	workflow.DecisionBlocked: telemetry.Define(660, logrus.InfoLevel, "task may not start yet",
 		"For 2 s or more, no task of the step, or a standing task, has been running, and a new start could run a task twice. The reason says what must end first and how long this can take: a start or a stop without a certain answer, or, after a takeover, VMs out of reach. Check the VMs that it names. Fields: job, task, age, reason; run and vm of an undecided run."),
+	workflow.DecisionEvacuationBegun:   eventEvacuationBegun,
+	workflow.DecisionEvacuationEnded:   eventEvacuationEnded,
+	workflow.DecisionEvacuationApplied: eventEvacuationApplied,
+	workflow.DecisionEvacuationUnknown: eventEvacuationUnknown,
 }
 
 var eventVMLoad = telemetry.Define(658, logrus.DebugLevel, "load of a VM",
-	"Logged once a second for each VM. Fields: vm; reserved, filling, background, using, leftover and capacity in thousandths of a core; tasks; targets; tail as a share of the target; pace in percent; usable. No action.")
+	"Logged once a second for each VM. Fields: vm; reserved, filling, background, using, leftover and capacity in thousandths of a core; tasks; targets; tail as a share of the target; pace in percent; usable; evacuated. No action.")
 
 // loadInterval is the time between log lines with a VM's load.
 const loadInterval = time.Second
@@ -48,7 +52,7 @@
 	for _, l := range o.Loads() {
 		t.log.Log(eventVMLoad, nil, telemetry.Fields{
 			"vm": l.VM, "reserved": l.Reserved, "filling": l.Filling, "background": l.Background, "using": l.Using, "leftover": l.Leftover, "capacity": l.Capacity,
-			"tasks": l.Tasks, "targets": l.Targets, "pace": l.Pace, "tail": l.Tail, "usable": l.Usable,
+			"tasks": l.Tasks, "targets": l.Targets, "pace": l.Pace, "tail": l.Tail, "usable": l.Usable, "evacuated": l.Evacuated,
 		})
 	}
 }
@@ -78,6 +82,9 @@
 			fields["kind"], fields["reserved"], fields["filling"] = l.Kind, l.Reserved, l.Filling
 			fields["capacity"], fields["targets"], fields["pace"] = l.Capacity, l.Targets, l.Pace
 		}
+		if e := d.Evacuation; e != nil {
+			fields["failure_domain"], fields["vms"], fields["tasks"] = e.Domain, e.VMs, e.Tasks
+		}
 		t.log.Log(decisionEvents[d.Kind], nil, fields)
 		t.metrics.countDecision(d)
 	}
@@ -92,6 +99,9 @@
 	jobTime       tally.Histogram
 	idleSteps     map[workflow.IdleCause]tally.Gauge
 	background    tally.Gauge
+	// evacuatedDomains and evacuatedVMs count evacuated failure domains and the known
+	// VMs there.
+	evacuatedDomains, evacuatedVMs tally.Gauge
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
@@ -100,6 +110,7 @@
 		scope: scope, commits: scope.Counter("jobs_batches"), commitRetries: scope.Counter("jobs_batch_retries"),
 		commitTime: scope.Histogram("jobs_batch_seconds", buckets), jobTime: scope.Histogram("jobs_duration_seconds", buckets),
 		idleSteps: make(map[workflow.IdleCause]tally.Gauge), background: scope.Gauge("jobs_background_runs"),
+		evacuatedDomains: scope.Gauge("jobs_evacuated_domains"), evacuatedVMs: scope.Gauge("jobs_evacuated_vms"),
 	}
 	for _, cause := range workflow.IdleCauses() {
 		m.idleSteps[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("jobs_idle_steps")
@@ -115,6 +126,12 @@
 	}
 }
 
+// setEvacuated updates the gauges of evacuated failure domains and VMs.
+func (m *termMetrics) setEvacuated(domains, vms int) {
+	m.evacuatedDomains.Update(float64(domains))
+	m.evacuatedVMs.Update(float64(vms))
+}
+
 func (m *termMetrics) commit(begin time.Time, changes int) {
 	m.commits.Inc(1)
 	m.commitTime.RecordDuration(time.Since(begin))
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -107,6 +107,7 @@
 	}
 	t.finish()
 	t.metrics.setIdle(nil, 0) // the next owner reports its own
+	t.metrics.setEvacuated(0, 0)
 	if parent.Err() != nil {
 		t.release()
 	}
@@ -153,6 +154,8 @@
 			})
 		case <-t.c.queuesChanged:
 			t.applyInput(t.setQueues)
+		case <-t.c.evacuationChanged:
+			t.applyInput(t.setEvacuated)
 		case <-parent.Done():
 			t.flushOnStop()
 			return
@@ -219,6 +222,7 @@
 	out := o.Poll(now, unixNow())
 	t.logDecisions(out.Decisions)
 	t.metrics.setIdle(o.IdleSteps(), o.BackgroundRuns())
+	t.metrics.setEvacuated(o.EvacuatedDomains(), o.EvacuatedVMs())
 	t.dispatch(out.Orders)
 	t.requestAdvice(out.TicketRequests)
 	t.logLoads(o, now)
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -83,8 +83,10 @@
 	intake    *jobs.Intake
 	candidate *jobs.Candidate
 	config    atomic.Pointer[jobs.Configuration]
-	stopping  atomic.Bool
-	ready     atomic.Bool
+	// evacuations holds the failure domains that the operator evacuates.
+	evacuations evacuations
+	stopping    atomic.Bool
+	ready       atomic.Bool
 }
 
 // RunEntry serves callers, and takes part in the ownership of jobs, until the context
@@ -101,8 +103,9 @@
 	table := jobs.NewWatchedTable(o.Store, o.Telemetry.Log)
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: types.VMID(s.Address), Cores: s.CPUCores, Incarnation: newIncarnation(), Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
-		Timing:  jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin},
+		Timing:  jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin, EvacuationBound: s.EvacuationBound},
 		Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
+		Evacuated: e.evacuations.domains, ReadOperatorRows: e.readOperatorRows,
 	})
 	e.intake = jobs.NewIntake(table, o.Store.Limits(), o.Telemetry.Log, e.candidate.NotifyCancelled)
 	callers, err := httpserve.Listen(s.CallerAPI, &platform.CallerAPI{
@@ -117,16 +120,7 @@
 	}
 	followers, stopFollowers := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowers()
-	config := &jobs.Follower{
-		Log: o.Store, Prefix: platform.ConfigPrefix, Logger: o.Telemetry.Log, OnSuccess: func() {},
-		Reset: func(s coreplatform.Snapshot) { e.applyConfigRows(s.Rows) },
-		Apply: func(rows []coreplatform.ChangedRow) {
-			for i := range rows {
-				e.applyConfigRows([]coreplatform.Row{rows[i].Row})
-			}
-		},
-	}
-	go config.Run(followers)
+	go e.operatorRowsFollower().Run(followers)
 	go e.intake.StateFollower(table).Run(followers)
 	candidateDone := make(chan struct{})
 	go func() {
--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -39,9 +39,13 @@
 	// workerAddresses are the addresses on which the workers listen.
 	workerAddresses []string
 	roleDone        []chan struct{}
-	mu              sync.Mutex
-	starts          map[string]int
-	running         map[string]int
+	// domains are the failure domains of the workers in order; "here" for the rest.
+	domains []string
+	mu      sync.Mutex
+	// startsBy counts the starts by worker.
+	startsBy map[int]int
+	starts   map[string]int
+	running  map[string]int
 }
 
 func newDeployment(t *testing.T, workers int) *deployment {
@@ -53,7 +57,7 @@
 // rowBytes.
 func newDeploymentWithLimit(t *testing.T, workers, rowBytes int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: standin.NewStore(), rowBytes: rowBytes, starts: map[string]int{}, running: map[string]int{}}
+	d := &deployment{t: t, store: standin.NewStore(), rowBytes: rowBytes, startsBy: map[int]int{}, starts: map[string]int{}, running: map[string]int{}}
 	d.store.SetRowBytes(rowBytes)
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
@@ -123,8 +127,20 @@
 	vm := standin.NewLocalVM()
 	app := vm.WorkerAddress()
 	p := vm.AgentOptions(fmt.Sprintf("agent-%d", i), store, "svc", app)
+	if i < len(d.domains) {
+		p.FailureDomain = d.domains[i]
+	}
 	w := standin.NewWorker(standin.WorkerOptions{
-		ID: fmt.Sprintf("i-%d", i), Service: "svc", Address: app, AgentAddress: p.Announcements, MilliCPU: 4000, RunTime: runTime, Checkpoint: "00000bb87a21d94b", Record: d.record,
+		ID: fmt.Sprintf("i-%d", i), Service: "svc", Address: app, AgentAddress: p.Announcements, MilliCPU: 4000, RunTime: runTime, Checkpoint: "00000bb87a21d94b",
+		Labels: []string{fmt.Sprintf("only-%d", i)},
+		Record: func(event, task string, run uint64) {
+			d.record(event, task, run)
+			if event == "start" {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				d.startsBy[i]++
+			}
+		},
 	})
 	d.workers = append(d.workers, w)
 	d.workerAddresses = append(d.workerAddresses, app)
