jobs, jobserver, cli: tests of evacuation without a feed and at a takeover

Cause: the test of the roles did not fail when the rows were read by the feed only, nor when a new owner's core did not know the evacuated domains. Change: a failure domain is evacuated while the feed of the operator's rows fails; tests of recovery, of withheld starts and of the follower; explain's test has an evacuation and the reason in event 659. Each fails without its mechanism: list at a takeover, set in the recovered core, list after a failed feed, change passed on to the core.

--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -23,6 +23,8 @@
 	entry := write("entry.log", `{"event":730,"job":"a1","msg":"job accepted","process":"entry-1","time":"2026-01-01T00:00:01Z"}
 {"event":730,"job":"b2","msg":"job accepted","process":"entry-1","time":"2026-01-01T00:00:02Z"}
 not a line
+{"event":342,"failure_domain":"z1","msg":"evacuation is in effect","process":"entry-1","time":"2026-01-01T00:00:06Z"}
+{"event":659,"job":"a1","msg":"task finds no VM","process":"entry-1","reason":"map[failure domain z1 is evacuated:1]","time":"2026-01-01T00:00:08Z"}
 {"event":653,"job":"a1","msg":"job is over","process":"entry-1","reason":"failed","time":"2026-01-01T00:00:09Z"}
 {"event":540,"msg":"jobs taken over","process":"entry-2","time":"2026-01-01T00:01:09Z"}
 `)
@@ -39,8 +41,8 @@
 		fields := strings.Fields(strings.TrimPrefix(line, "* "))
 		order = append(order, fields[2])
 	}
-	if got := strings.Join(order, " "); got != "730 645 641 653" {
-		t.Errorf("events %s, want 730 645 641 653\n%s", got, out.String())
+	if got := strings.Join(order, " "); got != "730 645 641 342 659 653" || !strings.Contains(out.String(), "z1 is evacuated") {
+		t.Errorf("events %s, want 730 645 641 342 659 653, with the reason of 659\n%s", got, out.String())
 	}
 	if err := explain(&out, "zz", []string{entry}); err == nil {
 		t.Error("explain succeeded for an unknown job")
--- a/internal/jobserver/evacuation_test.go
+++ b/internal/jobserver/evacuation_test.go
@@ -66,16 +66,16 @@
 func TestEvacuationOfAFailureDomain(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t, 0)
-	d.domains = []string{"z/0", "z/1"}
+	d.domains = []string{"z/0", "z/1", "z/2"}
 	for i := range d.domains {
 		d.startWorker(d.storeAddress, i)
 	}
-	batch := standin.Step{Tasks: 12, MilliCPU: 500, RunTime: runTime}
+	batch := standin.Step{Tasks: 20, MilliCPU: 500, RunTime: runTime}
 	standing := standin.Step{Tasks: 1, MilliCPU: 500, Lasts: true, Label: "only-0"}
 	d.submit("10m", standing)
-	d.await("the standing task and work on both workers", func() bool {
+	d.await("the standing task and work on the others", func() bool {
 		d.awaitState(0, d.submit("50ms", batch), "completed")
-		return d.workers[0].Running() > 0 && d.startsOn(1) > 0
+		return d.workers[0].Running() > 0 && d.startsOn(1) > 0 && d.startsOn(2) > 0
 	})
 	d.store.PutRaw(standin.ConfigTable, standin.EvacuatePrefix, []byte("{}"))
 	d.evacuate("z/0")
@@ -94,7 +94,10 @@
 	labelled.Tasks, labelled.Label = 1, "only-0"
 	pending := d.submit("50ms", labelled)
 	d.store.SetFaults(standin.Faults{Compacted: true, FeedUnavailable: standin.ConfigTable})
-	d.evacuate("z/2") // in history that no follower gets
+	time.Sleep(evacuationDelay / 4) // the rows are listed, as the history was dropped
+	d.evacuate("z/2")
+	time.Sleep(evacuationDelay)
+	others := d.startsOn(2)
 	nothingStarts("without a change feed")
 	owner := d.owner()
 	if owner < 0 {
@@ -109,6 +112,9 @@
 	if n := d.startsOn(0) - before; n > 0 || d.workers[0].Running() != 1 {
 		t.Errorf("after a takeover: %d starts and %d runs in the evacuated failure domain, want none, and the standing task", n, d.workers[0].Running())
 	}
+	if n := d.startsOn(2) - others; n > 0 {
+		t.Errorf("%d starts in the failure domain that was evacuated without a change feed", n)
+	}
 	d.store.Remove(standin.ConfigTable, standin.EvacuatePrefix+"z/0")
 	d.awaitState(1-owner, pending, "completed")
 }
