--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -123,49 +122,6 @@
 	d.startRole(d.settings(p), jobserver.RunEntry)
 }
 
-func (d *deployment) startWorker(store string, i int) {
-	vm := standin.NewLocalVM()
-	app := vm.WorkerAddress()
-	p := vm.AgentOptions(fmt.Sprintf("agent-%d", i), store, "svc", app)
-	if i < len(d.domains) {
-		p.FailureDomain = d.domains[i]
-	}
-	w := standin.NewWorker(standin.WorkerOptions{
-		ID: fmt.Sprintf("i-%d", i), Service: "svc", Address: app, AgentAddress: p.Announcements, MilliCPU: 4000, RunTime: runTime, Checkpoint: "00000bb87a21d94b",
-		Labels: []string{fmt.Sprintf("only-%d", i)},
-		Record: func(event, task string, run uint64) {
-			d.record(event, task, run)
-			if event == "start" {
-				d.mu.Lock()
-				defer d.mu.Unlock()
-				d.startsBy[i]++
-			}
-		},
-	})
-	d.workers = append(d.workers, w)
-	d.workerAddresses = append(d.workerAddresses, app)
-	d.stopWorkers = append(d.stopWorkers, d.serveWorker(w, app))
-	d.t.Cleanup(func() { d.stopWorkers[i]() })
-	d.startRole(d.settings(p), jobserver.RunAgent)
-}
-
-// serveWorker lets a worker listen and announce itself. It returns a function that
-// ends both and closes all connections.
-func (d *deployment) serveWorker(w *standin.Worker, address string) func() {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	server := &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(l) }()
-	ctx, cancel := context.WithCancel(context.Background())
-	go w.Announce(ctx, 200*time.Millisecond)
-	return func() {
-		cancel()
-		_ = server.Close()
-	}
-}
-
 func (d *deployment) nextJob() int {
 	d.jobs++
 	return d.jobs
