workflow: count evacuated VMs only while a failure domain is evacuated

Cause: the metric is computed for each input of the owner, in a loop over all VMs, also when nothing is evacuated. Change: the count ends at once while no failure domain is evacuated. The saving was not measured.

--- a/internal/core/workflow/evacuate.go
+++ b/internal/core/workflow/evacuate.go
@@ -77,6 +77,9 @@
 // EvacuatedVMs returns the number of known VMs in evacuated failure domains.
 func (o *Owner) EvacuatedVMs() int {
 	n := 0
+	if o.EvacuatedDomains() == 0 {
+		return n // called for each input of the owner
+	}
 	for _, v := range o.vmOrder {
 		if v.evacuated {
 			n++
