--- /dev/null
+++ b/internal/core/handover/doc.go
@@ -0,0 +1,25 @@
+// Package handover implements the decisions of a planned handover of ownership. It
+// performs no I/O.
+//
+// Load condition: an owner stops while the table is slow. If it releases the lease
+// first, the next owner begins to read the rows only after its takeover, and nothing is
+// placed until it has read them.
+//
+// Contract: an owner that stops announces this in its lease row and continues as the
+// confirmed owner. One candidate reserves the role of successor by a conditional write
+// of the reservation row, which names the owner's epoch. It reads all rows, and reports
+// itself ready in the reservation row. Then the owner releases the lease to it. Package
+// lease decides who owns the lease; a reservation gives no right to act. So neither
+// lost, late nor repeated writes of this package can lead to two owners.
+//
+// State: type Owner holds the owner's side for one term, type Successor the side of one
+// candidate for one announcing epoch. Both measure times on their own process's clock.
+// The durable state is the reservation row and the announcement in the lease row.
+//
+// Failure modes: a successor that writes no beat for BeatTimeout, on the clocks of the
+// owner and of each other candidate, counts as dead. Another candidate replaces it, and
+// the owner does not release the lease to it. Without a ready successor the owner
+// releases the lease at its deadline, to no one in particular. If the owner dies, its
+// lease expires as usual. The reservation row stays after a handover; a reservation for
+// a later epoch replaces it.
+package handover
--- a/internal/core/lease/holder.go
+++ b/internal/core/lease/holder.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/types"
 )
 
 // Renewal is a write of the lease row by its holder, conditional on its revision:
@@ -21,7 +23,7 @@
 	validFrom time.Duration
 	lastSent  time.Duration
 	// firstSent is when the next value of the renewal counter was first sent.
-	// Retries write the same content, so a row with that value may come from
+	// Retries write the same counter, so a row with that value may come from
 	// the first send.
 	firstSent   time.Duration
 	counterSent bool
@@ -29,6 +31,9 @@
 	uncertain   bool
 	lost        bool
 	released    bool
+	// handover is the announcement that the row should hold, and sentHandover the
+	// one that the last write held.
+	handover, sentHandover string
 }
 
 // NewHolder returns the holder after a committed takeover. sentAt is the clock
@@ -74,9 +79,23 @@
 	if h.inFlight || h.uncertain || h.lost || h.released {
 		return 0, false
 	}
+	if h.handover != h.sentHandover {
+		return h.lastSent, true
+	}
 	return h.lastSent + h.cfg.Renewal, true
 }
 
+// Announce sets the reason for a handover that the row should hold; empty for none.
+// A change makes a renewal due at once. The holder may act as before.
+func (h *Holder) Announce(reason string) {
+	h.handover = reason
+}
+
+// Announced reports whether the row is known to hold the announcement.
+func (h *Holder) Announced() bool {
+	return h.handover != "" && h.row.Handover == h.handover
+}
+
 // BeginRenewal returns the renewal to send if one is due at now. A renewal is
 // also sent after the validity has ended; it succeeds only if no candidate has
 // taken the lease over.
@@ -93,6 +112,8 @@
 	h.inFlight = true
 	next := h.row
 	next.Renewal++
+	next.Handover = h.handover
+	h.sentHandover = h.handover
 	return Renewal{Row: next, Revision: h.revision}, true
 }
 
@@ -102,7 +123,7 @@
 	if !h.inFlight {
 		return
 	}
-	h.advance(revision, h.lastSent)
+	h.advance(revision, h.lastSent, h.sentHandover)
 }
 
 // Refused records that the renewal in flight was refused without taking
@@ -130,14 +151,15 @@
 		return
 	}
 	if row.Renewal == h.row.Renewal+1 && h.counterSent {
-		h.advance(revision, h.firstSent)
+		h.advance(revision, h.firstSent, row.Handover)
 	}
 }
 
-// Release returns the write that releases the lease; its Row.Owner is empty. The
-// holder must stop acting at once, whether or not the write succeeds. Release
-// returns false if the lease is lost or was released before.
-func (h *Holder) Release() (Renewal, bool) {
+// Release returns the write that releases the lease to the candidate successor, or to
+// any if successor is empty; its Row.Owner is empty. The holder must stop acting at
+// once, whether or not the write succeeds. Release returns false if the lease is lost
+// or was released before.
+func (h *Holder) Release(successor types.VMID) (Renewal, bool) {
 	if h.lost || h.released {
 		return Renewal{}, false
 	}
@@ -146,11 +168,13 @@
 	row.Owner = ""
 	row.Incarnation = 0
 	row.Renewal++
+	row.Handover, row.Successor = "", successor
 	return Renewal{Row: row, Revision: h.revision}, true
 }
 
-func (h *Holder) advance(revision uint64, sentAt time.Duration) {
+func (h *Holder) advance(revision uint64, sentAt time.Duration, handover string) {
 	h.row.Renewal++
+	h.row.Handover, h.sentHandover = handover, handover
 	h.revision = revision
 	h.validFrom = sentAt
 	h.counterSent = false
--- a/internal/core/lease/observer.go
+++ b/internal/core/lease/observer.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// Revision returns the revision of the last observed row; 0 if there is none.
+func (o *Observer) Revision() uint64 {
+	return o.revision
+}
+
 // Row returns the last observed row. It returns false before the first read, or
 // if the row did not exist.
 func (o *Observer) Row() (Row, bool) {
@@ -82,7 +87,8 @@
 // shard's members that the candidate considers live. The wait after the last
 // observed change of the row consists of the TTL, the rank delay and the jitter.
 // The TTL is left out if the row has no owner that may be alive. After a gap
-// between reads, Observe may prolong the wait. TakeoverAt returns false before the
+// between reads, Observe may prolong the wait. The candidate that a lease was released
+// to waits for nothing, and the others for SuccessorGrace in addition. TakeoverAt returns false before the
 // first read, or if the candidate itself holds the lease and ReclaimOwnLease is
 // not set.
 func (o *Observer) TakeoverAt(live []types.VMID) (time.Duration, bool) {
@@ -92,7 +98,13 @@
 	if !o.cfg.ReclaimOwnLease && o.exists && o.row.Owner == o.self && o.row.Incarnation == o.incarnation {
 		return 0, false
 	}
+	if o.releasedTo() == o.self && o.self != "" {
+		return o.unchangedSince, true
+	}
 	at := o.unchangedSince + o.jitter
+	if o.releasedTo() != "" {
+		at += o.cfg.SuccessorGrace
+	}
 	at += time.Duration(Rank(o.shard, o.row.Epoch, o.self, live)) * o.cfg.RankDelay
 	if o.ownerMayBeAlive() {
 		at += o.cfg.TTL
@@ -100,6 +112,14 @@
 	return at, true
 }
 
+// releasedTo returns the candidate that the lease was released to, if any.
+func (o *Observer) releasedTo() types.VMID {
+	if !o.exists || o.row.Owner != "" {
+		return ""
+	}
+	return o.row.Successor
+}
+
 // ownerMayBeAlive reports whether the observed row has an owner that may be
 // alive.
 func (o *Observer) ownerMayBeAlive() bool {
--- a/internal/core/lease/row.go
+++ b/internal/core/lease/row.go
@@ -34,6 +34,9 @@
 	// a gap. Without it, every outage longer than the TTL would end with a
 	// takeover from a live owner.
 	MaxReadAge, RenewalGrace time.Duration
+	// SuccessorGrace is the additional wait of a candidate for a lease that was
+	// released to another one, so that this one can take over first.
+	SuccessorGrace time.Duration
 }
 
 // DefaultConfig returns a TTL of 6 s, a renewal interval of 2 s, a margin of 1
@@ -60,6 +63,12 @@
 	// Address is the address at which the owner serves calls and datagrams. It
 	// is set by the caller of TryTakeover.
 	Address string `json:"address,omitempty"`
+	// Handover is the reason for which the owner wants to hand over the lease;
+	// empty if it does not.
+	Handover string `json:"handover,omitempty"`
+	// Successor is set in a released row: the candidate that the lease was released
+	// to. It may be empty.
+	Successor types.VMID `json:"successor,omitempty"`
 }
 
 // Key returns the key of a shard's lease row.
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -128,7 +128,7 @@
 	if t.holder.NeedsRead() {
 		t.readLease(context.Background())
 	}
-	renewal, ok := t.holder.Release()
+	renewal, ok := t.holder.Release("")
 	if !ok {
 		return
 	}
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -272,7 +272,7 @@
 		return
 	}
 	h := s.h
-	r, ok := s.term.holder.Release()
+	r, ok := s.term.holder.Release("")
 	s.endTerm()
 	if !ok {
 		close(done)
--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -255,7 +255,7 @@
 // releaseLease releases the lease and ends the term. The process then does not
 // observe the lease for 5 s, so that another worker can take it over.
 func (t *term) releaseLease() {
-	if r, ok := t.holder.Release(); ok {
+	if r, ok := t.holder.Release(""); ok {
 		t.p.w.recordEvent("%s releases epoch %d", t.p.vm.ID, t.epoch)
 		t.writeLease(r)
 	}
