jobs: the owner hands over to a prepared successor when it stops

Cause: with a table 60 times slower nothing was placed for 5 s after the owner's SIGTERM: others noticed the release late and read all rows after their takeover. Change: the owner announces the handover and stays confirmed, a candidate reserves the succession and reads all rows, and the release names it. Its term reads only the changes since, and its followers begin there. A release is repeated until its outcome is known. An entry serves callers until the handover has ended.

--- a/internal/jobs/cancellations_test.go
+++ b/internal/jobs/cancellations_test.go
@@ -47,11 +47,10 @@
 		t.Fatal(err)
 	}
 	// Without a confirmed ownership the term writes nothing to a table.
-	parent, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		term.runCore(term.ctx, parent)
+		term.runCore(term.ctx)
 	}()
 	cancelled := 0
 	for end := time.Now().Add(5 * time.Second); cancelled < jobs && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
@@ -67,7 +66,6 @@
 		}
 	}
 	term.end()
-	stop()
 	<-done
 	term.finish()
 	if cancelled != jobs {
--- a/internal/jobs/follow.go
+++ b/internal/jobs/follow.go
@@ -65,13 +65,16 @@
 	OnSuccess func()
 	// Interval is the pause between calls; 0 means followInterval.
 	Interval time.Duration
+	// After is the revision from which changes are followed, if the caller has read
+	// the rows as of it. With 0 the rows are listed first.
+	After uint64
 }
 
 // Run follows the rows until the context ends. After a failure it retries with
 // backoff; if the history was compacted, it lists all rows again.
 func (f *Follower) Run(ctx context.Context) {
-	var revision uint64
-	listed, lost := false, false
+	revision := f.After
+	listed, lost := revision != 0, false
 	pause := tableBackoffMin
 	last := time.Now()
 	interval := cmp.Or(f.Interval, followInterval)
--- /dev/null
+++ b/internal/jobs/handover.go
@@ -0,0 +1,214 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/handover"
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/workflow"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+const (
+	// reservationPollInterval is the pause between the owner's reads of the
+	// reservation, for the few seconds of a handover.
+	reservationPollInterval = 50 * time.Millisecond
+	// formerOwnerLimit is how long a former owner continues with what is safe beside a
+	// successor. A successor that takes over reaches the workers within it.
+	formerOwnerLimit = leaseSuccessorGrace + 500*time.Millisecond
+	// releaseReserve is the time before the end of the process that is left for the
+	// last batch and the release.
+	releaseReserve = lastBatchTimeout + tableTimeout
+)
+
+// causeTermEnded is the cause of a release without a handover.
+const causeTermEnded handover.Cause = "the term has ended"
+
+var (
+	eventHandoverAnnounced = telemetry.Define(560, logrus.InfoLevel, "handover announced",
+		"The owner's process stops. The owner goes on until another entry has read the rows, or until the time is over. Fields: epoch, limit in ms. 543 follows.")
+	eventSuccessorPrepares = telemetry.Define(561, logrus.InfoLevel, "successor prepares",
+		"This entry has reserved the succession of the owner of the epoch and reads all rows. Fields: epoch. No action.")
+	eventSuccessorReady = telemetry.Define(562, logrus.InfoLevel, "successor is ready",
+		"This entry has read all rows and takes over when the owner releases the lease. Fields: epoch, ms. No action.")
+	eventSuccessorWithdrawn = telemetry.Define(563, logrus.WarnLevel, "succession ended without a takeover",
+		"Another entry has replaced this one, this process stops, or the owner has ended its handover. Fields: epoch, why. If it repeats, check whether the table is slow for this entry.")
+	eventPreparedRowsUnused = telemetry.Define(564, logrus.WarnLevel, "prepared rows not used",
+		"The changes since the rows were read could not be read, so the new owner lists all rows, which takes longer. Check the platform's store if it repeats.")
+)
+
+// termHandover is the state of the handover of a term that its goroutines share.
+type termHandover struct {
+	// announced is set while the lease row should hold the announcement, and stored
+	// while it does.
+	announced, stored atomic.Bool
+	// spawned is set once the core's actor exists.
+	spawned atomic.Bool
+	// wake makes maintainLease check the lease at once.
+	wake chan struct{}
+	// release tells maintainLease to release the lease.
+	release chan handover.Release
+	// stopBy is when the release must have ended. It is written before release.
+	stopBy time.Duration
+	// done is closed after the release was sent.
+	done chan struct{}
+}
+
+func (h *termHandover) init() {
+	h.wake, h.release, h.done = make(chan struct{}, 1), make(chan handover.Release, 1), make(chan struct{})
+}
+
+// reason returns the announcement that the lease row should hold.
+func (h *termHandover) reason() string {
+	if h.announced.Load() {
+		return handover.ReasonStopping
+	}
+	return ""
+}
+
+// handOverOnStop hands the ownership over when the context parent ends. It returns at
+// the latest when the term ends.
+func (t *term) handOverOnStop(ctx, parent context.Context) {
+	defer t.wg.Done()
+	select {
+	case <-parent.Done():
+	case <-ctx.Done():
+		return
+	}
+	stopBy := clock.Now() + t.c.opts.StopTimeout
+	release, ok := t.awaitSuccessor(ctx, stopBy-releaseReserve)
+	if !ok {
+		return // the term has ended
+	}
+	if t.handover.spawned.Load() {
+		t.flushOnStop()
+	}
+	t.metrics.countHandover(release)
+	t.handover.stopBy = stopBy
+	t.handover.release <- release
+	select {
+	case <-t.handover.done:
+		sleep(ctx, min(formerOwnerLimit, stopBy-clock.Now()))
+	case <-ctx.Done():
+	}
+	t.end()
+}
+
+// awaitSuccessor announces the handover and waits until the owner has to release the
+// lease. It returns false if the term has ended.
+func (t *term) awaitSuccessor(ctx context.Context, deadline time.Duration) (handover.Release, bool) {
+	h := handover.NewOwner(handover.DefaultConfig(), t.epoch, deadline)
+	if now := clock.Now(); now < deadline {
+		t.log.Log(eventHandoverAnnounced, nil, telemetry.Fields{"limit": (deadline - now).Milliseconds()})
+		t.handover.announced.Store(true)
+		t.handover.wake <- struct{}{}
+	}
+	for ctx.Err() == nil {
+		if release, ok := h.Next(clock.Now()); ok {
+			return release, true
+		}
+		if t.handover.stored.Load() {
+			h.Announced(clock.Now())
+			if row, revision, err := t.c.readReservation(ctx); err == nil {
+				h.Observe(row, revision, clock.Now())
+			}
+		}
+		sleep(ctx, reservationPollInterval)
+	}
+	return handover.Release{}, false
+}
+
+// readReservation reads the reservation row. An unreadable one is returned as a row of
+// no epoch, which a candidate replaces.
+func (c *Candidate) readReservation(ctx context.Context) (handover.Reservation, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	rows, err := c.opts.Table.Get(ctx, handover.Key)
+	if err != nil {
+		return handover.Reservation{}, 0, err
+	}
+	return c.decodeReservation(rows[0]), rows[0].Revision, nil
+}
+
+func (c *Candidate) decodeReservation(r platform.Row) handover.Reservation {
+	if r.Revision == 0 {
+		return handover.Reservation{}
+	}
+	row, err := handover.Decode(r.Value)
+	if err != nil {
+		c.log.Log(eventRowUnreadable, err, telemetry.Fields{"key": r.Key})
+	}
+	return row
+}
+
+// awaitLeaseCheck waits until the next check of the lease. It returns true if it has
+// released the lease instead.
+func (t *term) awaitLeaseCheck(ctx context.Context) bool {
+	timer := time.NewTimer(leaseCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.handover.wake:
+	case release := <-t.handover.release:
+		if t.holder.NeedsRead() {
+			t.readLease(ctx)
+		}
+		t.writeRelease(release)
+		close(t.handover.done)
+		return true
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// writeRelease releases the lease. Before it is sent, the core acts as an unconfirmed
+// owner: the successor may take over as soon as the table has executed the write. A
+// renewal that was executed late changes the row's revision, and the release is
+// repeated with the new one. Without an answer it is repeated until the process has to
+// end; if an earlier attempt was executed, the repetition finds the lease released.
+func (t *term) writeRelease(release handover.Release) {
+	renewal, ok := t.holder.Release(release.Successor)
+	t.validUntil.Store(int64(t.holder.ValidUntil()))
+	if !ok {
+		return
+	}
+	if t.handover.spawned.Load() {
+		// Waits for an input that began as the confirmed owner. The actor may have
+		// ended, which has the same effect.
+		_ = t.coreActor.Do(func(o *workflow.Owner) { t.updateOwnershipConfirmed(o) })
+	} else {
+		t.end() // the core does not exist yet and must not begin as the confirmed owner
+	}
+	var err error
+	for {
+		var res platform.TxnResult
+		res, err = t.writeLease(context.Background(), renewal)
+		if err == nil && res.Committed {
+			break
+		}
+		if err == nil {
+			row, decodeErr := lease.Decode(res.Rows[0].Value)
+			if decodeErr != nil || row.Owner != t.c.opts.VM || row.Epoch != t.epoch {
+				break // released by an earlier attempt, or taken over
+			}
+			renewal.Row.Renewal, renewal.Revision = row.Renewal+1, res.Rows[0].Revision
+			err = errRenewedLate
+		}
+		if clock.Now() >= t.handover.stopBy {
+			break
+		}
+		sleep(context.Background(), jitter(tableBackoffMin))
+	}
+	t.log.Log(eventOwnershipReleased, err, telemetry.Fields{"successor": release.Successor, "cause": release.Cause})
+}
+
+// errRenewedLate is the error of a release that found a renewal which the table had
+// executed late.
+var errRenewedLate = errors.New("the lease was renewed by an earlier call")
--- a/internal/jobs/learned.go
+++ b/internal/jobs/learned.go
@@ -28,14 +28,12 @@
 
 // loadLearned passes the estimates that earlier owners have stored to the core.
 func (t *term) loadLearned(ctx context.Context, core *workflow.Owner) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	rows, err := t.c.opts.Table.Get(ctx, keyLearned)
-	if err == nil && rows[0].Revision != 0 {
+	row, err := t.learnedRow(ctx)
+	if err == nil && row.Revision != 0 {
 		var learned workflow.Learned
-		if learned, err = decode[workflow.Learned](keyLearned, rows[0].Value); err == nil {
+		if learned, err = decode[workflow.Learned](keyLearned, row.Value); err == nil {
 			core.SetLearned(clock.Now(), learned)
-			t.learned = rows[0].Value
+			t.learned = row.Value
 		}
 	}
 	if err != nil {
@@ -43,6 +41,21 @@
 	}
 }
 
+// learnedRow returns the row that a successor has read beforehand, which is at most
+// seconds old, or reads it.
+func (t *term) learnedRow(ctx context.Context) (platform.Row, error) {
+	if t.prepared != nil && t.prepared.learnedRead {
+		return t.prepared.learned, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	rows, err := t.c.opts.Table.Get(ctx, keyLearned)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	return rows[0], nil
+}
+
 // storeLearned stores the learned estimates if they have changed. It runs on the
 // core's actor.
 func (t *term) storeLearned(o *workflow.Owner, now time.Duration) {
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -42,6 +42,9 @@
 	// table takes over 1 s for it. The lease is valid from the time of the send, so
 	// an answer within this time leaves some for the first renewal.
 	takeoverTimeout = 1500 * time.Millisecond
+	// leaseSuccessorGrace is how long others wait for a lease that was released to a
+	// prepared successor: as long as its takeover may take.
+	leaseSuccessorGrace = takeoverTimeout
 	// batchTimeout bounds one attempt to write a batch. It is longer than the 1 s
 	// for which an overloaded partition of the table keeps calls waiting: repeating
 	// a write before it is carried out would slow the partition down further.
@@ -58,9 +61,9 @@
 	eventOwnershipLost = telemetry.Define(541, logrus.WarnLevel, "ownership of jobs lost",
 		"This entry gives up the ownership; the field why names the reason. Another entry takes over or has done so. This is expected after this process was paused, or disconnected from the table, for longer than the lease.")
 	eventOwnerRecovered = telemetry.Define(542, logrus.InfoLevel, "jobs recovered",
-		"The owner has read the rows of jobs and agents. Fields: jobs, agents, revision, ms. No action.")
+		"The owner has read the rows of jobs and agents. Fields: jobs, agents, revision, ms; prepared is true if it had read all but the latest changes before its takeover. No action.")
 	eventOwnershipReleased = telemetry.Define(543, logrus.InfoLevel, "ownership of jobs released",
-		"This process stops; another entry takes over. No action.")
+		"This process stops; another entry takes over. Fields: successor, the VM that has read the rows beforehand; cause. Without a successor nothing is placed until the next owner has read them; no action unless it repeats, see 560 to 564.")
 	eventLeaseLate = telemetry.Define(544, logrus.WarnLevel, "lease of jobs cannot be renewed",
 		"The table does not answer. Until the workers' leases expire, running tasks continue and the owner starts further tasks of known jobs. Fields: epoch; age, the time since the owner's lease ceased to be valid.")
 	eventAdviceFailed = telemetry.Define(546, logrus.WarnLevel, "policy service gives no advice",
@@ -105,6 +108,10 @@
 	Changes platform.ChangeLog
 	Agents  *http.Client
 	Timing  Timing
+	// StopTimeout is the time from the end of the context of Run within which Run
+	// returns. An owner uses it for a planned handover; without it, it releases the
+	// lease at once.
+	StopTimeout time.Duration
 	// Advisor answers which workers may run a step; nil if there is none.
 	Advisor   Advisor
 	Telemetry *telemetry.Telemetry
@@ -123,6 +130,9 @@
 	rng           *rand.Rand
 	cancellations pendingCancellations
 	queuesChanged chan struct{}
+	// prepared are the rows that this candidate has read as the successor of the
+	// owner; nil if it is not the successor.
+	prepared *preparedRows
 	// takeoverDue is set once the lease at takeoverDueRevision has expired. This
 	// candidate may then take over from takeoverDueAt on.
 	takeoverDue         bool
@@ -131,7 +141,7 @@
 }
 
 func leaseConfig() lease.Config {
-	return lease.Config{TTL: leaseTTL, Renewal: leaseRenewalInterval, Margin: leaseMargin, Jitter: leaseJitter, ReclaimOwnLease: true, MaxReadAge: leaseMaxReadAge, RenewalGrace: leaseRenewalGrace}
+	return lease.Config{TTL: leaseTTL, Renewal: leaseRenewalInterval, Margin: leaseMargin, Jitter: leaseJitter, ReclaimOwnLease: true, MaxReadAge: leaseMaxReadAge, RenewalGrace: leaseRenewalGrace, SuccessorGrace: leaseSuccessorGrace}
 }
 
 // NewCandidate returns a candidate. It does nothing until Run is called.
@@ -160,7 +170,7 @@
 }
 
 // Run takes part in the takeover of ownership until the context ends. An owner then
-// releases the ownership.
+// hands over the ownership.
 func (c *Candidate) Run(ctx context.Context) {
 	c.awaitQueues(ctx)
 	for ctx.Err() == nil {
@@ -169,6 +179,7 @@
 		if takeover, ok := c.observer.TryTakeover(now, nil); ok && c.mayTakeOver(ctx, takeover.Revision, now) {
 			c.takeOver(ctx, takeover)
 		}
+		c.succeed(ctx)
 		sleep(ctx, jitter(leasePollInterval))
 	}
 }
@@ -229,31 +240,39 @@
 	if err != nil {
 		return // the observer's timer continues; a later read sees an unchanged row
 	}
+	c.recordLease(rows[0])
+}
+
+// recordLease passes the lease's row as read to the observer.
+func (c *Candidate) recordLease(r platform.Row) {
 	var row lease.Row
-	exists := rows[0].Revision != 0
+	exists := r.Revision != 0
 	if exists {
-		if row, err = lease.Decode(rows[0].Value); err != nil {
-			c.log.Log(eventRowUnreadable, err, telemetry.Fields{"key": rows[0].Key})
+		var err error
+		if row, err = lease.Decode(r.Value); err != nil {
+			c.log.Log(eventRowUnreadable, err, telemetry.Fields{"key": r.Key})
 			return
 		}
 	}
-	c.observer.Observe(row, rows[0].Revision, exists, clock.Now(), c.rng)
+	c.observer.Observe(row, r.Revision, exists, clock.Now(), c.rng)
 }
 
 // takeOver tries a takeover and runs the term if it succeeds. It returns when the
-// term has ended.
-func (c *Candidate) takeOver(ctx context.Context, takeover lease.Takeover) {
+// term has ended, and reports whether there was one.
+func (c *Candidate) takeOver(ctx context.Context, takeover lease.Takeover) bool {
 	row := takeover.Row
 	value, err := row.Encode()
 	if err != nil {
 		c.log.Log(eventRowUnreadable, err, nil)
-		return
+		return false
 	}
 	writes := []platform.Write{{Key: lease.Key(jobsShard), Value: value}}
 	for _, p := range partitionNames() {
 		writes = append(writes, platform.Write{Key: fenceKey(p), Value: encode(fenceRow{Epoch: row.Epoch})})
 	}
-	callCtx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	// A stop of the process does not cancel the call: a takeover without a known
+	// outcome would leave others to wait for leaseTTL.
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), takeoverTimeout)
 	defer cancel()
 	sentAt := clock.Now()
 	res, err := c.opts.Takeovers.Commit(callCtx, platform.Txn{
@@ -264,13 +283,15 @@
 	if err != nil || !res.Committed {
 		// Without an answer the takeover may have succeeded. This candidate then
 		// observes its own lease and takes it over again.
-		return
+		return false
 	}
 	before, _ := c.observer.Row()
 	c.log.Log(eventOwnershipTaken, nil, telemetry.Fields{"epoch": row.Epoch, "before": before.Owner})
 	t := newTerm(c, lease.NewHolder(leaseConfig(), row, res.Revision, sentAt), res.Revision)
+	t.prepared, c.prepared = c.prepared, nil
 	t.run(ctx)
 	if t.panicked.Load() {
 		sleep(ctx, jitter(panicBackoff))
 	}
+	return true
 }
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -39,7 +39,7 @@
 // actor cannot be started.
 func (t *term) recover(ctx context.Context) bool {
 	begin := time.Now()
-	s, ok := t.readRows(ctx)
+	s, ok := t.storedRows(ctx)
 	if !ok {
 		return false
 	}
@@ -61,33 +61,47 @@
 		return false
 	}
 	t.connect(ctx, agents)
-	t.startFollowers(ctx)
+	t.startFollowers(ctx, s.jobs.Revision, s.agents.Revision)
 	t.log.Log(eventOwnerRecovered, nil, telemetry.Fields{
-		"jobs": len(s.jobs.Rows), "agents": len(agents), "revision": s.jobs.Revision, "ms": time.Since(begin).Milliseconds(),
+		"prepared": t.prepared != nil, "jobs": len(s.jobs.Rows), "agents": len(agents), "revision": s.jobs.Revision, "ms": time.Since(begin).Milliseconds(),
 	})
 	return true
 }
 
-// readRows lists the rows and retries until it succeeds or the term ends. While the
+// storedRows returns the rows as of the takeover or later. A successor has read them
+// before, so only the changes since then are left to read.
+func (t *term) storedRows(ctx context.Context) (storedRows, bool) {
+	if t.prepared != nil {
+		s, err := t.prepared.asOf(ctx, t.takeoverRevision)
+		if err == nil {
+			return s, true
+		}
+		t.log.Log(eventPreparedRowsUnused, err, nil)
+		t.prepared = nil
+	}
+	return t.c.readRows(ctx)
+}
+
+// readRows lists the rows and retries until it succeeds or the context ends. While the
 // table is slow each list takes long, so those that do not depend on each other are
 // read at the same time. States are listed after the jobs, so that each listed job has
 // its state. The fence keeps the rows of progress from changing.
-func (t *term) readRows(ctx context.Context) (storedRows, bool) {
+func (c *Candidate) readRows(ctx context.Context) (storedRows, bool) {
 	var s storedRows
 	var lists errgroup.Group
 	lists.Go(func() (err error) {
-		if s.jobs, err = t.readPrefix(ctx, prefixJob, partitionNames()); err != nil {
+		if s.jobs, err = c.readPrefix(ctx, prefixJob, partitionNames()); err != nil {
 			return err
 		}
-		s.states, err = t.readPrefix(ctx, prefixState, partitionNames())
+		s.states, err = c.readPrefix(ctx, prefixState, partitionNames())
 		return err
 	})
 	lists.Go(func() (err error) {
-		s.progress, err = t.readPrefix(ctx, prefixProgress, partitionNames())
+		s.progress, err = c.readPrefix(ctx, prefixProgress, partitionNames())
 		return err
 	})
 	lists.Go(func() (err error) {
-		s.agents, err = t.readPrefix(ctx, prefixAgent, nil)
+		s.agents, err = c.readPrefix(ctx, prefixAgent, nil)
 		return err
 	})
 	err := lists.Wait()
@@ -96,10 +110,10 @@
 
 // readPrefix lists the rows of a prefix, and retries until it succeeds or the context
 // ends.
-func (t *term) readPrefix(ctx context.Context, prefix string, partitions []string) (platform.Snapshot, error) {
+func (c *Candidate) readPrefix(ctx context.Context, prefix string, partitions []string) (platform.Snapshot, error) {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		snapshot, err := listAll(callCtx, t.c.opts.Changes, prefix, partitions)
+		snapshot, err := listAll(callCtx, c.opts.Changes, prefix, partitions)
 		cancel()
 		if err == nil {
 			return snapshot, nil
@@ -166,15 +180,16 @@
 	}
 }
 
-// startFollowers starts to follow new jobs and agents for the core.
-func (t *term) startFollowers(ctx context.Context) {
+// startFollowers starts to follow new jobs and agents for the core, from the revisions
+// at which they were read.
+func (t *term) startFollowers(ctx context.Context, jobsAt, agentsAt uint64) {
 	jobs := &Follower{
-		Log: t.c.opts.Changes, Prefix: prefixJob, Partitions: partitionNames(), Logger: t.log, OnSuccess: func() {},
+		Log: t.c.opts.Changes, Prefix: prefixJob, Partitions: partitionNames(), After: jobsAt, Logger: t.log, OnSuccess: func() {},
 		Reset: func(s platform.Snapshot) { t.addNewJobs(s.Rows) },
 		Apply: func(rows []platform.ChangedRow) { t.addNewJobs(withoutDeleted(rows)) },
 	}
 	agents := &Follower{
-		Log: t.c.opts.Changes, Prefix: prefixAgent, Logger: t.log, OnSuccess: func() {},
+		Log: t.c.opts.Changes, Prefix: prefixAgent, After: agentsAt, Logger: t.log, OnSuccess: func() {},
 		Reset: func(s platform.Snapshot) { t.connect(ctx, t.agents(s.Rows)) },
 		Apply: func(rows []platform.ChangedRow) { t.connect(ctx, t.agents(withoutDeleted(rows))) },
 	}
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/boragecrank/boragecrank/internal/core/handover"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
@@ -134,3 +135,8 @@
 		m.jobTime.RecordDuration(d.Age)
 	}
 }
+
+// countHandover counts a release of the ownership.
+func (m *termMetrics) countHandover(r handover.Release) {
+	m.scope.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("jobs_handovers").Inc(1)
+}
--- a/internal/jobs/slowtable_test.go
+++ b/internal/jobs/slowtable_test.go
@@ -31,9 +31,9 @@
 func TestRecoveryFromSlowTableIsFast(t *testing.T) {
 	t.Parallel()
 	const listTime = 100 * time.Millisecond
-	term := &term{c: &Candidate{opts: CandidateOptions{Changes: &slowLists{listTime: listTime}}}}
+	c := &Candidate{opts: CandidateOptions{Changes: &slowLists{listTime: listTime}}}
 	begin := time.Now()
-	if _, ok := term.readRows(t.Context()); !ok {
+	if _, ok := c.readRows(t.Context()); !ok {
 		t.Fatal("the rows were not read")
 	}
 	if took := time.Since(begin); took > 6*listTime {
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -11,6 +11,7 @@
 
 	"github.com/boragecrank/boragecrank/internal/actors"
 	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/handover"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
@@ -35,6 +36,8 @@
 	maxChanges = 18
 	// lastBatchTimeout bounds the last batch when the process stops.
 	lastBatchTimeout = 500 * time.Millisecond
+	// leaseCheckInterval is the time between checks of the lease.
+	leaseCheckInterval = leaseRenewalInterval / 6
 )
 
 // term is one period of ownership by this process.
@@ -60,8 +63,11 @@
 	// takeoverRevision is the revision of the transaction that took over the
 	// ownership.
 	takeoverRevision uint64
-	nextFlush        time.Duration
-	nextLoadReport   time.Duration
+	// prepared are the rows that were read before the takeover; nil if none were.
+	prepared       *preparedRows
+	handover       termHandover
+	nextFlush      time.Duration
+	nextLoadReport time.Duration
 	// learned is the value of the row keyLearned that was last read, or sent to the
 	// table.
 	learned          []byte
@@ -81,6 +87,7 @@
 	}
 	t.validUntil.Store(int64(h.ValidUntil()))
 	t.leaseRevision.Store(revision)
+	t.handover.init()
 	for _, p := range partitionNames() {
 		t.fences[p] = revision
 	}
@@ -102,8 +109,10 @@
 	defer t.c.cancellations.setOpen(false)
 	t.wg.Add(1)
 	go t.maintainLease(ctx)
+	t.wg.Add(1)
+	go t.handOverOnStop(ctx, parent)
 	if t.recoverGuarded(ctx) {
-		t.runCore(ctx, parent)
+		t.runCore(ctx)
 	}
 	t.finish()
 	t.metrics.setIdle(nil, 0) // the next owner reports its own
@@ -122,22 +131,17 @@
 	t.wg.Wait()
 }
 
-// release releases the lease, so that another entry can take over without waiting
-// for leaseTTL.
+// release releases the lease if it was not released before, so that another entry can
+// take over without waiting for leaseTTL.
 func (t *term) release() {
 	if t.holder.NeedsRead() {
 		t.readLease(context.Background())
 	}
-	renewal, ok := t.holder.Release("")
-	if !ok {
-		return
-	}
-	_, err := t.writeLease(context.Background(), renewal)
-	t.log.Log(eventOwnershipReleased, err, nil)
+	t.writeRelease(handover.Release{Cause: causeTermEnded})
 }
 
-// runCore runs the core until the term or the process ends.
-func (t *term) runCore(ctx, parent context.Context) {
+// runCore runs the core until the term ends.
+func (t *term) runCore(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -153,9 +157,6 @@
 			})
 		case <-t.c.queuesChanged:
 			t.applyInput(t.setQueues)
-		case <-parent.Done():
-			t.flushOnStop()
-			return
 		case <-ctx.Done():
 			return
 		}
@@ -283,6 +284,7 @@
 	late := false
 	for ctx.Err() == nil {
 		now := clock.Now()
+		t.holder.Announce(t.handover.reason())
 		switch {
 		case t.holder.Lost():
 			t.log.Log(eventOwnershipLost, nil, telemetry.Fields{"why": "the lease has another owner"})
@@ -306,7 +308,10 @@
 			}
 			t.log.Log(e, nil, telemetry.Fields{"age": (clock.Now() - t.holder.ValidUntil()).String()})
 		}
-		sleep(ctx, leaseRenewalInterval/6) // check the lease every 100 ms
+		t.handover.stored.Store(t.holder.Announced())
+		if released := t.awaitLeaseCheck(ctx); released {
+			return
+		}
 	}
 }
 
@@ -366,6 +371,7 @@
 		return err
 	}
 	t.coreActor = coreActor
+	t.handover.spawned.Store(true)
 	return nil
 }
 
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -42,6 +42,10 @@
 	// stopMargin is subtracted from the platform's grace period when an entry stops.
 	// It is also the timeout of the shutdown of an agent's servers.
 	stopMargin = time.Second
+	// shutdownReserve is the part of the grace period, before stopMargin, in which an
+	// entry no longer waits for a handover before it closes its listeners: requests
+	// that were read are answered in it.
+	shutdownReserve = time.Second
 	// maxAgentConnections is the number of idle connections kept to each agent: one
 	// for the long poll, the others for orders.
 	maxAgentConnections = 3
@@ -101,8 +105,8 @@
 	table := jobs.NewWatchedTable(o.Store, o.Telemetry.Log)
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: types.VMID(s.Address), Cores: s.CPUCores, Incarnation: newIncarnation(), Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
-		Timing:  jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin},
-		Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
+		Timing:      jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin},
+		StopTimeout: s.GracePeriod - stopMargin, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 	})
 	e.intake = jobs.NewIntake(table, o.Store.Limits(), o.Telemetry.Log, e.candidate.NotifyCancelled)
 	callers, err := httpserve.Listen(s.CallerAPI, &platform.CallerAPI{
@@ -138,19 +142,24 @@
 	return e.stop(callers, ready, candidateDone)
 }
 
-// stop stops an entry: it reports that it is not ready, releases the ownership, waits
+// stop stops an entry: it reports that it is not ready, hands over the ownership, waits
 // until the platform sends no new connections, and answers the requests that were
-// read.
+// read. Callers are served during the handover.
 func (e *entry) stop(callers, ready *httpserve.Server, candidateDone <-chan struct{}) error {
 	begin := time.Now()
 	e.Telemetry.Log.Log(eventStopping, nil, nil)
 	e.stopping.Store(true)
 	callers.DisableKeepAlives()
-	<-candidateDone
-	time.Sleep(max(0, readinessDelay-time.Since(begin)))
-	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.GracePeriod-stopMargin-readinessDelay)
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(max(e.Settings.GracePeriod-stopMargin, readinessDelay)))
 	defer cancel()
-	return errors.Join(callers.Shutdown(ctx), ready.Shutdown(ctx))
+	select {
+	case <-candidateDone:
+	case <-time.After(e.Settings.GracePeriod - stopMargin - shutdownReserve):
+	}
+	time.Sleep(max(0, readinessDelay-time.Since(begin)))
+	err := errors.Join(callers.Shutdown(ctx), ready.Shutdown(ctx))
+	<-candidateDone
+	return err
 }
 
 func (e *entry) queues() (map[string]workflow.Queue, bool) {
