--- a/internal/jobs/evacuation_test.go
+++ b/internal/jobs/evacuation_test.go
@@ -95,13 +95,13 @@
 		return nil
 	}
 	term := &term{c: &Candidate{opts: CandidateOptions{Changes: &slowLists{}, ReadOperatorRows: read}}}
-	if _, ok := term.readRows(t.Context()); !ok || calls != 3 {
+	if _, ok := term.storedRows(t.Context()); !ok || calls != 3 {
 		t.Errorf("recovered: %t after %d reads, want true after 3", ok, calls)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	calls = 0
-	if _, ok := term.readRows(ctx); ok {
+	if _, ok := term.storedRows(ctx); ok {
 		t.Error("recovered without the operator's rows")
 	}
 }
--- a/internal/jobs/follow.go
+++ b/internal/jobs/follow.go
@@ -68,13 +68,16 @@
 	// ListAfterFailure is set if all rows are to be listed after each failed wait for
 	// changes, for rows that must be read even while only the change feed fails.
 	ListAfterFailure bool
+	// After is the revision from which changes are followed, if the caller has read
+	// the rows as of it. With 0 the rows are listed first.
+	After uint64
 }
 
 // Run follows the rows until the context ends. After a failure it retries with
 // backoff; if the history was compacted, it lists all rows again.
 func (f *Follower) Run(ctx context.Context) {
-	var revision uint64
-	listed, lost, feedLost := false, false, false
+	revision := f.After
+	listed, lost, feedLost := revision != 0, false, false
 	pause := tableBackoffMin
 	last := time.Now()
 	interval := cmp.Or(f.Interval, followInterval)
