--- a/internal/core/config/part.go
+++ b/internal/core/config/part.go
@@ -69,7 +69,10 @@
 	s.addJobs(content.Jobs)
 	teams := sortedBy(content.Teams, func(v Team) string { return string(v.ID) })
 	s.add(PartTeams, teams)
-	s.add(PartRules, content.Rules)
+	rules := content.Rules
+	rules.Evacuate = sortedSet(rules.Evacuate)
+	rules.EvacuateByCommand = sortedSet(rules.EvacuateByCommand)
+	s.add(PartRules, rules)
 	return s.parts, s.err
 }
 
--- a/internal/core/config/rules.go
+++ b/internal/core/config/rules.go
@@ -72,6 +72,12 @@
 	Overnight     Window
 	// Guards enables the invariant checks of package guard.
 	Guards bool
+	// Evacuate are the failure domains that the inventory evacuates, and
+	// EvacuateByCommand those that operators evacuate by command. New, Apply and
+	// Decode return both sorted and without duplicates. Without any, the rules
+	// have the same encoding as before these fields existed.
+	Evacuate          []types.FailureDomain `json:",omitempty"`
+	EvacuateByCommand []types.FailureDomain `json:",omitempty"`
 }
 
 // Window is a daily period of local time. It may cross midnight. If Start equals
--- a/internal/inventory/diff.go
+++ b/internal/inventory/diff.go
@@ -24,7 +24,7 @@
 
 // Change is one difference between two configurations. Key, Old and New are set
 // only for kind Changed. Key is a key of the object or a derived property (shard,
-// urgent); Old and New are its values as text for display.
+// urgent, evacuated by command); Old and New are its values as text for display.
 type Change struct {
 	Kind ChangeKind `json:"kind"`
 	// Object is the table and name, for example `vm "gent-01"`.
@@ -195,10 +195,6 @@
 }
 
 func describeJob(k *config.JobKind) object {
-	domains := make([]string, 0, len(k.FailureDomains))
-	for _, d := range k.FailureDomains {
-		domains = append(domains, string(d))
-	}
 	values := []keyValue{
 		{"team", string(k.Team)},
 		{"priority", strconv.Itoa(k.Priority)},
@@ -207,7 +203,7 @@
 		{"tasks", strconv.Itoa(k.Tasks)},
 		{"gang", strconv.FormatBool(k.Gang)},
 		{"nightly", strconv.FormatBool(k.Nightly)},
-		{"failure_domains", "[" + strings.Join(domains, ", ") + "]"},
+		{"failure_domains", formatDomains(k.FailureDomains)},
 	}
 	return object{k.Kind, slices.Concat(values, describeResources("", k.Demand))}
 }
@@ -224,6 +220,8 @@
 		{"overnight_end", formatTimeOfDay(r.Overnight.End)},
 		{"time_zone", r.Overnight.Zone},
 		{"guards", strconv.FormatBool(r.Guards)},
+		{"evacuate", formatDomains(r.Evacuate)},
+		{"evacuated by command", formatDomains(r.EvacuateByCommand)},
 	}}
 }
 
@@ -235,6 +233,14 @@
 	}
 }
 
+func formatDomains(domains []types.FailureDomain) string {
+	names := make([]string, 0, len(domains))
+	for _, d := range domains {
+		names = append(names, string(d))
+	}
+	return "[" + strings.Join(names, ", ") + "]"
+}
+
 func formatNumber(x float64) string {
 	return strconv.FormatFloat(x, 'f', -1, 64)
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -47,8 +47,8 @@
 }
 
 // Compile checks the content and returns the configuration that succeeds
-// previous: its version is one higher, and VMs keep their shards. If previous is
-// nil, the version is 1. If the report is not OK, the configuration is nil.
+// previous: its version is one higher, VMs keep their shards, and evacuations by
+// command continue. If previous is nil, the version is 1. If the report is not OK, the configuration is nil.
 func (s *Source) Compile(previous *config.Config) (*config.Config, *Report) {
 	c := newCompiler(s.doc)
 	c.report.Merge(s.report)
@@ -61,6 +61,7 @@
 	if previous != nil {
 		version = previous.Version() + 1
 	}
+	config.KeepEvacuations(&c.content, previous)
 	for i := range c.content.Domains {
 		config.AssignShards(&c.content.Domains[i], previous)
 	}
@@ -192,7 +193,8 @@
 			End:   r.Duration("overnight_end"),
 			Zone:  r.String("time_zone"),
 		},
-		Guards: r.Bool("guards"),
+		Guards:   r.Bool("guards"),
+		Evacuate: c.declaredDomains(r, "evacuate"),
 	}
 	c.checkRules(r)
 	c.applyUrgency(r)
--- a/internal/inventory/schema.go
+++ b/internal/inventory/schema.go
@@ -102,6 +102,7 @@
 			{Key: "overnight_start", Type: tomlcheck.TimeOfDay, Default: "20:00", Min: "00:00", Max: "23:59", Doc: "Start of the overnight window, in local time."},
 			{Key: "overnight_end", Type: tomlcheck.TimeOfDay, Default: "06:00", Min: "00:00", Max: "23:59", Doc: "End of the overnight window, in local time. It may lie on the next day."},
 			{Key: "time_zone", Type: tomlcheck.Zone, Default: "UTC", Doc: "Time zone of the overnight window."},
+			{Key: "evacuate", Type: tomlcheck.Names, Doc: "Failure domains in which nothing new starts. Running work continues. `boragecrank evacuate` evacuates others in addition."},
 			{Key: "guards", Type: tomlcheck.Bool, Default: "true", Doc: "Check the invariants while running. Turn off only to measure their cost."},
 		},
 	},
--- a/internal/inventory/work.go
+++ b/internal/inventory/work.go
@@ -70,15 +70,17 @@
 			Tasks:          int(r.Int("tasks")),
 			Gang:           r.Bool("gang"),
 			Nightly:        r.Bool("nightly"),
-			FailureDomains: c.jobDomains(r),
+			FailureDomains: c.declaredDomains(r, "failure_domains"),
 		})
 	}
 }
 
-func (c *compiler) jobDomains(r *tomlcheck.Record) []types.FailureDomain {
-	domains := make([]types.FailureDomain, 0, len(r.Strings("failure_domains")))
-	for _, name := range r.Strings("failure_domains") {
-		c.checkReference(c.domains, "failure domain", tableDomain, name, "failure_domains", r)
+// declaredDomains returns the failure domains that a key lists, and reports those
+// that are not declared.
+func (c *compiler) declaredDomains(r *tomlcheck.Record, key string) []types.FailureDomain {
+	domains := make([]types.FailureDomain, 0, len(r.Strings(key)))
+	for _, name := range r.Strings(key) {
+		c.checkReference(c.domains, "failure domain", tableDomain, name, key, r)
 		domains = append(domains, types.FailureDomain(name))
 	}
 	return domains
