replicas: no shares for evacuated failure domains

Cause: replicas of an evacuated failure domain have to run elsewhere, and those that run there must not be stopped.

Change: evacuated failure domains get no share; the other shards' shares include their replicas. An evacuated shard submits nothing and keeps the replicas of declared services.

Result: tests of one, two and all failure domains of a service and of the end pass. Without the rule for evacuated shards, the running replicas of an evacuated shard are cancelled; without the rule for shares, nobody takes over.

--- a/internal/core/replicas/replicas.go
+++ b/internal/core/replicas/replicas.go
@@ -46,10 +46,14 @@
 // replica, or equal numbers if the service is to be spread over domains. The
 // shards of a domain get replicas in proportion to the number of their VMs whose
 // capacity fits a replica. Placement spreads replicas over racks.
+// Evacuated failure domains get none; the others then run their replicas too.
 func Shares(c *config.Config, s types.Service) map[types.ShardID]int {
 	shards := make(map[types.FailureDomain]map[types.ShardID]int)
 	var domains []recipient
 	for _, d := range c.Content().Domains {
+		if c.Evacuated(d.Name) {
+			continue
+		}
 		vmsPerShard := make(map[types.ShardID]int)
 		for i := range d.VMs {
 			if s.Demand.Fits(d.VMs[i].Capacity) {
@@ -142,15 +146,13 @@
 // Reconcile compares the job rows of a shard with its shares of the declared
 // services. A replica whose row has finished gets the next generation, the last
 // number of the ID, because the task rows of the finished job still exist.
+//
+// A shard in an evacuated failure domain submits nothing and keeps the replicas
+// that it has while their service is declared, although the shares of the other
+// shards already include them.
 func Reconcile(c *config.Config, shard types.ShardID, rows []task.JobRow) Plan {
-	wanted := make(map[types.JobID]types.Job)
-	for i := range c.Content().Services {
-		s := &c.Content().Services[i]
-		for k := range Shares(c, *s)[shard] {
-			j := replicaJob(s, shard, k)
-			wanted[j.ID] = j
-		}
-	}
+	evacuated := c.Evacuated(c.ShardDomain(shard))
+	wanted := wantedJobs(c, shard, evacuated)
 	nextGeneration := make(map[types.JobID]int)
 	var plan Plan
 	for i := range rows {
@@ -169,6 +171,9 @@
 		}
 		plan.Cancel = append(plan.Cancel, row.Job.ID)
 	}
+	if evacuated {
+		clear(wanted)
+	}
 	for base, j := range wanted {
 		j.ID = types.JobID(string(base) + "." + strconv.Itoa(nextGeneration[base]))
 		plan.Submit = append(plan.Submit, j)
@@ -178,6 +183,26 @@
 	return plan
 }
 
+// wantedJobs returns the replicas that a shard runs by its shares or, if it is
+// evacuated, those that it may keep, by job ID without the generation. An
+// earlier evacuation of another failure domain may have raised the shard's share
+// up to all replicas of a service.
+func wantedJobs(c *config.Config, shard types.ShardID, evacuated bool) map[types.JobID]types.Job {
+	wanted := make(map[types.JobID]types.Job)
+	for i := range c.Content().Services {
+		s := &c.Content().Services[i]
+		n := s.Replicas
+		if !evacuated {
+			n = Shares(c, *s)[shard]
+		}
+		for k := range n {
+			j := replicaJob(s, shard, k)
+			wanted[j.ID] = j
+		}
+	}
+	return wanted
+}
+
 // parseJobID splits the ID of a replica's job into base and generation. It
 // returns false for IDs of other jobs.
 func parseJobID(id types.JobID) (types.JobID, int, bool) {
