shard: nothing new starts on evacuated VMs, waiting jobs can move

Cause: the owner has to stop placing work at once, also work that it has decided, written or committed when the evacuation arrives.

A placed attempt that is not known to run gets a stop instead of a start; a start that was sent may still take effect for CommandValidity. Removed jobs are remembered with their revision, so that a job may move back.

--- a/internal/core/shard/command.go
+++ b/internal/core/shard/command.go
@@ -53,6 +53,11 @@
 			continue
 		}
 		kept = append(kept, t)
+		if kind == CommandStart && o.isEvacuated(o.vms[t.row.VM]) {
+			if kind = o.withdrawStart(now, t); kind == "" {
+				continue
+			}
+		}
 		if kind == t.lastCommand && now < t.lastCommandAt+o.cfg.CommandRetry {
 			continue
 		}
@@ -145,8 +150,12 @@
 }
 
 // acceptsWork reports whether a VM accepts new work: its current incarnation is
-// confirmed, not draining, and has sent a complete report.
+// confirmed, not draining, and has sent a complete report, and its failure domain
+// is not evacuated.
 func (o *Owner) acceptsWork(v *vmState) bool {
+	if o.isEvacuated(v) {
+		return false
+	}
 	entry, confirmed := o.detector.Lookup(v.vm.ID)
 	return confirmed && entry.Status == membership.Alive && v.reportedBy == entry.Incarnation
 }
--- a/internal/core/shard/jobs.go
+++ b/internal/core/shard/jobs.go
@@ -31,8 +31,13 @@
 }
 
 // Submit adds a job that an entry has committed, or applies a change of its
-// row. Submitting the same row again has no effect.
+// row. Submitting the same row again has no effect. A job that another shard has
+// moved here is not added but listed in Output.MovedHere.
 func (o *Owner) Submit(row TableRow) {
+	if id, moved := o.movedHere(row); moved {
+		o.out.MovedHere = append(o.out.MovedHere, id)
+		return
+	}
 	j := o.loadJob(row)
 	if j == nil {
 		return
@@ -77,7 +82,7 @@
 	}
 	j := o.jobs[row.Job.ID]
 	switch {
-	case j == nil && (row.Finished || o.finished[row.Job.ID]):
+	case j == nil && (row.Finished || r.Revision <= o.finished[row.Job.ID]):
 		return nil
 	case j == nil:
 		j = o.newJob(row, r.Revision)
@@ -167,7 +172,7 @@
 	}
 	j.tasks = nil
 	delete(o.jobs, j.row.Job.ID)
-	o.recordFinished(j.row.Job.ID)
+	o.recordFinished(j.row.Job.ID, j.revision)
 }
 
 // maxFinishedJobs is the number of finished job IDs that the owner remembers.
@@ -176,13 +181,14 @@
 // arrives within the timeout of a read, long before the job's ID is replaced.
 const maxFinishedJobs = 2048
 
-// recordFinished remembers the ID of a finished job. It replaces the oldest ID
-// when maxFinishedJobs are stored.
-func (o *Owner) recordFinished(id types.JobID) {
-	if o.finished[id] {
+// recordFinished remembers a removed job and the revision of its last row. It
+// replaces the oldest job when maxFinishedJobs are stored.
+func (o *Owner) recordFinished(id types.JobID, revision uint64) {
+	_, known := o.finished[id]
+	o.finished[id] = revision
+	if known {
 		return
 	}
-	o.finished[id] = true
 	if len(o.finishedOrder) < maxFinishedJobs {
 		o.finishedOrder = append(o.finishedOrder, id)
 		return
--- a/internal/core/shard/messages.go
+++ b/internal/core/shard/messages.go
@@ -184,4 +184,7 @@
 	// Problems are errors of rows that could not be decoded or encoded. The
 	// owner ignores such rows.
 	Problems []error
+	// MovedHere are jobs whose rows another shard has moved here. The caller reads
+	// the row of each job, then the rows of its tasks, and calls SubmitMoved.
+	MovedHere []types.JobID
 }
--- a/internal/core/shard/owner.go
+++ b/internal/core/shard/owner.go
@@ -56,6 +56,9 @@
 	// ended is the number of tasks that have ended.
 	ended int
 	dirty bool
+	// moving is set while a move of the job to another shard is in progress.
+	// None of its tasks is placed meanwhile.
+	moving bool
 }
 
 // taskState is the owner's state of one task.
@@ -140,10 +143,11 @@
 	jobs          map[types.JobID]*jobState
 	tasks         map[types.TaskID]*taskState
 	lastSubmitSeq uint64
-	// finished holds the IDs of the jobs that this owner removed most recently,
-	// so that a row read before the end of a job does not add the job again.
+	// finished holds the jobs that this owner removed most recently, with the
+	// revision of the removal, so that a row read before the end of a job or its
+	// move to another shard does not add the job again.
 	// finishedOrder is a ring buffer of these IDs.
-	finished      map[types.JobID]bool
+	finished      map[types.JobID]uint64
 	finishedOrder []types.JobID
 	finishedNext  int
 
@@ -151,6 +155,8 @@
 	// order.
 	waiting  []*taskState
 	unsorted bool
+	// evacuated are the failure domains in which nothing new may start.
+	evacuated []types.FailureDomain
 	// placeDue makes the next placement pass due at once.
 	placeDue bool
 	// unplaceable holds the jobs that the current round of placement passes could not
@@ -190,7 +196,7 @@
 		vms:         make(map[types.VMID]*vmState),
 		jobs:        make(map[types.JobID]*jobState),
 		tasks:       make(map[types.TaskID]*taskState),
-		finished:    make(map[types.JobID]bool),
+		finished:    make(map[types.JobID]uint64),
 		unplaceable: make(map[*jobState]bool),
 	}
 }
@@ -228,7 +234,7 @@
 		}
 	}
 	for _, t := range o.sortedTasks() {
-		if t.row.State == task.Infeasible {
+		if t.row.State == task.Infeasible && !t.job.moving {
 			o.apply(t, task.Event{Kind: task.EventFeasible})
 		}
 	}
--- a/internal/core/shard/place.go
+++ b/internal/core/shard/place.go
@@ -11,9 +11,10 @@
 
 // place runs a placement pass if one is due. It places nothing while the table
 // does not answer, because a placement must be committed before the attempt
-// starts.
+// starts. It asks the placer nothing while all VMs are evacuated, because a
+// placer that lacks quota would request a larger share, which other shards need.
 func (o *Owner) place(now time.Duration) {
-	if !o.Ready(now) || o.tableUnavailable || len(o.waiting) == 0 {
+	if !o.Ready(now) || o.tableUnavailable || len(o.waiting) == 0 || o.allEvacuated() {
 		return
 	}
 	if !o.placeDue && now < o.lastPlace+o.cfg.PlaceInterval {
@@ -41,7 +42,7 @@
 	others := o.cfg.MaxPlacements - first
 	failed := make(map[*jobState]bool)
 	for _, t := range snapshot(o.waiting) {
-		if !t.row.State.Waiting() || t.row.Cancel || failed[t.job] || !t.backoffOver(now) {
+		if !t.row.State.Waiting() || t.row.Cancel || t.job.moving || failed[t.job] || !t.backoffOver(now) {
 			continue
 		}
 		switch {
--- a/internal/core/task/row.go
+++ b/internal/core/task/row.go
@@ -121,6 +121,9 @@
 	Done      int  `json:"done,omitempty"`
 	Failed    int  `json:"failed,omitempty"`
 	Cancelled int  `json:"cancelled,omitempty"`
+	// Moved is set when another shard has moved the job here. Its task rows then
+	// exist before the owner knows the job.
+	Moved bool `json:"moved,omitempty"`
 	// SubmittedUnix is the submission time in Unix seconds, for display only.
 	SubmittedUnix int64 `json:"submitted_unix,omitempty"`
 }
