--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -3,7 +3,8 @@
 // A Router holds the state of the workers in the entry's region, as received in
 // member states and in load reports on responses. Pick chooses the less loaded of
 // two random workers in the entry's failure domain, and uses other failure domains
-// when both are nearly full. Requests for which no slot is free wait in a queue
+// when both are nearly full. Evacuated failure domains get a request only if no
+// other has a free slot. Requests for which no slot is free wait in a queue
 // ordered by urgency and deadline. The worker makes the final decision: if a
 // choice was based on a stale report, the worker refuses the request as not run.
 //
--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -68,7 +68,7 @@
 
 // eject excludes a member from routing unless too many members are ejected.
 func (r *Router) eject(now time.Duration, m *member) {
-	routable := m.pool == poolLocal || m.pool == poolRemote
+	routable := m.pool == poolLocal || m.pool == poolRemote || m.pool == poolEvacuated
 	if !routable || len(m.service.ejected) >= r.maxEjected(m.service) {
 		return
 	}
--- a/internal/core/routing/members.go
+++ b/internal/core/routing/members.go
@@ -130,6 +130,8 @@
 	poolLocal
 	poolRemote
 	poolEjected
+	// poolEvacuated holds the members in evacuated failure domains.
+	poolEvacuated
 )
 
 // service is the router's state of one service.
@@ -138,6 +140,8 @@
 	local   []*member
 	remote  []*member
 	ejected []*member
+	// evacuated members get a request only if no other member has a free slot.
+	evacuated []*member
 	// inFlight is the number of requests in flight from this entry.
 	inFlight int
 	times    serviceTimes
@@ -149,7 +153,7 @@
 
 // size returns the number of members that are not draining.
 func (s *service) size() int {
-	return len(s.local) + len(s.remote) + len(s.ejected)
+	return len(s.local) + len(s.remote) + len(s.ejected) + len(s.evacuated)
 }
 
 // members returns the members in a pool.
@@ -159,6 +163,8 @@
 		return &s.local
 	case poolRemote:
 		return &s.remote
+	case poolEvacuated:
+		return &s.evacuated
 	default:
 		return &s.ejected
 	}
@@ -183,12 +189,31 @@
 
 // poolFor returns the pool of a routable member.
 func (r *Router) poolFor(m *member) pool {
+	if slices.Contains(r.evacuated, m.worker.domain) {
+		return poolEvacuated
+	}
 	if m.worker.domain == r.config.Domain {
 		return poolLocal
 	}
 	return poolRemote
 }
 
+// SetEvacuated sets the evacuated failure domains. Requests in flight there go
+// on.
+func (r *Router) SetEvacuated(domains []types.FailureDomain) {
+	if slices.Equal(r.evacuated, domains) {
+		return
+	}
+	r.evacuated = slices.Clone(domains)
+	for _, w := range r.workers {
+		for _, m := range w.members {
+			if m.pool != poolNone && m.pool != poolEjected {
+				m.move(r.poolFor(m))
+			}
+		}
+	}
+}
+
 // Update applies the state of a worker. A new incarnation replaces the previous
 // one, whose requests in flight no longer count towards the load of the VM.
 func (r *Router) Update(now time.Duration, state WorkerState) {
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -71,6 +71,8 @@
 	// ordered contains the services in the order of their creation.
 	ordered []*service
 	retries retryBudget
+	// evacuated are the failure domains that get requests only as a last resort.
+	evacuated []types.FailureDomain
 	// sequence is the sequence number of the last request passed to Enqueue.
 	sequence uint64
 	// nextCall is the number of calls of Next.
@@ -92,7 +94,7 @@
 // deadline. A caller that uses the choice must call Started.
 func (r *Router) Pick(now time.Duration, name types.ServiceName, deadline time.Duration, rng *rand.Rand) (Choice, Verdict) {
 	s, ok := r.services[name]
-	if !ok || len(s.local)+len(s.remote) == 0 {
+	if !ok || len(s.local)+len(s.remote)+len(s.evacuated) == 0 {
 		return Choice{}, NoUpstream
 	}
 	if !s.times.inTime(now, 0, deadline) {
@@ -132,7 +134,13 @@
 	if m := r.anyFree(now, s.local, rng); m != nil {
 		return m
 	}
-	return r.anyFree(now, s.remote, rng)
+	if m := r.anyFree(now, s.remote, rng); m != nil {
+		return m
+	}
+	if m := r.betterOfTwo(now, s.evacuated, rng); m != nil {
+		return m
+	}
+	return r.anyFree(now, s.evacuated, rng)
 }
 
 // betterOfTwo returns the less utilized of two random members, or nil if both
