jobshard, owner, entry: apply evacuations, move jobs to other shards

Cause: jobs that wait in an evacuated shard would wait for its end although other failure domains may run them, and a new owner could place work by a version from before the evacuation.

Change: package jobshard chooses the shards of new and moved jobs. An evacuated owner moves one job at a time in a transaction that is conditional on all rows of the job and repeated until its outcome is known. A new owner reads the accepted configuration before its rows. Watchers read the current configuration on their actor, because they may be called out of order. Entries refuse a configuration that evacuates an unknown failure domain.

Without the first read a new owner read its rows with version 1 in effect instead of 2.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/config"
 	"github.com/boragecrank/boragecrank/internal/core/membership"
 	"github.com/boragecrank/boragecrank/internal/core/routing"
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -124,6 +125,7 @@
 		return nil, err
 	}
 	n.Config.Watch(e.directory.indexNames)
+	n.Config.Watch(func(*config.Config) { e.router.setEvacuated(n.Config.Current) })
 	n.SetState(func() *wirepb.StateResponse {
 		return &wirepb.StateResponse{Draining: e.stopping.Load()}
 	})
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -4,12 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
 	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/jobshard"
 	"github.com/boragecrank/boragecrank/internal/core/task"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/platform"
@@ -143,42 +144,22 @@
 		Remedy: "try again when it answers", Outcome: apperr.OutcomeNotRun, RetryAfter: retryAfter, Cause: cause}
 }
 
-// chooseShard picks, by rotation, a shard that has an owner and a VM on which
-// the job can run. Rotation gives all allowed shards equal shares of jobs,
-// whatever their sizes.
+// chooseShard picks, by rotation, a shard that may run the job and has an owner.
+// Rotation gives all allowed shards equal shares of jobs, whatever their sizes.
+// While a shard that is not evacuated may run the job but has no owner, it
+// returns false, because the job would wait in an evacuated one.
 func (e *Entry) chooseShard(cfg *config.Config, job *types.Job) (types.ShardID, bool) {
 	ownerAddresses := e.directory.ownerAddresses()
-	var allowed []types.ShardID
-	for id := range ownerAddresses {
-		if shardAllows(cfg, id, job) {
-			allowed = append(allowed, id)
-		}
-	}
+	allowed := slices.DeleteFunc(jobshard.Allowed(cfg, job, e.node.Region), func(id types.ShardID) bool {
+		_, ok := ownerAddresses[id]
+		return !ok
+	})
 	if len(allowed) == 0 {
 		return "", false
 	}
-	sort.Slice(allowed, func(i, j int) bool { return allowed[i] < allowed[j] })
 	return allowed[int(e.nextShard.Add(1))%len(allowed)], true
 }
 
-func shardAllows(cfg *config.Config, id types.ShardID, job *types.Job) bool {
-	for _, name := range cfg.ShardVMs(id) {
-		vm, ok := cfg.VM(name)
-		if !ok || !job.Demand.Fits(vm.Capacity) {
-			continue
-		}
-		if len(job.FailureDomains) == 0 {
-			return true
-		}
-		for _, d := range job.FailureDomains {
-			if d == vm.FailureDomain {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // notifyOwner notifies the owner of a shard, in the background, that a row was
 // written. It retries until the owner has answered or maxNotifyAttempts is
 // reached.
@@ -267,24 +248,30 @@
 	return &status, nil
 }
 
+// maxMovedReads bounds the attempts to find the row of a job that moves to
+// another shard between the reads of its index row and its row.
+const maxMovedReads = 3
+
 // jobRow reads a job's row, whose shard it finds in the index.
 func (e *Entry) jobRow(ctx context.Context, id types.JobID) (platform.Row, types.ShardID, error) {
-	rows, err := e.opts.Table.Get(ctx, task.IndexKey(id))
-	if err != nil {
-		return platform.Row{}, "", errTableUnavailable(id, err)
-	}
-	if rows[0].Revision == 0 {
-		return platform.Row{}, "", apperr.New(apperr.KindNotFound, "job "+string(id), "does not exist", "list jobs with `boragecrank jobs`")
-	}
-	shard := types.ShardID(rows[0].Value)
-	rows, err = e.opts.Table.Get(ctx, task.JobKey(shard, id))
-	if err != nil {
-		return platform.Row{}, "", errTableUnavailable(id, err)
-	}
-	if rows[0].Revision == 0 {
-		return platform.Row{}, "", apperr.New(apperr.KindNotFound, "job "+string(id), "has ended and its row was deleted", "list jobs with `boragecrank jobs`")
+	for range maxMovedReads {
+		rows, err := e.opts.Table.Get(ctx, task.IndexKey(id))
+		if err != nil {
+			return platform.Row{}, "", errTableUnavailable(id, err)
+		}
+		if rows[0].Revision == 0 {
+			return platform.Row{}, "", apperr.New(apperr.KindNotFound, "job "+string(id), "does not exist", "list jobs with `boragecrank jobs`")
+		}
+		shard := types.ShardID(rows[0].Value)
+		rows, err = e.opts.Table.Get(ctx, task.JobKey(shard, id))
+		if err != nil {
+			return platform.Row{}, "", errTableUnavailable(id, err)
+		}
+		if rows[0].Revision != 0 {
+			return rows[0], shard, nil
+		}
 	}
-	return rows[0], shard, nil
+	return platform.Row{}, "", apperr.New(apperr.KindNotFound, "job "+string(id), "has ended and its row was deleted", "list jobs with `boragecrank jobs`")
 }
 
 // deleteJob requests the cancellation of a job by setting Cancel in its row.
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -137,6 +137,10 @@
 	if err != nil {
 		return 0, nil, apperr.Wrap(err, apperr.KindInvalid, "configuration", "is not valid", "use `boragecrank apply`, which compiles it from the inventory")
 	}
+	if err := next.CheckEvacuation(); err != nil {
+		return 0, nil, apperr.Wrap(err, apperr.KindInvalid, "configuration", "evacuates an unknown failure domain",
+			"use the name of a declared failure domain; `boragecrank evacuate` and `boragecrank apply` list them")
+	}
 	if next.Version() != types.Version(base)+1 {
 		return 0, nil, apperr.New(apperr.KindInvalid, "configuration", "its version does not follow the version that was edited", "use `boragecrank apply`")
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -7,6 +7,7 @@
 
 	"github.com/boragecrank/boragecrank/internal/actors"
 	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/config"
 	"github.com/boragecrank/boragecrank/internal/core/routing"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 )
@@ -169,6 +170,17 @@
 	})
 }
 
+// setEvacuated makes the router send requests to failure domains that the current
+// configuration evacuates only if no other worker has a free slot. It reads the
+// configuration on the actor, because watchers may be called out of order.
+func (r *router) setEvacuated(current func() *config.Config) {
+	r.stateActor.Enqueue(func(s *routerState) {
+		rules := current().Rules()
+		s.router.SetEvacuated(rules.EvacuatedDomains())
+		s.dispatchQueued(r.now())
+	})
+}
+
 // remove removes a worker that is dead or has left. Its address is kept, because
 // seal calls still need it.
 func (r *router) remove(vm types.VMID) {
--- /dev/null
+++ b/internal/owner/evacuate_takeover_test.go
@@ -0,0 +1,87 @@
+package owner
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/boragecrank/boragecrank/internal/confsync"
+	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/node"
+	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/standin"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
+)
+
+// scanTable records the configuration version of the process at the first scan of
+// job rows, and fails the first failReads reads of the accepted version.
+type scanTable struct {
+	*standin.Table
+	version   func() types.Version
+	atScan    atomic.Uint64
+	failReads atomic.Int32
+}
+
+func (s *scanTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if strings.HasPrefix(prefix, "jobs/") {
+		s.atScan.CompareAndSwap(0, uint64(s.version()))
+	}
+	return s.Table.Scan(ctx, prefix, after, limit)
+}
+
+func (s *scanTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if keys[0] == confsync.VersionKey && s.failReads.Add(-1) >= 0 {
+		return nil, platform.ErrUnavailable
+	}
+	return s.Table.Get(ctx, keys...)
+}
+
+// Guards against a new owner that reads the rows of its shard, and could place
+// work, before it knows of an evacuation that was accepted before its takeover,
+// also if the table fails at first.
+func TestTakeoverReadsConfigurationBeforeRows(t *testing.T) {
+	t.Parallel()
+	domain := config.Domain{Name: "d", VMs: []types.VM{{ID: "self", Capacity: types.Resources{MilliCPU: 1000}}}}
+	config.AssignShards(&domain, nil)
+	first, err := config.New(1, config.Content{Domains: []config.Domain{domain}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := first.WithEvacuation("d", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := node.New(node.Options{Name: "self", Internal: "127.51.250.4:0", Key: []byte("0123456789abcdef0123456789abcdef"), Telemetry: telemetry.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := &scanTable{Table: standin.NewTable(), version: n.Config.Version}
+	for base, c := range []*config.Config{first, second} {
+		if err := confsync.Accept(t.Context(), table, types.Version(base), c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := n.Config.Apply(config.Difference(nil, first)); err != nil {
+		t.Fatal(err)
+	}
+	table.failReads.Store(3)
+	h, err := NewHost(n, Options{Shard: "d-s00", Lease: table, Table: table, Report: table, OnOwnerAddress: func(netip.AddrPort) {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Start(t.Context())
+	for end := time.Now().Add(30 * time.Second); table.atScan.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if v := table.atScan.Load(); v != 2 {
+		t.Errorf("rows were read with configuration version %d in effect, want 2", v)
+	}
+	h.Shutdown(context.Background())
+	if err := n.Shutdown(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/owner/host.go
+++ b/internal/owner/host.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/boragecrank/boragecrank/internal/actors"
 	"github.com/boragecrank/boragecrank/internal/core/config"
@@ -91,6 +92,9 @@
 	state *actors.Owner[*hostState]
 	// role is the value of the metric shard_role.
 	role atomic.Int32
+	// evacuated is the value of the metric shard_evacuated.
+	evacuated atomic.Bool
+	movedJobs tally.Counter
 
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -141,7 +145,7 @@
 
 // NewHost returns a host. It does nothing until Start is called.
 func NewHost(n *node.Node, o Options) (*Host, error) {
-	h := &Host{opts: o, node: n, tel: n.Telemetry}
+	h := &Host{opts: o, node: n, tel: n.Telemetry, movedJobs: n.Telemetry.Metrics.Counter("evacuated_jobs_moved")}
 	s := &hostState{
 		h:            h,
 		rng:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -160,14 +164,23 @@
 	n.Mux.Handle(service.PathPrefix(), service)
 	n.Telemetry.GaugeFunc("shard_role", "0 for a member, 1 for the owner, 2 for the relay.", nil,
 		func() float64 { return float64(h.role.Load()) })
+	n.Telemetry.GaugeFunc("shard_evacuated", "1 for the owner of a shard whose failure domain is evacuated, otherwise 0.", nil,
+		func() float64 {
+			if h.role.Load() == roleOwner && h.evacuated.Load() {
+				return 1
+			}
+			return 0
+		})
 	return h, nil
 }
 
 // Start starts observing the lease and processing configuration changes.
 func (h *Host) Start(ctx context.Context) {
 	h.ctx, h.stop = context.WithCancel(context.WithoutCancel(ctx))
-	h.node.Config.Watch(func(c *config.Config) {
-		h.state.Enqueue(func(s *hostState) { s.configure(c) })
+	h.node.Config.Watch(func(*config.Config) {
+		// The configuration is read on the actor, because watchers may be called
+		// out of order, and an older version could undo an evacuation.
+		h.state.Enqueue(func(s *hostState) { s.configure(h.node.Config.Current()) })
 	})
 	h.running.Add(1)
 	go h.loop()
@@ -218,7 +231,7 @@
 }
 
 // configure applies a configuration: the VMs of the shard, and for an owner also
-// the teams.
+// the evacuated failure domains and the teams.
 func (s *hostState) configure(c *config.Config) {
 	s.members = c.ShardVMs(s.h.opts.Shard)
 	clear(s.memberByHash)
@@ -230,6 +243,7 @@
 	}
 	if s.term != nil {
 		s.term.machine.SetVMs(vms)
+		s.setEvacuated(c)
 		s.term.rows.nextScanAt = 0
 		s.term.policy.SetTeams(c.Content().Teams)
 	}
@@ -245,6 +259,7 @@
 	if s.term != nil {
 		s.poll(now)
 		s.rescanIfDue(now)
+		s.moveJobIfDue(now)
 		s.syncQuotaIfDue(now)
 	}
 	if s.relay != nil {
--- a/internal/owner/term.go
+++ b/internal/owner/term.go
@@ -44,6 +44,10 @@
 	fence uint64
 	rows  rowMaintenance
 	quota quotaSync
+	// evacuated is whether the shard's failure domain was evacuated when the
+	// configuration was last applied.
+	evacuated bool
+	move      jobMove
 }
 
 // link is the state of the calls to one worker. Commands and reports are sent one
@@ -112,8 +116,9 @@
 	s.ownerHeardAt = s.h.node.Clock()
 }
 
-// recoverRows reads the rows of the shard after a takeover and passes them to the
-// state machine.
+// recoverRows reads the accepted configuration and the rows of the shard after a
+// takeover and passes them to the state machine. The configuration comes first: a
+// worker that has missed an evacuation must not place work by an older version.
 func (s *hostState) recoverRows() {
 	t, h := s.term, s.h
 	if t.recovered || t.recovering {
@@ -121,7 +126,11 @@
 	}
 	t.recovering = true
 	h.async(recoverTimeout, func(ctx context.Context) func(*hostState) {
-		jobs, err := h.scan(ctx, task.JobPrefix(h.opts.Shard))
+		err := h.readConfig(ctx)
+		var jobs []shard.TableRow
+		if err == nil {
+			jobs, err = h.scan(ctx, task.JobPrefix(h.opts.Shard))
+		}
 		var tasks []shard.TableRow
 		if err == nil {
 			tasks, err = h.scan(ctx, task.Prefix(h.opts.Shard))
@@ -187,6 +196,9 @@
 	if out.Read != nil {
 		s.readBatchRows(out.Read)
 	}
+	for _, id := range out.MovedHere {
+		s.readMovedJob(id)
+	}
 	for _, c := range out.Commands {
 		l := t.link(c.VM)
 		l.queue = append(l.queue, c)
