cli: evacuate command, evacuations in status and diff

Cause: operators need to begin, end and see evacuations.

Result: TestEvacuate passes with a fake of the operators' API.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -42,6 +42,9 @@
 the difference and sends the result. A PATH is a file or a directory; all files
 of the inventory are given every time, since what they leave out is removed.
 
+Evacuations by command (` + "`boragecrank evacuate`" + `) continue, unless their failure
+domain is removed.
+
 The result is accepted only if the configuration is still the one that the
 difference was made from. If another operator was faster, the command ends with
 exit code 5 and nothing is changed: merge the files of the other change, look at
@@ -68,7 +71,8 @@
 		ArgsUsage: "PATH...",
 		Description: `Shows what ` + "`boragecrank apply`" + ` would change: + added, - removed, ~ changed with
 old and new value. A PATH is a file or a directory; all files of the inventory
-are given together. Exit code 0 with and without differences.
+are given together. Evacuations by command, which apply keeps, are listed too.
+Exit code 0 with and without differences.
 
 Examples:
    boragecrank diff inventory/
@@ -83,6 +87,9 @@
 	// Version is the accepted version; 0 if there is none.
 	Version types.Version      `json:"version"`
 	Changes []inventory.Change `json:"changes"`
+	// Evacuated lists the failure domains that are evacuated by command. Applying
+	// the inventory keeps these evacuations.
+	Evacuated []types.FailureDomain `json:"evacuated_by_command"`
 }
 
 func runDiff(ctx context.Context, cmd *cli.Command) error {
@@ -98,11 +105,17 @@
 	if err != nil {
 		return err
 	}
-	out := diffResult{Version: versionOf(current), Changes: inventory.Diff(current, next)}
+	out := diffResult{
+		Version: versionOf(current), Changes: inventory.Diff(current, next),
+		Evacuated: append([]types.FailureDomain{}, next.Rules().EvacuateByCommand...),
+	}
 	if cmd.Bool(flagJSON) {
 		return printJSON(cmd, out)
 	}
 	fmt.Fprint(stdout(cmd), inventory.ChangesText(out.Changes))
+	for _, d := range out.Evacuated {
+		fmt.Fprintf(stdout(cmd), "failure domain %s stays evacuated by command\n", d)
+	}
 	fmt.Fprintf(stdout(cmd), "%s to version %d\n", formatCount(len(out.Changes), "change"), out.Version)
 	return nil
 }
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -69,6 +69,7 @@
 		addAPIFlags(submitCommand()),
 		addAPIFlags(cancelCommand()),
 		addAPIFlags(drainCommand()),
+		addAPIFlags(evacuateCommand()),
 		addAPIFlags(statusCommand()),
 		addAPIFlags(jobsCommand()),
 		addAPIFlags(configCommand()),
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -27,6 +27,8 @@
 	// UnresponsiveShards lists the shards of the configuration whose owner does not
 	// respond.
 	UnresponsiveShards []types.ShardID `json:"without_owner"`
+	// Evacuated lists the evacuated failure domains.
+	Evacuated []domainEvacuation `json:"evacuated"`
 }
 
 func statusCommand() *cli.Command {
@@ -36,7 +38,8 @@
 		Usage:    "show shards, owners, VMs and tasks",
 		Description: `Shows the shards with their owners, the VMs with used and free capacity (cores,
 memory in GB, accelerators), and the tasks by state. A shard without owner gets
-one within about ten seconds; its work goes on meanwhile.
+one within about ten seconds; its work goes on meanwhile. Evacuated failure
+domains are listed first, with the tasks that still run or wait there.
 
 Examples:
    boragecrank status
@@ -73,7 +76,9 @@
 	if err != nil {
 		return err
 	}
-	out := systemStatus{Status: status, UnresponsiveShards: unresponsiveShards(cfg, status.Shards)}
+	out := systemStatus{
+		Status: status, UnresponsiveShards: unresponsiveShards(cfg, status.Shards), Evacuated: evacuations(cfg, status.Shards),
+	}
 	if selected := cmd.StringSlice("shard"); len(selected) > 0 {
 		out.Shards = slices.DeleteFunc(out.Shards, func(s *wirepb.ShardStatusResponse) bool { return !slices.Contains(selected, s.GetShard()) })
 		out.UnresponsiveShards = slices.DeleteFunc(out.UnresponsiveShards, func(s types.ShardID) bool { return !slices.Contains(selected, string(s)) })
@@ -102,6 +107,7 @@
 func printStatus(cmd *cli.Command, s *systemStatus) error {
 	w := stdout(cmd)
 	fmt.Fprintf(w, "configuration version %d, as seen by entry %s\n\n", s.Version, s.Entry)
+	printEvacuations(w, s.Evacuated)
 	if err := printTable(w, []string{"SHARD", "OWNER", "EPOCH", "READY", "VMS", "TASKS"}, shardRows(s)); err != nil {
 		return err
 	}
