--- a/internal/localrun/replicas_test.go
+++ b/internal/localrun/replicas_test.go
@@ -94,25 +94,26 @@
 	t.Fatalf("%s: condition not met within %v", what, limit)
 }
 
-func deploy(ctx context.Context, t *testing.T) *localrun.Deployment {
+// deploy builds the binary and starts a deployment with the options, of which it
+// sets the binary and the directory.
+func deploy(ctx context.Context, t *testing.T, o localrun.Options) *localrun.Deployment {
 	t.Helper()
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "boragecrank")
-	if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "../../cmd/boragecrank").CombinedOutput(); err != nil {
+	o.Dir = t.TempDir()
+	o.Binary = filepath.Join(o.Dir, "boragecrank")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-o", o.Binary, "../../cmd/boragecrank").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
-	d, err := localrun.New(localrun.Options{
-		// Octet 61 is not used by other tests.
-		Binary: binary, Dir: dir, Octet: 61, Entries: 1, Domains: 1, Workers: 3, Work: work,
-	})
+	d, err := localrun.New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Close)
 	t.Cleanup(func() {
 		if t.Failed() {
-			for i := 1; i <= 3; i++ {
-				t.Log(d.Log(localrun.WorkerName(1, i)))
+			for domain := 1; domain <= o.Domains; domain++ {
+				for i := 1; i <= o.Workers; i++ {
+					t.Log(d.Log(localrun.WorkerName(domain, i)))
+				}
 			}
 			out, _ := d.Command(context.Background(), "status")
 			t.Log(out)
@@ -134,7 +135,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	d := deploy(ctx, t)
+	// Octet 61 is not used by other tests.
+	d := deploy(ctx, t, localrun.Options{Octet: 61, Entries: 1, Domains: 1, Workers: 3, Work: work})
 	var vms []string
 	await(t, "two replicas running", 30*time.Second, func() bool {
 		vms = runningReplicaVMs(ctx, d)
