--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -50,10 +50,21 @@
 // previous: its version is one higher, VMs keep their shards, and evacuations by
 // command continue. If previous is nil, the version is 1. If the report is not OK, the configuration is nil.
 func (s *Source) Compile(previous *config.Config) (*config.Config, *Report) {
+	return s.newCompiler().finish(previous)
+}
+
+// newCompiler returns a compiler that has checked the content.
+func (s *Source) newCompiler() *compiler {
 	c := newCompiler(s.doc)
 	c.report.Merge(s.report)
 	c.compile()
 	c.report.Sort()
+	return c
+}
+
+// finish returns the configuration that succeeds previous, or nil if there is a
+// fault.
+func (c *compiler) finish(previous *config.Config) (*config.Config, *Report) {
 	if !c.report.OK() {
 		return nil, c.report
 	}
--- a/internal/tomlcheck/report.go
+++ b/internal/tomlcheck/report.go
@@ -31,7 +31,7 @@
 	return fmt.Sprintf("%s:%d", p.File, p.Line)
 }
 
-// Finding is one fault in a file.
+// Finding is one fault in a file, or a warning.
 type Finding struct {
 	File string `json:"file"`
 	Line int    `json:"line,omitempty"`
@@ -41,11 +41,17 @@
 	Key     string `json:"key,omitempty"`
 	Problem string `json:"problem"`
 	Remedy  string `json:"remedy"`
+	// Warning is set for content that can be accepted but probably does not do
+	// what was meant.
+	Warning bool `json:"warning,omitempty"`
 }
 
 // String returns the finding as one line without a newline.
 func (f Finding) String() string {
 	parts := []string{Pos{f.File, f.Line}.String()}
+	if f.Warning {
+		parts = append(parts, "warning")
+	}
 	if f.Object != "" {
 		parts = append(parts, f.Object)
 	}
@@ -62,15 +68,34 @@
 
 // Add adds a finding unless the report has an equal one.
 func (r *Report) Add(pos Pos, object, key, problem, remedy string) {
-	f := Finding{File: pos.File, Line: pos.Line, Object: object, Key: key, Problem: problem, Remedy: remedy}
+	r.AddFinding(Finding{File: pos.File, Line: pos.Line, Object: object, Key: key, Problem: problem, Remedy: remedy})
+}
+
+// AddFinding adds a finding unless the report has an equal one.
+func (r *Report) AddFinding(f Finding) {
 	if !slices.Contains(r.Findings, f) {
 		r.Findings = append(r.Findings, f)
 	}
 }
 
-// OK reports whether there are no findings. A nil report is OK.
+// OK reports whether there are no faults. Warnings are not faults. A nil report is
+// OK.
 func (r *Report) OK() bool {
-	return r == nil || len(r.Findings) == 0
+	return r.Faults() == 0
+}
+
+// Faults returns the number of findings that are not warnings.
+func (r *Report) Faults() int {
+	if r == nil {
+		return 0
+	}
+	n := 0
+	for _, f := range r.Findings {
+		if !f.Warning {
+			n++
+		}
+	}
+	return n
 }
 
 // Merge adds the findings of another report, which may be nil. Equal findings are
@@ -95,7 +120,7 @@
 
 // Text returns one line for each finding.
 func (r *Report) Text() string {
-	if r.OK() {
+	if r == nil {
 		return ""
 	}
 	var b strings.Builder
@@ -109,7 +134,7 @@
 // JSON returns the report as indented JSON: {"findings": [...]}.
 func (r *Report) JSON() ([]byte, error) {
 	out := Report{Findings: []Finding{}}
-	if !r.OK() {
+	if r != nil && len(r.Findings) > 0 {
 		out.Findings = r.Findings
 	}
 	return json.MarshalIndent(out, "", "  ")
@@ -125,14 +150,14 @@
 	return strings.TrimSuffix(e.Report.Text(), "\n")
 }
 
-// Err returns nil if there are no findings, and otherwise an error of kind
+// Err returns nil if there are no faults, and otherwise an error of kind
 // invalid about the given object that wraps a FindingsError.
 func (r *Report) Err(object string) error {
 	if r.OK() {
 		return nil
 	}
-	problem := fmt.Sprintf("%d faults", len(r.Findings))
-	if len(r.Findings) == 1 {
+	problem := fmt.Sprintf("%d faults", r.Faults())
+	if r.Faults() == 1 {
 		problem = "1 fault"
 	}
 	return apperr.Wrap(&FindingsError{Report: r}, apperr.KindInvalid, object, problem,
