--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
 	"github.com/boragecrank/boragecrank/internal/core/config"
+	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/inventory"
 	"github.com/boragecrank/boragecrank/internal/settings"
 	"github.com/boragecrank/boragecrank/internal/tomlcheck"
@@ -25,62 +26,121 @@
 the settings are also compared with the inventory. A PATH is a file or a
 directory; all files of the inventory are given together.
 
+Limits that contradict each other are faults here, although apply accepts them.
+Entries without effect are warnings.
+
+With --compare the inventory is also compared with the configuration in effect,
+as by ` + "`boragecrank diff`" + `, and nothing is sent. If no entry answers, that is one
+more fault; all other checks are done.
+
 The credentials that settings refer to must be present, as for the process.
 
-Exit code 0 without faults, 6 with faults.
+Exit code 0 without faults, also with warnings; 6 with faults.
 
 Examples:
    boragecrank check inventory/
+   boragecrank check --compare inventory/
    boragecrank check --settings /etc/boragecrank/entry.toml
    boragecrank check --settings gent-01.toml --settings gent-02.toml inventory/ --json`,
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "settings", Usage: "settings `FILE` of a process; may be repeated"},
+			&cli.BoolFlag{Name: flagCompare, Usage: "compare the inventory with the configuration in effect"},
 			jsonFlag(),
 		},
 		Action: runCheck,
 	}
 }
 
-func runCheck(_ context.Context, cmd *cli.Command) error {
+const flagCompare = "compare"
+
+// checkResult is the JSON output of check. It has more than findings only with
+// --compare, and only if the inventory could be compared.
+type checkResult struct {
+	Findings []inventory.Finding `json:"findings"`
+	*comparison
+}
+
+// comparison is the result of --compare.
+type comparison struct {
+	// Version is the version in effect; 0 if there is none.
+	Version types.Version      `json:"version"`
+	Changes []inventory.Change `json:"changes"`
+}
+
+func runCheck(ctx context.Context, cmd *cli.Command) error {
 	files, paths := cmd.StringSlice("settings"), cmd.Args().Slice()
 	if len(files) == 0 && len(paths) == 0 {
 		return newUsageError(cmd, "neither settings nor inventory are given")
 	}
+	if cmd.Bool(flagCompare) && len(paths) == 0 {
+		return newUsageError(cmd, "--"+flagCompare+" needs an inventory")
+	}
 	report := &tomlcheck.Report{}
-	cfg := checkInventory(paths, report)
+	current, result, err := compareCheck(ctx, cmd, report)
+	if err != nil {
+		return err
+	}
+	cfg := checkInventory(paths, current, report)
+	switch {
+	case cfg == nil:
+		result = nil // an inventory with faults cannot be compared
+	case result != nil:
+		result.Changes = inventory.Diff(current, cfg)
+	}
 	for _, path := range files {
 		if err := checkSettings(path, cfg, report); err != nil {
 			return err
 		}
 	}
-	if err := printReport(cmd, report); err != nil {
+	if err := printCheck(cmd, report, result); err != nil {
 		return err
 	}
 	if !report.OK() {
-		return invalidError("check", len(report.Findings), "correct the lines named above")
+		return invalidError("check", report.Faults(), "correct the lines named above")
 	}
 	return nil
 }
 
-func printReport(cmd *cli.Command, report *tomlcheck.Report) error {
-	if !cmd.Bool(flagJSON) {
-		fmt.Fprint(stdout(cmd), report.Text())
-		if report.OK() {
-			fmt.Fprintln(stdout(cmd), "no faults")
-		}
-		return nil
+// compareCheck returns the configuration in effect, which is nil without --compare
+// or if there is none. The comparison is nil if there is nothing to compare with.
+// An entry that does not answer is a finding.
+func compareCheck(ctx context.Context, cmd *cli.Command, report *tomlcheck.Report) (*config.Config, *comparison, error) {
+	if !cmd.Bool(flagCompare) {
+		return nil, nil, nil
 	}
-	text, err := report.JSON()
+	client, err := newClient(cmd)
 	if err != nil {
-		return err
+		return nil, nil, err
+	}
+	current, err := client.Config(ctx)
+	if err != nil {
+		e := apperr.From(err)
+		report.Add(tomlcheck.Pos{File: "configuration in effect"}, e.Object, "", "cannot be compared: "+e.Problem, e.Remedy)
+		return nil, nil, nil
+	}
+	return current, &comparison{Version: versionOf(current), Changes: []inventory.Change{}}, nil
+}
+
+func printCheck(cmd *cli.Command, report *tomlcheck.Report, compared *comparison) error {
+	if cmd.Bool(flagJSON) {
+		return printJSON(cmd, checkResult{Findings: append([]inventory.Finding{}, report.Findings...), comparison: compared})
+	}
+	w := stdout(cmd)
+	fmt.Fprint(w, report.Text())
+	if compared != nil {
+		fmt.Fprint(w, inventory.ChangesText(compared.Changes))
+		fmt.Fprintf(w, "%s to version %d\n", formatCount(len(compared.Changes), "change"), compared.Version)
+	}
+	if report.OK() {
+		fmt.Fprintln(w, "no faults")
 	}
-	fmt.Fprintln(stdout(cmd), string(text))
 	return nil
 }
 
 // checkInventory adds the findings of the inventory to the report. It returns the
-// compiled inventory, or nil if no paths are given or the inventory has faults.
-func checkInventory(paths []string, report *tomlcheck.Report) *config.Config {
+// configuration that succeeds current, which may be nil, or nil if no paths are
+// given or the inventory cannot be compiled.
+func checkInventory(paths []string, current *config.Config, report *tomlcheck.Report) *config.Config {
 	if len(paths) == 0 {
 		return nil
 	}
@@ -89,7 +149,7 @@
 	if !found.OK() {
 		return nil
 	}
-	cfg, found := source.Compile(nil)
+	cfg, found := source.Review(current)
 	report.Merge(found)
 	return cfg
 }
@@ -154,7 +214,7 @@
 		return nil
 	}
 	fmt.Fprint(stderr(cmd), report.Text())
-	return invalidError("inventory", len(report.Findings), "correct the lines named above; nothing was applied")
+	return invalidError("inventory", report.Faults(), "correct the lines named above; nothing was applied")
 }
 
 func invalidError(object string, faults int, remedy string) error {
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -61,7 +61,7 @@
 // operatorCommands returns the operators' commands.
 func operatorCommands() []*cli.Command {
 	commands := []*cli.Command{
-		checkCommand(),
+		addAPIFlags(checkCommand()),
 		eventsCommand(),
 		versionCommand(),
 		addAPIFlags(diffCommand()),
