--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -61,7 +61,7 @@
 // operatorCommands returns the operators' commands.
 func operatorCommands() []*cli.Command {
 	commands := []*cli.Command{
-		checkCommand(),
+		addAPIFlags(checkCommand()),
 		eventsCommand(),
 		versionCommand(),
 		addAPIFlags(diffCommand()),
@@ -69,6 +69,7 @@
 		addAPIFlags(submitCommand()),
 		addAPIFlags(cancelCommand()),
 		addAPIFlags(drainCommand()),
+		addAPIFlags(evacuateCommand()),
 		addAPIFlags(statusCommand()),
 		addAPIFlags(jobsCommand()),
 		addAPIFlags(configCommand()),
