outage: a late answer of an earlier call does not end silence

Cause: Detector.Answered cleared the start of the first unanswered call, whichever call was answered. A wait for changes that the store had begun before it went silent, and that it answered up to 1 s later, hid the calls sent since then. The entry then noticed the silence only 0.8 s after its next call, which an owner makes up to 0.9 s later, and sent a submission whose outcome stayed unknown. This is the cause of the failure of TestSilentStore (504 after 2.9 s).

Change: the Detector keeps the start times of unanswered calls, and an answer clears those up to the start of the answered call.

TestLateAnswerOfEarlierCallDoesNotEndSilence fails without the change.

--- a/internal/core/outage/outage.go
+++ b/internal/core/outage/outage.go
@@ -1,13 +1,13 @@
-// Package outage detects, from the calls of one process, that a service has stopped
-// answering, and adapts the timeout of calls to the service's answer times.
-//
-// A silent service is one that accepts calls but does not answer them. Without a
-// Detector, each request during an outage is sent, waits until its deadline and
-// ends with an unknown outcome. A request that is not sent can be refused at once,
-// and is known not to have run.
 package outage
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// maxUnanswered bounds the calls that a Detector remembers. During an outage a process
+// starts a few calls per second, and the earliest ones decide.
+const maxUnanswered = 64
 
 // Detector detects from the calls to one service that the service is silent. The
 // zero value with SilentAfter set is ready for use.
@@ -18,22 +18,39 @@
 	// as silent. Set it well above the slowest answer times and below the
 	// deadlines of requests.
 	SilentAfter time.Duration
-	// unansweredSince is when the first call since the last answer was sent, or
-	// 0 if no call was sent since then.
-	unansweredSince time.Duration
+	// unanswered are the start times, in order, of the calls that were started after
+	// every answered call. It holds the first maxUnanswered of them.
+	unanswered []time.Duration
 }
 
-// Started records that a call was started. now must be positive.
+// Started records that a call was started. Times must be positive and in order.
 func (d *Detector) Started(now time.Duration) {
-	if d.unansweredSince == 0 {
-		d.unansweredSince = now
+	if len(d.unanswered) < maxUnanswered {
+		d.unanswered = append(d.unanswered, now)
 	}
 }
 
-// Answered records an answer to any call.
-func (d *Detector) Answered() { d.unansweredSince = 0 }
+// Answered records an answer to a call that was started at the given time. It says
+// nothing about calls that were started later: a call that was already being processed
+// when an outage began may still be answered.
+func (d *Detector) Answered(started time.Duration) {
+	n := 0
+	for n < len(d.unanswered) && d.unanswered[n] <= started {
+		n++
+	}
+	d.unanswered = slices.Delete(d.unanswered, 0, n)
+}
+
+// UnansweredFor returns how long the first unanswered call has been waiting, or 0 if
+// there is none.
+func (d *Detector) UnansweredFor(now time.Duration) time.Duration {
+	if len(d.unanswered) == 0 {
+		return 0
+	}
+	return now - d.unanswered[0]
+}
 
 // Silent reports whether calls have been unanswered for SilentAfter.
 func (d *Detector) Silent(now time.Duration) bool {
-	return d.unansweredSince > 0 && now >= d.unansweredSince+d.SilentAfter
+	return len(d.unanswered) > 0 && d.UnansweredFor(now) >= d.SilentAfter
 }
--- a/internal/core/outage/outage_test.go
+++ b/internal/core/outage/outage_test.go
@@ -14,11 +14,12 @@
 	now := time.Minute
 	for range 100 { // each call takes 600 ms, and the next one starts 5 s later
 		d.Started(now)
+		started := now
 		now += 600 * ms
 		if d.Silent(now) {
 			t.Fatal("service counts as silent during a call of 600 ms")
 		}
-		d.Answered()
+		d.Answered(started)
 		now += 5 * time.Second
 		if d.Silent(now) {
 			t.Fatal("service counts as silent without an unanswered call")
@@ -43,8 +44,27 @@
 	if detectedAfter == 0 || detectedAfter > 900*ms {
 		t.Errorf("service counted as silent after %v, want 0.8 s to 0.9 s", detectedAfter)
 	}
-	d.Answered()
+	d.Answered(begin + 4*time.Second - 300*ms)
 	if d.Silent(begin + 4*time.Second) {
 		t.Error("service counts as silent after an answer")
 	}
 }
+
+// Guards against silence that is noticed late: an answer to a call that was sent before
+// the outage, such as a wait for changes, counted as an answer to the calls after it.
+// TestSilentStore of internal/jobserver failed by this: a submission was sent 2 s after
+// the store had gone silent, and ended with an unknown outcome.
+func TestLateAnswerOfEarlierCallDoesNotEndSilence(t *testing.T) {
+	d := Detector{SilentAfter: 800 * ms}
+	feed, outage := time.Minute, time.Minute+100*ms
+	d.Started(outage)
+	d.Started(outage + 300*ms)
+	d.Answered(feed)
+	if !d.Silent(outage + 800*ms) {
+		t.Error("service does not count as silent 800 ms after the first unanswered call")
+	}
+	d.Answered(outage)
+	if d.Silent(outage+1000*ms) || !d.Silent(outage+1100*ms) {
+		t.Error("silence must be measured from the first call after the answered one")
+	}
+}
--- a/internal/jobs/watched.go
+++ b/internal/jobs/watched.go
@@ -80,19 +80,22 @@
 	return silent
 }
 
-func (s *WatchedTable) callBegan() {
+// callBegan records the start of a call and returns its time.
+func (s *WatchedTable) callBegan() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watch.Started(clock.Now())
+	now := clock.Now()
+	s.watch.Started(now)
+	return now
 }
 
-// callEnded records the result of a call. A refusal does not count as an answer:
-// further calls would be refused as well.
-func (s *WatchedTable) callEnded(err error) {
+// callEnded records the result of a call that was started at the given time. A refusal
+// does not count as an answer: further calls would be refused as well.
+func (s *WatchedTable) callEnded(begin time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil || errors.Is(err, platform.ErrCompacted) {
-		s.watch.Answered()
+		s.watch.Answered(begin)
 	}
 	s.silent()
 }
@@ -107,15 +110,14 @@
 // Commit implements platform.Table. A call that takes much longer than recent writes
 // returns platform.ErrUncertain.
 func (s *WatchedTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
-	s.callBegan()
-	begin := clock.Now()
+	begin := s.callBegan()
 	s.mu.Lock()
 	limit := s.commitTimeout.Value()
 	s.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	res, err := s.TableWithChanges.Commit(callCtx, txn)
-	s.callEnded(err)
+	s.callEnded(begin, err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -129,16 +131,17 @@
 
 // Get implements platform.Table.
 func (s *WatchedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	s.callBegan()
+	begin := s.callBegan()
 	rows, err := s.TableWithChanges.Get(ctx, keys...)
-	s.callEnded(err)
+	s.callEnded(begin, err)
 	return rows, err
 }
 
 // Changes implements platform.ChangeLog. Its start is not recorded: the call may wait
 // for changes, so a missing answer does not mean that the table is silent.
 func (s *WatchedTable) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.ChangedRow, uint64, error) {
+	begin := clock.Now()
 	rows, revision, err := s.TableWithChanges.Changes(ctx, prefix, after, wait)
-	s.callEnded(err)
+	s.callEnded(begin, err)
 	return rows, revision, err
 }
