jobs: circuit breaker for submissions and cancellations

Cause: during resets of the store each submission is sent, repeated until the caller's time ends, and ends with 504; callers may not repeat it.

Change: WatchedTable feeds the breaker with the results of reads, writes and waits for changes, makes the read-only probes, closes idle connections after a lost one, and answers Admit. Intake asks before it sends a submission or a cancellation. A submission of unknown outcome is read back before each repeat, and its repeats pause while the breaker is open. A cancellation that certainly was not stored ends as 503 in place of 504. Retry-After grows with the age of the outage. Errors without a response wrap platform.ErrNoResponse. Events 356 to 359, 734, 735 (354 and 355 are no longer used), metrics jobs_breaker_state and jobs_submissions_refused.

Fakes of existing tests: silentTable refuses in Admit instead of Silent; scriptedTable and partitionedTable have a Get, since outcomes are read back; the latter takes as long as a write and shows a row only once it is stored.

--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -22,31 +22,57 @@
 	// commitRetryDelay is the pause before a write without a known outcome is
 	// repeated.
 	commitRetryDelay = 100 * time.Millisecond
-	// retryAfterUnavailable is the time after which callers may try again while
-	// the table refuses this entry's writes. It is short: other entries may be
-	// served, and an outage may end at any moment.
-	retryAfterUnavailable = time.Second
+	// minRetryAfter is the least time after which callers may try again while the
+	// table refuses this entry's writes. It is short: other entries may be served, and
+	// an outage may end at any moment.
+	minRetryAfter = time.Second
 )
 
 var (
 	eventAccepted = telemetry.Define(730, logrus.InfoLevel, "job accepted",
 		"The job is stored. Fields: job, queue, version of the configuration, ms, and repeat if the job had been stored before. Search the owner's log for the job's ID.")
 	eventNotAccepted = telemetry.Define(731, logrus.WarnLevel, "job not accepted",
-		"The caller got the answer that the job was not stored or, with kind uncertain, that it may have been stored. Fields: job, queue, version, ms, kind.")
+		"The caller got the answer that the job was not stored or, with kind uncertain, that it may have been stored. Fields: job, queue, version, ms, kind; cause, if the job was not sent or was refused.")
 	eventCancelled = telemetry.Define(732, logrus.InfoLevel, "job cancelled",
 		"The caller's cancellation is stored. Fields: job, state before. The owner stops the job's tasks.")
+	eventReadBack = telemetry.Define(734, logrus.InfoLevel, "job found after a lost response",
+		"The response to a submission was lost, and a read showed that the job is stored; 730 follows. Fields: job. No action.")
+	eventNotCancelled = telemetry.Define(735, logrus.WarnLevel, "job not cancelled",
+		"The caller got the answer that the job was not cancelled or, with kind uncertain, that it may have been. Fields: job, kind. Check the platform's store.")
 )
 
+// gate decides when writes of callers are sent to the table. A WatchedTable is one.
+type gate interface {
+	// Admit waits until a write may be sent. An error means that it was not sent. Done
+	// must be called after an admitted write. resend is set if the write was sent
+	// before and its outcome is unknown.
+	Admit(ctx context.Context, resend bool) error
+	Done()
+	// RetryAfter returns when a caller that is refused now should retry; 0 means as
+	// soon as possible.
+	RetryAfter() time.Duration
+	// ExpectedCommit returns the expected duration of a write.
+	ExpectedCommit() time.Duration
+	// CountRefusal counts a refused submission.
+	CountRefusal(cause string)
+}
+
+// openGate admits everything.
+type openGate struct{}
+
+func (openGate) Admit(context.Context, bool) error { return nil }
+func (openGate) Done()                             {}
+func (openGate) RetryAfter() time.Duration         { return 0 }
+func (openGate) ExpectedCommit() time.Duration     { return 0 }
+func (openGate) CountRefusal(string)               {}
+
 // Intake accepts jobs, cancels them and returns their states.
 type Intake struct {
 	table       platform.Table
 	limits      platform.Limits
 	log         *telemetry.Logger
 	onCancelled func(types.JobID, uint64)
-	// silent reports whether the table has stopped answering calls.
-	silent func() bool
-	// expectedCommit returns the expected duration of a write to the table.
-	expectedCommit func() time.Duration
+	gate        gate
 
 	mu     sync.RWMutex
 	states map[types.JobID]knownState
@@ -62,19 +88,15 @@
 }
 
 // NewIntake returns an intake. The limits are those of the table. The callback cancelled, which may be nil, is called
-// with each cancelled job and the revision of its state. If the table has the
-// methods Silent and ExpectedCommit, as a WatchedTable does, submissions whose
-// outcome would probably stay unknown are refused without a call.
+// with each cancelled job and the revision of its state. If the table is a gate, as a
+// WatchedTable is, writes whose outcome would probably stay unknown are not sent.
 func NewIntake(table platform.Table, limits platform.Limits, log *telemetry.Logger, cancelled func(types.JobID, uint64)) *Intake {
 	in := &Intake{
 		table: table, limits: limits, log: log, onCancelled: cancelled, states: make(map[types.JobID]knownState),
-		silent: func() bool { return false }, expectedCommit: func() time.Duration { return 0 },
+		gate: openGate{},
 	}
-	if s, ok := table.(interface{ Silent() bool }); ok {
-		in.silent = s.Silent
-	}
-	if s, ok := table.(interface{ ExpectedCommit() time.Duration }); ok {
-		in.expectedCommit = s.ExpectedCommit
+	if g, ok := table.(gate); ok {
+		in.gate = g
 	}
 	return in
 }
@@ -170,10 +192,14 @@
 		Writes:     []platform.Write{{Key: jobKey(job.ID), Value: spec}, {Key: key, Value: encode(row)}},
 		Reads:      []string{key},
 	}
-	stored, err := in.store(ctx, txn)
+	stored, err := in.commitNew(ctx, job.ID, txn)
 	fields := telemetry.Fields{"job": job.ID, "queue": job.Queue, "version": version, "ms": time.Since(begin).Milliseconds()}
 	if err != nil {
 		fields["kind"] = apperr.KindOf(err)
+		if apperr.KindOf(err) == apperr.KindUnavailable {
+			fields["cause"] = refusalCause(err)
+			in.gate.CountRefusal(refusalCause(err))
+		}
 		in.log.Log(eventNotAccepted, err, fields)
 		return err
 	}
@@ -190,37 +216,50 @@
 	return ok
 }
 
-// Reasons for refusing a submission without a call to the table.
-var (
-	errTableUnresponsive = errors.New("the table has not answered for a while; nothing was sent")
-	errDeadlineTooShort  = errors.New("the table takes longer for a write than the caller waits; nothing was sent")
-)
+var errDeadlineTooShort = errors.New("the table takes longer for a write than the caller waits; nothing was sent")
+
+// refusalCause returns the label of the reason for which a submission was refused.
+func refusalCause(err error) string {
+	switch {
+	case errors.Is(err, errTableUnresponsive):
+		return "outage"
+	case errors.Is(err, errOutageSuspected):
+		return "outage_suspected"
+	case errors.Is(err, errResumingGradually):
+		return "resuming"
+	case errors.Is(err, errDeadlineTooShort):
+		return "deadline"
+	}
+	return "refused_by_table"
+}
 
-// store commits a submission. It refuses one whose outcome would probably stay
-// unknown, since the caller would wait without a result and could not safely
-// repeat a job that may have been stored. This happens in an outage of the table,
-// and when the table is many times slower than usual and refused callers retry
-// shortly before their deadline.
-func (in *Intake) store(ctx context.Context, txn platform.Txn) (platform.Row, error) {
-	if in.silent() {
-		return platform.Row{}, unavailableError(errTableUnresponsive)
+// send commits a transaction if the gate admits it and, for one that was not sent
+// before, the caller waits for long enough. sent is false if it was not sent. An
+// unknown outcome leaves a caller without a result, and the job may be stored; when
+// the table is many times slower than usual, this would be the fate of refused callers
+// that retry shortly before their deadline.
+func (in *Intake) send(ctx context.Context, txn platform.Txn, resend bool) (res platform.TxnResult, sent bool, err error) {
+	if err := in.gate.Admit(ctx, resend); err != nil {
+		return res, false, err
 	}
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < in.expectedCommit() {
-		return platform.Row{}, unavailableError(errDeadlineTooShort)
+	defer in.gate.Done()
+	if deadline, ok := ctx.Deadline(); ok && !resend && time.Until(deadline) < in.gate.ExpectedCommit() {
+		return res, false, errDeadlineTooShort
 	}
-	return in.commitNew(ctx, txn)
+	res, err = in.table.Commit(ctx, txn)
+	return res, true, err
 }
 
-// commitNew commits a transaction that creates rows, and returns the last of them
-// as it is stored. A conflict means that the rows already exist, from an earlier
+// commitNew commits a transaction that creates rows of a job, and returns the last of
+// them as it is stored. A conflict means that the rows already exist, from an earlier
 // submission or from an attempt whose answer was lost; they may have changed since
 // then. The first key in txn.Reads must be the key of the last write. The error is of
 // kind unavailable only if no attempt may have been stored.
-func (in *Intake) commitNew(ctx context.Context, txn platform.Txn) (platform.Row, error) {
+func (in *Intake) commitNew(ctx context.Context, id types.JobID, txn platform.Txn) (platform.Row, error) {
 	created := txn.Writes[len(txn.Writes)-1]
 	uncertain := false
 	for {
-		res, err := in.table.Commit(ctx, txn)
+		res, sent, err := in.send(ctx, txn, uncertain)
 		switch {
 		case err == nil && res.Committed:
 			return platform.Row{Key: created.Key, Value: created.Value, Revision: res.Revision}, nil
@@ -228,22 +267,44 @@
 			return res.Rows[0], nil
 		case errors.Is(err, platform.ErrUncertain):
 			uncertain = true
-		case !errors.Is(err, platform.ErrUnavailable):
+		case sent && !errors.Is(err, platform.ErrUnavailable):
 			return platform.Row{}, err
 		}
 		if !uncertain {
-			return platform.Row{}, unavailableError(err)
+			return platform.Row{}, in.unavailableError(err)
 		}
 		sleep(ctx, jitter(commitRetryDelay))
+		if row, ok := in.readBack(ctx, id, created.Key); ok {
+			return row, nil
+		}
 		if ctx.Err() != nil {
 			return platform.Row{}, apperr.Wrap(err, apperr.KindUncertain, "the platform's table", "gave no answer", "submit the job again under the same ID")
 		}
 	}
 }
 
-func unavailableError(err error) error {
+// readBack returns the state row of a job whose submission has an unknown outcome, and
+// false if it is not stored. That proves nothing: the table may carry out the write
+// later.
+func (in *Intake) readBack(ctx context.Context, id types.JobID, key string) (platform.Row, bool) {
+	in.mu.RLock()
+	known, ok := in.states[id] // the follower may have received it
+	in.mu.RUnlock()
+	row := platform.Row{Key: key, Value: encode(known.stateRow), Revision: known.revision}
+	if !ok {
+		rows, err := in.table.Get(ctx, key)
+		if err != nil || rows[0].Revision == 0 {
+			return platform.Row{}, false
+		}
+		row = rows[0]
+	}
+	in.log.Log(eventReadBack, nil, telemetry.Fields{"job": id})
+	return row, true
+}
+
+func (in *Intake) unavailableError(err error) error {
 	e := apperr.From(apperr.Wrap(err, apperr.KindUnavailable, "the platform's table", "is unavailable at the moment", "try again later"))
-	e.RetryAfter = retryAfterUnavailable
+	e.RetryAfter = max(minRetryAfter, in.gate.RetryAfter())
 	return e
 }
 
@@ -269,7 +330,7 @@
 	key := stateKey(id)
 	rows, err := in.table.Get(ctx, key)
 	if err != nil {
-		return knownState{}, unavailableError(err)
+		return knownState{}, in.unavailableError(err)
 	}
 	if rows[0].Revision == 0 {
 		return knownState{}, apperr.New(apperr.KindNotFound, fmt.Sprintf("job %q", id), "does not exist", "check its ID; finished jobs are forgotten after a while")
@@ -280,39 +341,57 @@
 }
 
 // Cancel stores that a job is cancelled. It also returns nil if the job already has
-// a final state. Errors are those of State, or of kind uncertain if the table
-// rejects the write or does not confirm it before the context ends.
+// a final state. Errors are those of State, of kind unavailable if the cancellation
+// certainly was not stored, or of kind uncertain if the table rejects the write or does
+// not confirm it before the context ends.
 func (in *Intake) Cancel(ctx context.Context, id types.JobID) error {
 	known, err := in.known(ctx, id)
+	uncertain := false
 	for err == nil && !known.State.Final() {
 		before := known.State
-		known, err = in.tryCancel(ctx, id, known)
+		known, err = in.tryCancel(ctx, id, known, &uncertain)
 		if err == nil && known.State == workflow.JobCancelled {
 			in.log.Log(eventCancelled, nil, telemetry.Fields{"job": id, "before": before})
 			return nil
 		}
 	}
+	if err != nil {
+		in.log.Log(eventNotCancelled, err, telemetry.Fields{"job": id, "kind": apperr.KindOf(err)})
+	}
 	return err
 }
 
 // tryCancel cancels a job if its stored state still is the known one, and returns
 // the stored state. If the write failed or its outcome is unknown, it returns the
-// known state, and the caller tries again unless the context has ended or the table
-// has rejected the write.
-func (in *Intake) tryCancel(ctx context.Context, id types.JobID, known knownState) (knownState, error) {
+// known state, and the caller tries again unless the context has ended, the table has
+// rejected the write, or no attempt was sent and none may be sent. It sets uncertain if
+// the outcome is unknown.
+func (in *Intake) tryCancel(ctx context.Context, id types.JobID, known knownState, uncertain *bool) (knownState, error) {
 	key := stateKey(id)
 	wanted := known.stateRow
 	wanted.State = workflow.JobCancelled
 	value := encode(wanted)
-	res, err := in.table.Commit(ctx, platform.Txn{
+	res, sent, err := in.send(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Revision: known.revision}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
 		Reads:      []string{key},
-	})
+	}, *uncertain)
 	if err != nil {
-		sleep(ctx, jitter(commitRetryDelay))
-		if ctx.Err() != nil || !errors.Is(err, platform.ErrUncertain) && !errors.Is(err, platform.ErrUnavailable) {
+		*uncertain = *uncertain || errors.Is(err, platform.ErrUncertain)
+		if sent || *uncertain {
+			sleep(ctx, jitter(commitRetryDelay))
+		}
+		rejected := sent && !errors.Is(err, platform.ErrUncertain) && !errors.Is(err, platform.ErrUnavailable)
+		switch {
+		case *uncertain && ctx.Err() != nil || rejected:
 			return known, apperr.Wrap(err, apperr.KindUncertain, fmt.Sprintf("cancellation of job %q", id), "got no answer from the platform's table", "send it again")
+		case !*uncertain && (!sent || ctx.Err() != nil):
+			return known, in.unavailableError(err)
+		}
+		in.mu.RLock()
+		defer in.mu.RUnlock()
+		if newer := in.states[id]; newer.revision > known.revision {
+			return newer, nil // the follower has received it
 		}
 		return known, nil // the caller tries again
 	}
--- a/internal/jobs/intake_test.go
+++ b/internal/jobs/intake_test.go
@@ -15,7 +15,8 @@
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
 
-// scriptedTable answers each Commit with the next function of commits.
+// scriptedTable answers each Commit with the next function of commits. Its rows cannot
+// be read.
 type scriptedTable struct {
 	platform.Table
 	commits []func() (platform.TxnResult, error)
@@ -27,6 +28,10 @@
 	return next()
 }
 
+func (s *scriptedTable) Get(context.Context, ...string) ([]platform.Row, error) {
+	return nil, platform.ErrUnavailable
+}
+
 // Guards against a job that an entry reports as queued forever: the answer to its
 // submission was lost, and the job completed before the second attempt read its
 // state.
@@ -69,13 +74,14 @@
 	}
 }
 
-// silentTable reports that it does not answer calls. A commit fails the test.
+// silentTable admits no submission. A commit fails the test.
 type silentTable struct {
 	platform.Table
+	openGate
 	t *testing.T
 }
 
-func (s *silentTable) Silent() bool { return true }
+func (s *silentTable) Admit(context.Context, bool) error { return errTableUnresponsive }
 
 func (s *silentTable) Commit(context.Context, platform.Txn) (platform.TxnResult, error) {
 	s.t.Error("a submission was sent during the outage")
@@ -97,6 +103,7 @@
 // test.
 type slowTable struct {
 	platform.Table
+	openGate
 	t *testing.T
 }
 
@@ -137,7 +144,19 @@
 	mu        sync.Mutex
 	writeTime time.Duration
 	freeAt    map[string]time.Time
-	rows      map[string]bool
+	// rows holds the times at which the rows are stored.
+	rows map[string]time.Time
+}
+
+func (p *partitionedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	sleep(ctx, p.writeTime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := platform.Row{Key: keys[0]}
+	if at, ok := p.rows[keys[0]]; ok && at.Before(time.Now()) {
+		row.Revision, row.Value = 1, encode(stateRow{Queue: "q", State: workflow.JobQueued})
+	}
+	return []platform.Row{row}, ctx.Err()
 }
 
 func (p *partitionedTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
@@ -154,8 +173,10 @@
 	}
 	p.freeAt[part] = p.freeAt[part].Add(p.writeTime)
 	done := p.freeAt[part]
-	stored := p.rows[key]
-	p.rows[key] = true
+	_, stored := p.rows[key]
+	if !stored {
+		p.rows[key] = done
+	}
 	p.mu.Unlock()
 	select {
 	case <-time.After(time.Until(done)):
@@ -175,7 +196,7 @@
 	// 3 s of submissions. Callers wait for 3 s, less a margin for the response. A
 	// write takes 180 ms instead of 3 ms.
 	const jobs, gap, callerTimeout = 135, time.Second / 45, 2850 * time.Millisecond
-	table := NewWatchedTable(&partitionedTable{writeTime: 180 * time.Millisecond, freeAt: make(map[string]time.Time), rows: make(map[string]bool)}, telemetry.Discard())
+	table := NewWatchedTable(&partitionedTable{writeTime: 180 * time.Millisecond, freeAt: make(map[string]time.Time), rows: make(map[string]time.Time)}, telemetry.Nop())
 	in := NewIntake(table, platform.Limits{}, telemetry.Discard(), nil)
 	var accepted atomic.Int32
 	var wg sync.WaitGroup
--- a/internal/jobs/slowtable_test.go
+++ b/internal/jobs/slowtable_test.go
@@ -89,7 +89,7 @@
 func TestTakeoverWaitsLongerThanSmallWrites(t *testing.T) {
 	t.Parallel()
 	table := &leaseTable{writeTime: 5 * time.Millisecond}
-	watched := NewWatchedTable(table, telemetry.Discard())
+	watched := NewWatchedTable(table, telemetry.Nop())
 	for range 20 {
 		table.row = platform.Row{}
 		if _, err := watched.Commit(t.Context(), platform.Txn{Conditions: []platform.Condition{{}}, Writes: []platform.Write{{}}}); err != nil {
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -98,7 +98,7 @@
 	if s.Advice != "" {
 		advisor = platform.NewAdvisor(s.Advice)
 	}
-	table := jobs.NewWatchedTable(o.Store, o.Telemetry.Log)
+	table := jobs.NewWatchedTable(o.Store, o.Telemetry)
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: types.VMID(s.Address), Cores: s.CPUCores, Incarnation: newIncarnation(), Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:  jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,6 +24,9 @@
 	// ErrUncertain reports that no usable response came; the call may have taken
 	// effect.
 	ErrUncertain = errors.New("platform service gave no answer; the call may have taken effect")
+	// ErrNoResponse reports that no response came, in addition to ErrUnavailable or
+	// ErrUncertain. A call without it was refused, or its response was not usable.
+	ErrNoResponse = errors.New("no response")
 	// ErrRejected reports that the call changed nothing and never will: the service
 	// does not accept it, for example because it exceeds a limit.
 	ErrRejected = errors.New("platform service rejects the call")
