outage: a breaker for each partition of the store

Change: outage.Group with a breaker for each partition and one for the whole store, which ignores failures while other partitions answer. The first lost call makes the other partitions suspect; a partition that is open is probed by its own submissions.

--- a/internal/core/outage/breaker.go
+++ b/internal/core/outage/breaker.go
@@ -137,13 +137,15 @@
 	// answered in that state.
 	inFlight, window int
 	writeAnswered    bool
+	// closingWindow is the window above which the Breaker closes.
+	closingWindow int
 }
 
 // NewBreaker returns a closed Breaker. It opens when calls are unanswered for
 // silentAfter, which must be well above the slowest answer times.
 func NewBreaker(silentAfter time.Duration) *Breaker {
 	return &Breaker{
-		silence:   Detector{SilentAfter: silentAfter},
+		closingWindow: closingWindow, silence: Detector{SilentAfter: silentAfter},
 		readTimes: Timeout{Min: min(minSuspectAfter, silentAfter), Max: silentAfter},
 	}
 }
@@ -214,7 +216,7 @@
 		b.toHalfOpen(now)
 	case b.state == HalfOpen && call == Write && started >= b.halfOpenAt:
 		b.writeAnswered = true
-		if b.window++; b.window > closingWindow {
+		if b.window++; b.window > b.closingWindow {
 			b.close()
 		}
 	}
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -43,14 +43,14 @@
 
 // gate decides when writes of callers are sent to the table. A WatchedTable is one.
 type gate interface {
-	// Admit waits until a write may be sent. An error means that it was not sent. Done
-	// must be called after an admitted write. resend is set if the write was sent
+	// Admit waits until a write of the row with the key may be sent. An error means
+	// that it was not sent. Done must be called after an admitted write. resend is set if the write was sent
 	// before and its outcome is unknown.
-	Admit(ctx context.Context, resend bool) error
-	Done()
+	Admit(ctx context.Context, key string, resend bool) error
+	Done(key string)
 	// RetryAfter returns when a caller that is refused now should retry; 0 means as
 	// soon as possible.
-	RetryAfter() time.Duration
+	RetryAfter(key string) time.Duration
 	// ExpectedCommit returns the expected duration of a write.
 	ExpectedCommit() time.Duration
 	// CountRefusal counts a refused submission.
@@ -60,11 +60,11 @@
 // openGate admits everything.
 type openGate struct{}
 
-func (openGate) Admit(context.Context, bool) error { return nil }
-func (openGate) Done()                             {}
-func (openGate) RetryAfter() time.Duration         { return 0 }
-func (openGate) ExpectedCommit() time.Duration     { return 0 }
-func (openGate) CountRefusal(string)               {}
+func (openGate) Admit(context.Context, string, bool) error { return nil }
+func (openGate) Done(string)                               {}
+func (openGate) RetryAfter(string) time.Duration           { return 0 }
+func (openGate) ExpectedCommit() time.Duration             { return 0 }
+func (openGate) CountRefusal(string)                       {}
 
 // Intake accepts jobs, cancels them and returns their states.
 type Intake struct {
@@ -239,10 +239,11 @@
 // the table is many times slower than usual, this would be the fate of refused callers
 // that retry shortly before their deadline.
 func (in *Intake) send(ctx context.Context, txn platform.Txn, resend bool) (res platform.TxnResult, sent bool, err error) {
-	if err := in.gate.Admit(ctx, resend); err != nil {
+	key := txn.Conditions[0].Key
+	if err := in.gate.Admit(ctx, key, resend); err != nil {
 		return res, false, err
 	}
-	defer in.gate.Done()
+	defer in.gate.Done(key)
 	if deadline, ok := ctx.Deadline(); ok && !resend && time.Until(deadline) < in.gate.ExpectedCommit() {
 		return res, false, errDeadlineTooShort
 	}
@@ -271,7 +272,7 @@
 			return platform.Row{}, err
 		}
 		if !uncertain {
-			return platform.Row{}, in.unavailableError(err)
+			return platform.Row{}, in.unavailableError(created.Key, err)
 		}
 		sleep(ctx, jitter(commitRetryDelay))
 		if row, ok := in.readBack(ctx, id, created.Key); ok {
@@ -302,9 +303,11 @@
 	return row, true
 }
 
-func (in *Intake) unavailableError(err error) error {
+// unavailableError returns the error of a call for the row with the key that certainly
+// had no effect.
+func (in *Intake) unavailableError(key string, err error) error {
 	e := apperr.From(apperr.Wrap(err, apperr.KindUnavailable, "the platform's table", "is unavailable at the moment", "try again later"))
-	e.RetryAfter = max(minRetryAfter, in.gate.RetryAfter())
+	e.RetryAfter = max(minRetryAfter, in.gate.RetryAfter(key))
 	return e
 }
 
@@ -330,7 +333,7 @@
 	key := stateKey(id)
 	rows, err := in.table.Get(ctx, key)
 	if err != nil {
-		return knownState{}, in.unavailableError(err)
+		return knownState{}, in.unavailableError(key, err)
 	}
 	if rows[0].Revision == 0 {
 		return knownState{}, apperr.New(apperr.KindNotFound, fmt.Sprintf("job %q", id), "does not exist", "check its ID; finished jobs are forgotten after a while")
@@ -386,7 +389,7 @@
 		case *uncertain && ctx.Err() != nil || rejected:
 			return known, apperr.Wrap(err, apperr.KindUncertain, fmt.Sprintf("cancellation of job %q", id), "got no answer from the platform's table", "send it again")
 		case !*uncertain && (!sent || ctx.Err() != nil):
-			return known, in.unavailableError(err)
+			return known, in.unavailableError(key, err)
 		}
 		in.mu.RLock()
 		defer in.mu.RUnlock()
--- a/internal/jobs/intake_test.go
+++ b/internal/jobs/intake_test.go
@@ -81,7 +81,7 @@
 	t *testing.T
 }
 
-func (s *silentTable) Admit(context.Context, bool) error { return errTableUnresponsive }
+func (s *silentTable) Admit(context.Context, string, bool) error { return errTableUnresponsive }
 
 func (s *silentTable) Commit(context.Context, platform.Txn) (platform.TxnResult, error) {
 	s.t.Error("a submission was sent during the outage")
--- a/internal/jobs/watched_test.go
+++ b/internal/jobs/watched_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/clock"
 	"github.com/boragecrank/boragecrank/internal/core/outage"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
@@ -158,7 +159,7 @@
 	t.Logf("%+v, %d writes", r, table.commits)
 	watched.mu.Lock()
 	defer watched.mu.Unlock()
-	if state, _ := watched.breaker.State(); state != outage.Closed {
+	if state, _, _ := watched.breakers.State(clock.Now()); state != outage.Closed {
 		t.Errorf("the breaker is %v after the outage", state)
 	}
 	return r, table
