jobs: a submission to a failing partition waits for one probe

Cause: a submission to an open partition started probe after probe and was refused after 0.7 s. Change: it waits for one probe at most. Measured: the tests of the breaker in internal/jobs passed.

--- a/internal/jobs/watched.go
+++ b/internal/jobs/watched.go
@@ -133,16 +133,19 @@
 func (s *WatchedTable) Admit(ctx context.Context, key string, resend bool) error {
 	partition := partitionOf(key)
 	end := clock.Now() + maxAdmissionWait
-	for suspected := false; ; {
+	for suspected, probed := false, false; ; {
 		err := errResumingGradually
 		switch s.ask(partition, resend) {
 		case outage.Admit:
 			return nil
 		case outage.Reject:
-			if began := s.probe(partition, openProbeInterval); !began && !s.waitsForProbe(partition) {
+			// A submission waits for one probe at most: a refusal reaches the caller in
+			// time for another try.
+			began := !probed && s.probe(partition, openProbeInterval)
+			if !began && !s.waitsForProbe(partition) {
 				return errTableUnresponsive
 			}
-			err = errTableUnresponsive
+			probed, err = true, errTableUnresponsive
 		case outage.Probe:
 			err = errOutageSuspected
 			if !suspected {
