jobs: successor keeps its rows if its last write has no answer

Cause: a write of the reservation without an answer leaves it unknown whether the candidate holds the reservation until the next read. If the owner released the lease in that time, the successor left the handover and discarded the rows that it had read.

Change: after the release, a candidate that has read rows stays in the handover. The candidate named in the released lease takes over without the delay of small entries, whether or not its reservation is known.

--- a/internal/jobs/successor.go
+++ b/internal/jobs/successor.go
@@ -98,7 +98,9 @@
 	case row.Owner == s.c.opts.VM:
 		return row.Epoch == s.epoch+1
 	case row.Owner == "":
-		return row.Epoch == s.epoch && s.reserved.Load()
+		// It may be unknown for a while whether this candidate holds the reservation:
+		// the rows that it has read are of use in either case.
+		return row.Epoch == s.epoch && s.rows.Load() != nil
 	default:
 		return row.Epoch == s.epoch && row.Handover != ""
 	}
@@ -109,7 +111,9 @@
 func (s *succession) takeoverDue(ctx context.Context) (lease.Takeover, bool) {
 	now := clock.Now()
 	takeover, ok := s.c.observer.TryTakeover(now, nil)
-	return takeover, ok && (s.reserved.Load() || s.c.mayTakeOver(ctx, takeover.Revision, now))
+	row, _ := s.c.observer.Row()
+	chosen := s.reserved.Load() || row.Successor == s.c.opts.VM
+	return takeover, ok && (chosen || s.c.mayTakeOver(ctx, takeover.Revision, now))
 }
 
 // followLease waits for a change of the lease row, or for the next read of it.
