jobs: a candidate that stops does not take over

Cause: the takeover's call no longer ends with the process's stop, so a stop between the candidate's read of the lease and its takeover made the stopping process the owner. Its jobs waited for another handover.

Change: a takeover is not sent once the stop was requested. One that was sent before is still completed.

--- a/internal/jobs/handover_faults_test.go
+++ b/internal/jobs/handover_faults_test.go
@@ -1,15 +1,30 @@
 package jobs
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/boragecrank/boragecrank/internal/actors"
 	"github.com/boragecrank/boragecrank/internal/core/handover"
+	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/workflow"
 	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
 
+// newTestCandidate returns a candidate at a table that no goroutine runs.
+func newTestCandidate(t *testing.T, table *entryTable, changes platform.ChangeLog, stopTimeout time.Duration) *Candidate {
+	system := actors.NewSystem()
+	t.Cleanup(system.Shutdown)
+	return NewCandidate(CandidateOptions{
+		VM: "b", Incarnation: 1, Cores: 1, Table: table, Takeovers: table, Changes: changes, Telemetry: telemetry.Nop(), System: system, StopTimeout: stopTimeout,
+		Queues: func() (map[string]workflow.Queue, bool) { return nil, true },
+	})
+}
+
 // Guards against a successor that discards the rows it has read because the answer to
 // its last write of the reservation was lost when the owner released the lease to it.
 func TestSuccessorWithoutAnswerUsesPreparedRows(t *testing.T) {
@@ -50,3 +65,18 @@
 		return nil
 	})
 }
+
+// Guards against a process that becomes the owner after it was asked to stop: the jobs
+// would wait for another handover.
+func TestStoppedCandidateDoesNotTakeOver(t *testing.T) {
+	t.Parallel()
+	m := newMemoryTable()
+	table := &entryTable{memoryTable: m, cut: make(chan struct{})}
+	c := newTestCandidate(t, table, table, 0)
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	c.takeOver(ctx, lease.Takeover{Row: lease.Row{Shard: jobsShard, Owner: "b", Incarnation: 1, Epoch: 1}})
+	if rows, err := table.Get(t.Context(), lease.Key(jobsShard)); err != nil || rows[0].Revision != 0 {
+		t.Errorf("the lease was written at revision %d, %v", rows[0].Revision, err)
+	}
+}
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -271,6 +271,9 @@
 // takeOver tries a takeover and runs the term if it succeeds. It returns when the
 // term has ended, and reports whether there was one.
 func (c *Candidate) takeOver(ctx context.Context, takeover lease.Takeover) bool {
+	if ctx.Err() != nil {
+		return false // the process was asked to stop since the takeover became due
+	}
 	row := takeover.Row
 	value, err := row.Encode()
 	if err != nil {
