jobs: the time to hand over counts from the stop of the process

Cause: a process that was asked to stop while its takeover was under way counted StopTimeout from the answer. A takeover may take 1.5 s, so the candidate returned up to 6.5 s after the stop, beyond the grace period of 6 s.

Change: the candidate records when its context ended, and the deadline of the handover counts from there.

Result: TestStopDuringTakeoverReturnsInTime (StopTimeout 1.5 s, takeover 1 s) failed before, with a return after 2.50 s in 4 of 4 attempts; 2 runs with -race passed.

--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -82,7 +83,8 @@
 	case <-ctx.Done():
 		return
 	}
-	stopBy := clock.Now() + t.c.opts.StopTimeout
+	// A takeover may have been under way when the process was asked to stop.
+	stopBy := cmp.Or(time.Duration(t.c.stoppedAt.Load()), clock.Now()) + t.c.opts.StopTimeout
 	release, ok := t.awaitSuccessor(ctx, stopBy-releaseReserve)
 	if !ok {
 		return // the term has ended
--- a/internal/jobs/handover_faults_test.go
+++ b/internal/jobs/handover_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -80,3 +81,37 @@
 		t.Errorf("the lease was written at revision %d, %v", rows[0].Revision, err)
 	}
 }
+
+// Guards against a candidate that returns later than StopTimeout after its stop, because
+// it measures the time from the answer of a takeover that was under way.
+func TestStopDuringTakeoverReturnsInTime(t *testing.T) {
+	t.Parallel()
+	const stopTimeout, takeoverTime = 1500 * time.Millisecond, time.Second
+	bestOf(t, func(t *testing.T) error {
+		table := &entryTable{memoryTable: newMemoryTable(), cut: make(chan struct{})}
+		began := make(chan struct{})
+		table.intercept(func(txn platform.Txn) (bool, error) {
+			if len(txn.Writes) > partitions {
+				close(began)
+				time.Sleep(takeoverTime)
+			}
+			return false, nil
+		})
+		c := newTestCandidate(t, table, table, stopTimeout)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			c.Run(ctx)
+		}()
+		<-began
+		stopped := time.Now()
+		stop()
+		<-done
+		if took := time.Since(stopped); took > stopTimeout+takeoverTime/2 {
+			return fmt.Errorf("the candidate returned %v after its stop", took)
+		}
+		return nil
+	})
+}
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -139,6 +140,9 @@
 	rng           *rand.Rand
 	cancellations pendingCancellations
 	queuesChanged chan struct{}
+	// stoppedAt is when the context of Run ended, as a clock reading in nanoseconds;
+	// 0 before.
+	stoppedAt atomic.Int64
 	// evacuationChanged is signalled when the evacuated failure domains have changed.
 	evacuationChanged chan struct{}
 	// prepared are the rows that this candidate has read as the successor of the
@@ -183,6 +187,7 @@
 // Run takes part in the takeover of ownership until the context ends. An owner then
 // hands over the ownership.
 func (c *Candidate) Run(ctx context.Context) {
+	defer context.AfterFunc(ctx, func() { c.stoppedAt.Store(int64(clock.Now())) })()
 	c.awaitQueues(ctx)
 	for ctx.Err() == nil {
 		c.observeLease(ctx)
