owner: a new owner reads a configuration that changes meanwhile

Cause: a change that is accepted between the reads of the configuration's head and its parts makes the read fail by a hash. A new owner took this for a configuration that it cannot use, and placed work by its older version, which may be from before an evacuation.

Change: the read is attempted up to 3 times.

--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -208,13 +208,20 @@
 	})
 }
 
+// maxConfigReads is the number of attempts to read the accepted configuration. A change
+// that is accepted between the reads of its head and its parts makes one attempt fail.
+const maxConfigReads = 3
+
 // readConfig puts the accepted configuration into effect. It returns an error only
 // if the table does not answer. With a configuration that this process cannot use
 // (event 251), the present one stays in effect.
 func (h *Host) readConfig(ctx context.Context) error {
-	err := h.node.Config.Load(ctx, h.opts.Lease)
-	if err == nil || ctx.Err() != nil || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain) {
-		return err
+	var err error
+	for range maxConfigReads {
+		err = h.node.Config.Load(ctx, h.opts.Lease)
+		if err == nil || ctx.Err() != nil || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain) {
+			return err
+		}
 	}
 	h.tel.Log.Log(eventConfigNotRead, err, telemetry.Fields{"version": uint64(h.node.Config.Version())})
 	return nil
--- a/internal/owner/evacuate_takeover_test.go
+++ b/internal/owner/evacuate_takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -85,3 +86,65 @@
 		t.Error(err)
 	}
 }
+
+// changingTable accepts another configuration just before the first read of the parts
+// of the present one.
+type changingTable struct {
+	*standin.Table
+	change func()
+	once   sync.Once
+}
+
+func (c *changingTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if keys[0] != confsync.VersionKey && keys[0] != confsync.HeadKey {
+		c.once.Do(c.change)
+	}
+	return c.Table.Get(ctx, keys...)
+}
+
+// Guards against a new owner that places work by a version from before an evacuation,
+// because another change was accepted while it read the configuration.
+func TestTakeoverReadsConfigurationThatChanges(t *testing.T) {
+	t.Parallel()
+	domains := []config.Domain{
+		{Name: "d", VMs: []types.VM{{ID: "self", Capacity: types.Resources{MilliCPU: 1000}}}},
+		{Name: "e", VMs: []types.VM{{ID: "other", Capacity: types.Resources{MilliCPU: 1000}}}},
+	}
+	for i := range domains {
+		config.AssignShards(&domains[i], nil)
+	}
+	versions := make([]*config.Config, 3)
+	var err error
+	if versions[0], err = config.New(1, config.Content{Domains: domains}, nil); err != nil {
+		t.Fatal(err)
+	}
+	for i, d := range []types.FailureDomain{"d", "e"} {
+		if versions[i+1], err = versions[i].WithEvacuation(d, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n, err := node.New(node.Options{Name: "self", Internal: "127.51.250.5:0", Key: []byte("0123456789abcdef0123456789abcdef"), Telemetry: telemetry.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = n.Shutdown(context.Background()) })
+	table := &changingTable{Table: standin.NewTable()}
+	accept := func(base int) {
+		if err := confsync.Accept(t.Context(), table.Table, types.Version(base), versions[base]); err != nil {
+			t.Error(err)
+		}
+	}
+	accept(0)
+	accept(1)
+	table.change = func() { accept(2) }
+	if err := n.Config.Apply(config.Difference(nil, versions[0])); err != nil {
+		t.Fatal(err)
+	}
+	h, err := NewHost(n, Options{Shard: "d-s00", Lease: table, Table: table, Report: table, OnOwnerAddress: func(netip.AddrPort) {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.readConfig(t.Context()); err == nil && !n.Config.Current().Evacuated("d") {
+		t.Errorf("rows would be read with configuration version %d in effect, which evacuates nothing", n.Config.Version())
+	}
+}
