jobs: a successor does not poll the lease without a pause

Cause: a successor waits for changes of the lease after the revision that it has recorded. An unreadable lease row, or a change of another row of the table, has a later revision and is not recorded, so each wait returned at once, and an unreadable row was logged each time.

Change: the successor waits for changes after the revision up to which it has read them.

Result: TestSuccessorDoesNotPollWithoutPause counted 14651 and 16957 calls in 0.6 s before and at most 4 now; 3 runs with -race passed.

--- a/internal/jobs/handover_faults_test.go
+++ b/internal/jobs/handover_faults_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/actors"
+	"github.com/boragecrank/boragecrank/internal/clock"
 	"github.com/boragecrank/boragecrank/internal/core/handover"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
@@ -115,3 +117,43 @@
 		return nil
 	})
 }
+
+// countedChanges counts the waits for changes.
+type countedChanges struct {
+	*entryTable
+	calls atomic.Int64
+}
+
+func (c *countedChanges) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.ChangedRow, uint64, error) {
+	c.calls.Add(1)
+	return c.entryTable.Changes(ctx, prefix, after, wait)
+}
+
+// Guards against a successor that calls the table without a pause, because each wait for
+// a change of the lease returns the same change at once.
+func TestSuccessorDoesNotPollWithoutPause(t *testing.T) {
+	t.Parallel()
+	for key, why := range map[string]string{lease.Key(jobsShard): "the lease is unreadable", prefixLease + "other": "another row has changed"} {
+		t.Run(why, func(t *testing.T) {
+			t.Parallel()
+			table := &countedChanges{entryTable: &entryTable{memoryTable: newMemoryTable(), cut: make(chan struct{})}}
+			c := newTestCandidate(t, table.entryTable, table, 0)
+			row := lease.Row{Shard: jobsShard, Owner: "a", Incarnation: 1, Epoch: 1, Handover: handover.ReasonStopping}
+			value, err := row.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			table.put(lease.Key(jobsShard), value)
+			c.observeLease(t.Context())
+			table.put(key, []byte("not a lease"))
+			s := &succession{c: c, log: c.log, epoch: 1}
+			s.reserved.Store(true)
+			for end := clock.Now() + 2*leaseFollowWait; clock.Now() < end; {
+				s.followLease(t.Context())
+			}
+			if n := table.calls.Load(); n > 4 {
+				t.Errorf("%d calls in %v", n, 2*leaseFollowWait)
+			}
+		})
+	}
+}
--- a/internal/jobs/successor.go
+++ b/internal/jobs/successor.go
@@ -34,6 +34,9 @@
 	c     *Candidate
 	log   *telemetry.Logger
 	epoch types.Epoch
+	// followedTo is the revision up to which changes of the lease were read. A change
+	// that the observer does not record, such as an unreadable row, is read once.
+	followedTo uint64
 	// machine belongs to the goroutine of maintainReservation.
 	machine *handover.Successor
 	// reserved is set while this candidate holds the reservation.
@@ -125,12 +128,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseFollowWait+tableTimeout)
 	defer cancel()
-	rows, _, err := s.c.opts.Changes.Changes(ctx, prefixLease, s.c.observer.Revision(), leaseFollowWait)
+	after := max(s.c.observer.Revision(), s.followedTo)
+	rows, revision, err := s.c.opts.Changes.Changes(ctx, prefixLease, after, leaseFollowWait)
 	if err != nil {
 		sleep(ctx, jitter(tableBackoffMin))
 		s.c.observeLease(ctx)
 		return
 	}
+	s.followedTo = max(after, revision)
 	if changed := lastChange(rows, lease.Key(jobsShard)); changed != nil {
 		s.c.recordLease(*changed)
 		return
