owner: no queued start is sent to an evacuated failure domain

Cause: commands to a worker wait while an earlier call is under way, for up to 3 s. A start that waited was sent after the evacuation was in effect.

Change: starts are removed from the queue while the shard is evacuated. The state machine handles them like lost ones: a stop follows after CommandValidity.

--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/shard"
@@ -17,6 +18,11 @@
 	if l.busy || c == nil {
 		return
 	}
+	if s.term.evacuated {
+		// Starts that were queued before the evacuation. The state machine handles a
+		// dropped start like a lost one.
+		l.queue = slices.DeleteFunc(l.queue, func(c shard.Command) bool { return c.Kind == shard.CommandStart })
+	}
 	switch {
 	case len(l.queue) > 0:
 		commands := l.queue
