jobserver: an older configuration does not replace a newer one

Cause: since a new owner lists the operator's rows, the configuration is applied by two goroutines, which compared versions and stored the result in two steps. A list from before a change could replace the version that the follower had just put into effect, until the operator's next change.

Change: compare and store in one step.

--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -175,19 +175,33 @@
 			e.Telemetry.Log.Log(eventConfigUnreadable, err, telemetry.Fields{"revision": r.Revision})
 			continue
 		}
-		before := types.Version(0)
-		if old := e.config.Load(); old != nil {
-			before = old.Version
-		}
-		if c.Version <= before {
+		before, replaced := e.replaceConfig(c)
+		if !replaced {
 			continue // the rows were read before the current version was written
 		}
-		e.config.Store(c)
 		e.candidate.NotifyQueuesChanged()
 		e.Telemetry.Log.Log(eventConfigInEffect, nil, telemetry.Fields{"version": c.Version, "before": before, "queues": len(c.Queues)})
 	}
 }
 
+// replaceConfig puts a configuration into effect if it is newer than the present one,
+// and returns the version before. The follower of the operator's rows and a new owner
+// call it concurrently.
+func (e *entry) replaceConfig(c *jobs.Configuration) (before types.Version, replaced bool) {
+	for {
+		old := e.config.Load()
+		if old != nil {
+			before = old.Version
+		}
+		if c.Version <= before {
+			return before, false
+		}
+		if e.config.CompareAndSwap(old, c) {
+			return before, true
+		}
+	}
+}
+
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	why := ""
 	age, loaded := e.intake.StatesAge()
