owner: replicas follow the configuration that is in effect after a scan

Cause: an owner compared the job rows with the configuration from before the scan. If an evacuation came into effect during the scan, it submitted replicas in the evacuated failure domain. The end of the scan also replaced the next one, which the change had made due at once, by one after 10 s, so that other shards submitted the replicas that much later. Both are older than evacuations.

Change: the configuration is read after the scan, and a scan that became due meanwhile stays due.

Result: TestEvacuationDuringScan failed before (2 replicas submitted), and with the first change alone (rows read again after 10.1 s); the package passes with -race.

--- a/internal/owner/evacuate_takeover_test.go
+++ b/internal/owner/evacuate_takeover_test.go
@@ -148,3 +148,75 @@
 		t.Errorf("rows would be read with configuration version %d in effect, which evacuates nothing", n.Config.Version())
 	}
 }
+
+// evacuatingTable puts a configuration into effect during the second scan of job rows,
+// the first of rescanIfDue.
+type evacuatingTable struct {
+	*standin.Table
+	scans  atomic.Int32
+	change func()
+}
+
+func (e *evacuatingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	rows, err := e.Table.Scan(ctx, prefix, after, limit)
+	if strings.HasPrefix(prefix, "jobs/") && e.scans.Add(1) == 2 {
+		e.change()
+	}
+	return rows, err
+}
+
+// Guards against replicas that an owner submits by a configuration from before an
+// evacuation, which came into effect while it read the rows, and against one that then
+// reads the rows only after rescanInterval.
+func TestEvacuationDuringScan(t *testing.T) {
+	t.Parallel()
+	domains := []config.Domain{{Name: "d", VMs: []types.VM{{ID: "self", Capacity: types.Resources{MilliCPU: 1000}}}}}
+	config.AssignShards(&domains[0], nil)
+	services := []types.Service{{Name: "svc", Replicas: 2, Demand: types.Resources{MilliCPU: 100}}}
+	first, err := config.New(1, config.Content{Domains: domains, Services: services}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := first.WithEvacuation("d", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := node.New(node.Options{Name: "self", Internal: "127.51.250.7:0", Key: []byte("0123456789abcdef0123456789abcdef"), Telemetry: telemetry.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := make(chan time.Time, 1)
+	table := &evacuatingTable{Table: standin.NewTable()}
+	table.change = func() {
+		if err := n.Config.Apply(config.Difference(first, second)); err != nil {
+			t.Error(err)
+		}
+		changed <- time.Now()
+	}
+	if err := confsync.Accept(t.Context(), table.Table, 0, first); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Config.Apply(config.Difference(nil, first)); err != nil {
+		t.Fatal(err)
+	}
+	h, err := NewHost(n, Options{Shard: "d-s00", Lease: table, Table: table, Report: table, OnOwnerAddress: func(netip.AddrPort) {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Start(t.Context())
+	begin := <-changed
+	for table.scans.Load() < 3 && time.Since(begin) < 2*rescanInterval {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if wait := time.Since(begin); wait > rescanInterval/2 {
+		t.Errorf("the rows are read %v after the change, want at once", wait)
+	}
+	rows, err := table.Table.Scan(t.Context(), "jobs/", "", 10)
+	if err != nil || len(rows) > 0 {
+		t.Errorf("%d replicas submitted in the evacuated failure domain, %v", len(rows), err)
+	}
+	h.Shutdown(context.Background())
+	if err := n.Shutdown(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -47,20 +47,22 @@
 // rescanIfDue starts a rescan if one is due.
 func (s *hostState) rescanIfDue(now time.Duration) {
 	t, h := s.term, s.h
-	c := h.node.Config.Current()
-	if !t.recovered || t.rows.busy || now < t.rows.nextScanAt || c == nil {
+	if !t.recovered || t.rows.busy || now < t.rows.nextScanAt || h.node.Config.Current() == nil {
 		return
 	}
 	t.rows.busy = true
+	t.rows.nextScanAt = now + rescanInterval
 	h.async(rowTimeout, func(ctx context.Context) func(*hostState) {
 		found, err := h.scan(ctx, task.JobPrefix(h.opts.Shard))
 		return func(s *hostState) {
 			t.rows.busy = false
-			t.rows.nextScanAt = h.node.Clock() + rescanInterval
+			if t.rows.nextScanAt != 0 { // otherwise the configuration has changed meanwhile
+				t.rows.nextScanAt = h.node.Clock() + rescanInterval
+			}
 			if s.term != t || err != nil {
 				return
 			}
-			s.applyScan(t, c, found)
+			s.applyScan(t, h.node.Config.Current(), found)
 		}
 	})
 }
