--- a/internal/jobs/successor.go
+++ b/internal/jobs/successor.go
@@ -34,6 +34,9 @@
 	c     *Candidate
 	log   *telemetry.Logger
 	epoch types.Epoch
+	// followedTo is the revision up to which changes of the lease were read. A change
+	// that the observer does not record, such as an unreadable row, is read once.
+	followedTo uint64
 	// machine belongs to the goroutine of maintainReservation.
 	machine *handover.Successor
 	// reserved is set while this candidate holds the reservation.
@@ -98,7 +101,9 @@
 	case row.Owner == s.c.opts.VM:
 		return row.Epoch == s.epoch+1
 	case row.Owner == "":
-		return row.Epoch == s.epoch && s.reserved.Load()
+		// It may be unknown for a while whether this candidate holds the reservation:
+		// the rows that it has read are of use in either case.
+		return row.Epoch == s.epoch && s.rows.Load() != nil
 	default:
 		return row.Epoch == s.epoch && row.Handover != ""
 	}
@@ -109,7 +114,9 @@
 func (s *succession) takeoverDue(ctx context.Context) (lease.Takeover, bool) {
 	now := clock.Now()
 	takeover, ok := s.c.observer.TryTakeover(now, nil)
-	return takeover, ok && (s.reserved.Load() || s.c.mayTakeOver(ctx, takeover.Revision, now))
+	row, _ := s.c.observer.Row()
+	chosen := s.reserved.Load() || row.Successor == s.c.opts.VM
+	return takeover, ok && (chosen || s.c.mayTakeOver(ctx, takeover.Revision, now))
 }
 
 // followLease waits for a change of the lease row, or for the next read of it.
@@ -121,12 +128,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseFollowWait+tableTimeout)
 	defer cancel()
-	rows, _, err := s.c.opts.Changes.Changes(ctx, prefixLease, s.c.observer.Revision(), leaseFollowWait)
+	after := max(s.c.observer.Revision(), s.followedTo)
+	rows, revision, err := s.c.opts.Changes.Changes(ctx, prefixLease, after, leaseFollowWait)
 	if err != nil {
 		sleep(ctx, jitter(tableBackoffMin))
 		s.c.observeLease(ctx)
 		return
 	}
+	s.followedTo = max(after, revision)
 	if changed := lastChange(rows, lease.Key(jobsShard)); changed != nil {
 		s.c.recordLease(*changed)
 		return
