lease: reclaim the own lease without jitter and without waiting for the poll

After a loss of all VMs an entry that restarts under the address of the former owner may take its own lease over at once.

The observer draws no jitter for a lease that the candidate may reclaim, and the candidate sleeps only until the takeover is due if that comes before the next poll. The latter also applies to a lease that has expired.

--- a/internal/core/lease/observer.go
+++ b/internal/core/lease/observer.go
@@ -87,10 +87,10 @@
 // shard's members that the candidate considers live. The wait after the last
 // observed change of the row consists of the TTL, the rank delay and the jitter.
 // The TTL is left out if the row has no owner that may be alive. After a gap
-// between reads, Observe may prolong the wait. The candidate that a lease was released
-// to waits for nothing, and the others for SuccessorGrace in addition. TakeoverAt returns false before the
-// first read, or if the candidate itself holds the lease and ReclaimOwnLease is
-// not set.
+// between reads, Observe may prolong the wait. The candidate that a lease was released to, or that
+// reclaims its own lease, waits for nothing; other candidates for a released lease wait
+// for SuccessorGrace in addition. TakeoverAt returns false before the first read, or if
+// the candidate itself holds the lease and ReclaimOwnLease is not set.
 func (o *Observer) TakeoverAt(live []types.VMID) (time.Duration, bool) {
 	if !o.seen {
 		return 0, false
@@ -101,6 +101,11 @@
 	if o.releasedTo() == o.self && o.self != "" {
 		return o.unchangedSince, true
 	}
+	if o.reclaimable() {
+		// No other candidate may take the lease over before its TTL has passed, so
+		// there is nobody to spread the writes from.
+		return o.unchangedSince, true
+	}
 	at := o.unchangedSince + o.jitter
 	if o.releasedTo() != "" {
 		at += o.cfg.SuccessorGrace
@@ -123,10 +128,13 @@
 // ownerMayBeAlive reports whether the observed row has an owner that may be
 // alive.
 func (o *Observer) ownerMayBeAlive() bool {
-	if o.cfg.ReclaimOwnLease && o.row.Owner == o.self {
-		return false
-	}
-	return o.exists && o.row.Owner != ""
+	return o.exists && o.row.Owner != "" && !o.reclaimable()
+}
+
+// reclaimable reports whether the observed row names this candidate's VM, and the
+// candidate may take the lease over at once.
+func (o *Observer) reclaimable() bool {
+	return o.cfg.ReclaimOwnLease && o.exists && o.row.Owner == o.self
 }
 
 // TryTakeover returns the takeover to send if one is due at now. The validity
--- a/internal/core/lease/takeover_test.go
+++ b/internal/core/lease/takeover_test.go
@@ -90,9 +90,9 @@
 }
 
 // Guards against waiting for the lease of the previous process on the same VM,
-// which cannot be running any more.
+// which cannot be running any more: neither for its TTL nor for a jitter.
 func TestLeaseOfEarlierIncarnationIsReclaimed(t *testing.T) {
-	cfg := Config{TTL: 10 * time.Second, ReclaimOwnLease: true}
+	cfg := Config{TTL: 10 * time.Second, Jitter: 200 * time.Millisecond}
 	row := Row{Shard: "s", Owner: "vm1", Incarnation: 1, Epoch: 4}
 	for _, c := range []struct {
 		self       types.VMID
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -191,10 +191,20 @@
 			c.takeOver(ctx, takeover)
 		}
 		c.succeed(ctx)
-		sleep(ctx, jitter(leasePollInterval))
+		sleep(ctx, c.untilNextPoll(clock.Now()))
 	}
 }
 
+// untilNextPoll returns the time until the next read of the lease. It ends early if the
+// lease may be taken over before, so that the takeover does not wait for the poll.
+func (c *Candidate) untilNextPoll(now time.Duration) time.Duration {
+	d := jitter(leasePollInterval)
+	if at, ok := c.observer.TakeoverAt(nil); ok && at > now {
+		d = min(d, at-now)
+	}
+	return d
+}
+
 // awaitQueues waits for the first configuration. It returns as soon as there is one,
 // because after a start of all processes no task is placed before a takeover.
 func (c *Candidate) awaitQueues(ctx context.Context) {
--- a/internal/jobs/owner_test.go
+++ b/internal/jobs/owner_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
 	"github.com/boragecrank/boragecrank/internal/platform"
+	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
 
 // listedAgents is a change log that lists a number of agents, or fails.
@@ -83,3 +85,18 @@
 		t.Errorf("the candidate does not act %v after the configuration came", leasePollInterval/4)
 	}
 }
+
+// Guards against a takeover that waits for the next poll although the lease is free
+// before it, or that reads the lease without a pause when it may not take over yet.
+func TestNextPollIsDueAtTheTakeover(t *testing.T) {
+	c := NewCandidate(CandidateOptions{VM: "b", Incarnation: 2, Telemetry: &telemetry.Telemetry{Log: telemetry.Discard()}})
+	c.observer.Observe(lease.Row{Shard: jobsShard, Owner: "a", Incarnation: 1, Epoch: 3}, 7, true, 0, c.rng)
+	at, _ := c.observer.TakeoverAt(nil)
+	const before = 5 * time.Millisecond
+	if d := c.untilNextPoll(at - before); d != before {
+		t.Errorf("the next poll is %v away, want %v", d, before)
+	}
+	if d := c.untilNextPoll(at); d < leasePollInterval/2 {
+		t.Errorf("the next poll after the takeover was due is %v away, want at least %v", d, leasePollInterval/2)
+	}
+}
