core: emergency handover when the table does not serve the owner

While the table refuses only the owner, or does not answer it, for 4 to 9 s, jobs that other entries accept wait for about 3 s, until the lease has expired.

handover.Emergency decides when the owner asks other entries, probes the table itself, and yields; Yield.Accept decides whether an entry may take over. lease.Holder.Yield ends the validity for the rest of the epoch, also if a renewal is executed late. lease.Observer.SetOwnerYielded lets the candidate that was yielded to take over without a wait, in that term only.

--- a/internal/core/handover/doc.go
+++ b/internal/core/handover/doc.go
@@ -1,5 +1,7 @@
-// Package handover implements the decisions of a planned handover of ownership. It
-// performs no I/O.
+// Package handover implements the decisions of a planned handover of ownership, and of an
+// emergency handover. It performs no I/O.
+//
+// # Planned handover
 //
 // Load condition: an owner stops while the table is slow. If it releases the lease
 // first, the next owner begins to read the rows only after its takeover, and nothing is
@@ -22,4 +24,24 @@
 // releases the lease at its deadline, to no one in particular. If the owner dies, its
 // lease expires as usual. The reservation row stays after a handover; a reservation for
 // a later epoch replaces it.
+//
+// # Emergency handover
+//
+// Load condition: the table does not serve the owner, but other entries. Jobs that these
+// accept wait until the lease has expired.
+//
+// Contract: type Emergency decides for the owner. While its calls to the table fail it
+// asks other entries to read the lease row. If one of them can, and a read of its own
+// still fails, the owner yields: it ceases to act as the confirmed owner for the rest of
+// the epoch and tells the other entry so. Yield.Accept decides for that entry whether it
+// may take over at once. It does so by a write conditional on the revision of the row
+// that it has read itself. So a yield that is old, late or repeated has no effect, and a
+// yield that is lost leaves a lease that expires as usual.
+//
+// State: in memory, for one term.
+//
+// Failure modes: in an outage of the whole table no entry confirms, and the owner goes on
+// as without this package. If the table serves all again, the owner's own read tells it
+// so. If the entry that is yielded to does not answer, the owner, which stays
+// unconfirmed, asks again and yields to another one.
 package handover
--- a/internal/core/lease/holder.go
+++ b/internal/core/lease/holder.go
@@ -31,6 +31,7 @@
 	uncertain   bool
 	lost        bool
 	released    bool
+	yielded     bool
 	// handover is the announcement that the row should hold, and sentHandover the
 	// one that the last write held.
 	handover, sentHandover string
@@ -54,9 +55,9 @@
 }
 
 // ValidUntil returns the end of the time in which the holder may act, on its
-// own clock. It returns zero after the lease was lost or released.
+// own clock. It returns zero after the lease was lost, released or yielded.
 func (h *Holder) ValidUntil() time.Duration {
-	if h.lost || h.released {
+	if h.lost || h.released || h.yielded {
 		return 0
 	}
 	return h.validFrom + h.cfg.TTL - h.cfg.Margin
@@ -68,15 +69,23 @@
 }
 
 // NeedsRead reports whether the row must be read before the next renewal,
-// because the response to the last one was lost.
+// because the response to the last one was lost. After a yield it must be read to find
+// out whether the lease was taken over.
 func (h *Holder) NeedsRead() bool {
-	return h.uncertain && !h.lost
+	return (h.uncertain || h.yielded) && !h.lost
+}
+
+// Yield ends the validity for the rest of the epoch: no renewal is due any more, and one
+// that is still in flight or executed late does not make the lease valid again. The lease
+// may still be released.
+func (h *Holder) Yield() {
+	h.yielded = true
 }
 
 // NextRenewal returns when the next renewal is due. It returns false if none is
-// due because one is in flight or uncertain, or the lease is lost or released.
+// due because one is in flight or uncertain, or the lease is lost, released or yielded.
 func (h *Holder) NextRenewal() (time.Duration, bool) {
-	if h.inFlight || h.uncertain || h.lost || h.released {
+	if h.inFlight || h.uncertain || h.lost || h.released || h.yielded {
 		return 0, false
 	}
 	if h.handover != h.sentHandover {
--- a/internal/core/lease/observer.go
+++ b/internal/core/lease/observer.go
@@ -39,6 +39,8 @@
 	// readAt is when the last read was received.
 	readAt time.Duration
 	jitter time.Duration
+	// yielded is the row of the last term whose owner has yielded to this candidate.
+	yielded Row
 }
 
 // NewObserver returns the observer of a shard's lease for the candidate VM
@@ -87,8 +89,8 @@
 // shard's members that the candidate considers live. The wait after the last
 // observed change of the row consists of the TTL, the rank delay and the jitter.
 // The TTL is left out if the row has no owner that may be alive. After a gap
-// between reads, Observe may prolong the wait. The candidate that a lease was released to, or that
-// reclaims its own lease, waits for nothing; other candidates for a released lease wait
+// between reads, Observe may prolong the wait. The candidate that a lease was released or yielded to, or
+// that reclaims its own lease, waits for nothing; other candidates for a released lease wait
 // for SuccessorGrace in addition. TakeoverAt returns false before the first read, or if
 // the candidate itself holds the lease and ReclaimOwnLease is not set.
 func (o *Observer) TakeoverAt(live []types.VMID) (time.Duration, bool) {
@@ -101,7 +103,7 @@
 	if o.releasedTo() == o.self && o.self != "" {
 		return o.unchangedSince, true
 	}
-	if o.reclaimable() {
+	if o.reclaimable() || o.OwnerYielded() {
 		// No other candidate may take the lease over before its TTL has passed, so
 		// there is nobody to spread the writes from.
 		return o.unchangedSince, true
@@ -126,9 +128,21 @@
 }
 
 // ownerMayBeAlive reports whether the observed row has an owner that may be
-// alive.
+// alive and act as the holder.
 func (o *Observer) ownerMayBeAlive() bool {
-	return o.exists && o.row.Owner != "" && !o.reclaimable()
+	return o.exists && o.row.Owner != "" && !o.reclaimable() && !o.OwnerYielded()
+}
+
+// SetOwnerYielded records that the owner of the observed row has yielded to this
+// candidate: it does not act as the holder any more in the epoch of the row.
+func (o *Observer) SetOwnerYielded() {
+	o.yielded = o.row
+}
+
+// OwnerYielded reports whether the owner of the observed row has yielded to this
+// candidate. Renewals of the same term that were executed late do not change that.
+func (o *Observer) OwnerYielded() bool {
+	return o.exists && o.row.Owner != "" && o.row.sameTerm(o.yielded)
 }
 
 // reclaimable reports whether the observed row names this candidate's VM, and the
