jobs: emergency handover when the table does not serve the owner

While the store refuses only the owner (503, 429, reset) or does not answer it, jobs that other entries accept wait until the lease has expired.

Entries register their internal address in rows entry/VM and read the rows of the others every 3 s. An owner whose calls were not answered for 0.6 s, of which 3 have failed or whose renewal is 0.7 s late, asks the others to read the lease. If one can, and an own read still fails, the owner ceases to be confirmed, waits until its core has taken note, and yields. The other entry takes over at once, by a write conditional on the revision that it has read. The former owner goes on unconfirmed until a worker reports the higher epoch, or the lease has another owner.

In an outage of the whole table of 3 s nothing changes.

--- a/internal/core/handover/emergency.go
+++ b/internal/core/handover/emergency.go
@@ -199,27 +199,9 @@
 			return e.ask(now, peers)
 		}
 	case phaseAsking:
-		switch {
-		case e.confirmed.VM != "" && e.yielded:
-			return e.yield(now)
-		case e.confirmed.VM != "":
-			e.phase, e.probedAt, e.probeFailed = phaseProbing, now, false
-			e.number++
-			e.probe = e.number
-			return Step{Kind: StepProbe, Number: e.probe}
-		case len(e.asked) == 0 || now >= e.askedAt+e.cfg.AskTimeout:
-			e.phase = phaseWatching
-		}
+		return e.afterQuestion(now)
 	case phaseProbing:
-		if now >= e.askedAt+e.cfg.AskTimeout+e.cfg.ProbeTimeout {
-			e.phase = phaseWatching // this process was paused, so the confirmation is old
-			return Step{}
-		}
-		failed := e.probeFailed || now >= e.probedAt+e.cfg.ProbeTimeout
-		chosen := e.confirmed.Cores >= e.cfg.FullCores || len(e.asked) == 0 || now >= e.askedAt+e.cfg.LargePeerWait
-		if failed && chosen {
-			return e.yield(now)
-		}
+		return e.afterProbe(now)
 	case phaseYielding:
 		if now >= e.yieldedAt+e.cfg.YieldTimeout {
 			e.phase = phaseWatching
@@ -229,6 +211,37 @@
 	return Step{}
 }
 
+// afterQuestion returns the step after the answers so far. An owner that has yielded
+// before needs no probe: it is no longer the confirmed owner.
+func (e *Emergency) afterQuestion(now time.Duration) Step {
+	switch {
+	case e.confirmed.VM != "" && e.yielded:
+		return e.yield(now)
+	case e.confirmed.VM != "":
+		e.phase, e.probedAt, e.probeFailed = phaseProbing, now, false
+		e.number++
+		e.probe = e.number
+		return Step{Kind: StepProbe, Number: e.probe}
+	case len(e.asked) == 0 || now >= e.askedAt+e.cfg.AskTimeout:
+		e.phase = phaseWatching
+	}
+	return Step{}
+}
+
+// afterProbe returns the yield once the probe has failed and the peer is chosen.
+func (e *Emergency) afterProbe(now time.Duration) Step {
+	if now >= e.askedAt+e.cfg.AskTimeout+e.cfg.ProbeTimeout {
+		e.phase = phaseWatching // this process was paused, so the confirmation is old
+		return Step{}
+	}
+	failed := e.probeFailed || now >= e.probedAt+e.cfg.ProbeTimeout
+	chosen := e.confirmed.Cores >= e.cfg.FullCores || len(e.asked) == 0 || now >= e.askedAt+e.cfg.LargePeerWait
+	if failed && chosen {
+		return e.yield(now)
+	}
+	return Step{}
+}
+
 func (e *Emergency) ask(now time.Duration, peers []Peer) Step {
 	sorted := slices.Clone(peers)
 	slices.SortStableFunc(sorted, func(a, b Peer) int {
--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -11,7 +11,6 @@
 	"github.com/boragecrank/boragecrank/internal/clock"
 	"github.com/boragecrank/boragecrank/internal/core/handover"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
-	"github.com/boragecrank/boragecrank/internal/core/workflow"
 	"github.com/boragecrank/boragecrank/internal/platform"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
@@ -175,17 +174,11 @@
 // end; if an earlier attempt was executed, the repetition finds the lease released.
 func (t *term) writeRelease(release handover.Release) {
 	renewal, ok := t.holder.Release(release.Successor)
-	t.validUntil.Store(int64(t.holder.ValidUntil()))
+	t.validity.set(t.holder.ValidUntil())
 	if !ok {
 		return
 	}
-	if t.handover.spawned.Load() {
-		// Waits for an input that began as the confirmed owner. The actor may have
-		// ended, which has the same effect.
-		_ = t.coreActor.Do(func(o *workflow.Owner) { t.updateOwnershipConfirmed(o) })
-	} else {
-		t.end() // the core does not exist yet and must not begin as the confirmed owner
-	}
+	t.stopConfirmedCore()
 	var err error
 	for {
 		var res platform.TxnResult
--- a/internal/jobs/handover_test.go
+++ b/internal/jobs/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -28,6 +29,7 @@
 	rows     map[string]platform.Row
 	history  []platform.ChangedRow
 	changed  chan struct{}
+	net      peerNet // between the entries at this table
 }
 
 func newMemoryTable() *memoryTable {
@@ -74,14 +76,27 @@
 	interceptor atomic.Pointer[interceptor]
 	// cut is closed when the entry reaches the table no more.
 	cut chan struct{}
+	// fault makes the table refuse the calls of the entry, or leave them unanswered.
+	fault atomic.Int32
 }
 
+const (
+	faultRefused = iota + 1
+	faultSilent
+)
+
 type interceptor func(txn platform.Txn) (handled bool, err error)
 
 func (e *entryTable) intercept(f interceptor) { e.interceptor.Store(&f) }
 
 func (e *entryTable) transit(ctx context.Context, d time.Duration) error {
 	sleep(ctx, d)
+	switch e.fault.Load() {
+	case faultRefused:
+		return platform.ErrUnavailable
+	case faultSilent:
+		<-ctx.Done()
+	}
 	select {
 	case <-e.cut:
 		<-ctx.Done()
@@ -96,6 +111,9 @@
 		d *= 2
 	}
 	if err := e.transit(ctx, d); err != nil {
+		if errors.Is(err, platform.ErrUnavailable) {
+			return platform.TxnResult{}, err
+		}
 		return platform.TxnResult{}, fmt.Errorf("%w: %w", platform.ErrUncertain, err)
 	}
 	if f := e.interceptor.Load(); f != nil {
@@ -162,6 +180,7 @@
 // handoverEntry is a candidate at a table.
 type handoverEntry struct {
 	table *entryTable
+	c     *Candidate
 	log   *logtest.Hook
 	stop  context.CancelFunc
 	done  chan struct{}
@@ -176,7 +195,10 @@
 	c := NewCandidate(CandidateOptions{
 		VM: vm, Incarnation: types.Incarnation(len(vm)), Cores: cores, Table: e.table, Takeovers: e.table, Changes: e.table, Telemetry: tel, System: system, StopTimeout: 5 * time.Second,
 		Queues: func() (map[string]workflow.Queue, bool) { return nil, true },
+		Peers:  func() []handover.Peer { return m.net.peers(vm) }, PeerClient: &m.net,
 	})
+	e.c = c
+	m.net.add(c)
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	go func() {
--- a/internal/jobs/link_test.go
+++ b/internal/jobs/link_test.go
@@ -137,7 +137,7 @@
 				links: make(map[types.VMID]*link),
 			}
 			tm.ctx, tm.end = context.WithCancel(t.Context())
-			tm.validUntil.Store(int64(clock.Now() + time.Hour))
+			tm.validity.set(clock.Now() + time.Hour)
 			tm.leaseRevision.Store(9)
 			core := workflow.New(workflow.Config{Epoch: 1, LeaseDuration: time.Minute, WorkerMaxLease: time.Minute, OrderRetry: orderRetry, StateRetention: time.Hour, MaxChanges: 18}, clock.Now())
 			if err := tm.spawn(core); err != nil {
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -4,12 +4,14 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/boragecrank/boragecrank/internal/actors"
 	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/handover"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
@@ -128,6 +130,10 @@
 	// ReadOperatorRows reads the rows on which Queues and Evacuated are based; nil if
 	// they do not change.
 	ReadOperatorRows func(context.Context) error
+	// Peers returns the other entries as last read, and PeerClient calls them. Without
+	// them there is no emergency handover.
+	Peers      func() []handover.Peer
+	PeerClient PeerClient
 }
 
 // Candidate takes over the ownership of all jobs when the lease is free, and acts as
@@ -149,6 +155,14 @@
 	takeoverDue         bool
 	takeoverDueRevision uint64
 	takeoverDueAt       time.Duration
+	// contact records whether the table answers.
+	contact *tableContact
+	// available is set while this candidate can take over; yields holds the last yield
+	// that Run has not received.
+	available atomic.Bool
+	// owning is set during a term.
+	owning atomic.Bool
+	yields chan handover.Yield
 }
 
 func leaseConfig() lease.Config {
@@ -157,7 +171,10 @@
 
 // NewCandidate returns a candidate. It does nothing until Run is called.
 func NewCandidate(o CandidateOptions) *Candidate {
+	contact := &tableContact{answeredAt: clock.Now()}
+	o.Table, o.Changes = contactTable{o.Table, contact}, contactChanges{o.Changes, contact}
 	return &Candidate{
+		contact: contact, yields: make(chan handover.Yield, 1),
 		opts: o, log: o.Telemetry.Log,
 		observer:      lease.NewObserver(leaseConfig(), jobsShard, o.VM, o.Incarnation),
 		rng:           rand.New(rand.NewPCG(uint64(o.Incarnation), 1)), //nolint:gosec // jitter
@@ -172,6 +189,9 @@
 	c.cancellations.add(cancellation{id, revision})
 }
 
+// Owns reports whether this candidate acts as the owner, confirmed or not.
+func (c *Candidate) Owns() bool { return c.owning.Load() }
+
 // NotifyQueuesChanged notifies the owner that a new configuration is in effect.
 func (c *Candidate) NotifyQueuesChanged() {
 	select {
@@ -184,14 +204,23 @@
 // hands over the ownership.
 func (c *Candidate) Run(ctx context.Context) {
 	c.awaitQueues(ctx)
+	c.available.Store(true)
+	defer c.available.Store(false)
 	for ctx.Err() == nil {
 		c.observeLease(ctx)
-		now := clock.Now()
-		if takeover, ok := c.observer.TryTakeover(now, nil); ok && c.mayTakeOver(ctx, takeover.Revision, now) {
-			c.takeOver(ctx, takeover)
-		}
+		c.tryTakeover(ctx)
 		c.succeed(ctx)
-		sleep(ctx, c.untilNextPoll(clock.Now()))
+		c.awaitPoll(ctx)
+	}
+}
+
+// tryTakeover tries a takeover if one is due, and runs the term if it succeeds. A
+// candidate that the owner has yielded to does not wait for candidates with more cores:
+// none of them has answered the owner.
+func (c *Candidate) tryTakeover(ctx context.Context) {
+	now := clock.Now()
+	if takeover, ok := c.observer.TryTakeover(now, nil); ok && (c.observer.OwnerYielded() || c.mayTakeOver(ctx, takeover.Revision, now)) {
+		c.takeOver(ctx, takeover)
 	}
 }
 
@@ -306,6 +335,10 @@
 		// observes its own lease and takes it over again.
 		return false
 	}
+	c.available.Store(false)
+	c.owning.Store(true)
+	defer c.available.Store(true)
+	defer c.owning.Store(false)
 	before, _ := c.observer.Row()
 	c.log.Log(eventOwnershipTaken, nil, telemetry.Fields{"epoch": row.Epoch, "before": before.Owner})
 	t := newTerm(c, lease.NewHolder(leaseConfig(), row, res.Revision, sentAt), res.Revision)
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -153,6 +153,11 @@
 	}
 }
 
+// countEmergency counts the rounds of questions and the yields of emergency handovers.
+func (m *termMetrics) countEmergency(step string) {
+	m.scope.Tagged(map[string]string{"step": step}).Counter("jobs_emergency_handovers").Inc(1)
+}
+
 // countHandover counts a release of the ownership.
 func (m *termMetrics) countHandover(r handover.Release) {
 	m.scope.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("jobs_handovers").Inc(1)
--- a/internal/jobs/rows.go
+++ b/internal/jobs/rows.go
@@ -28,6 +28,7 @@
 	prefixState    = "jobstate/"
 	prefixProgress = "progress/"
 	prefixAgent    = "agent/"
+	prefixEntry    = "entry/"
 	prefixFence    = "fence/"
 )
 
--- a/internal/jobs/successor.go
+++ b/internal/jobs/successor.go
@@ -64,6 +64,11 @@
 	}()
 	owned := false
 	for ctx.Err() == nil && s.announced() {
+		select {
+		case y := <-c.yields:
+			c.applyYield(ctx, y)
+		default:
+		}
 		if takeover, ok := s.takeoverDue(ctx); ok {
 			// The term may last for days; the reservation ends before it.
 			cancel()
@@ -104,12 +109,13 @@
 	}
 }
 
-// takeoverDue returns the takeover that is due, if any. A successor does not wait for
-// candidates with more cores: the owner has chosen it.
+// takeoverDue returns the takeover that is due, if any. A successor, and a candidate that the
+// owner has yielded to, do not wait for candidates with more cores: the owner has chosen
+// them.
 func (s *succession) takeoverDue(ctx context.Context) (lease.Takeover, bool) {
 	now := clock.Now()
 	takeover, ok := s.c.observer.TryTakeover(now, nil)
-	return takeover, ok && (s.reserved.Load() || s.c.mayTakeOver(ctx, takeover.Revision, now))
+	return takeover, ok && (s.reserved.Load() || s.c.observer.OwnerYielded() || s.c.mayTakeOver(ctx, takeover.Revision, now))
 }
 
 // followLease waits for a change of the lease row, or for the next read of it.
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -47,9 +47,9 @@
 	epoch     types.Epoch
 	holder    *lease.Holder
 	coreActor *actors.Owner[*workflow.Owner]
-	// validUntil is the clock reading, in nanoseconds, from which the term may no
-	// longer act.
-	validUntil atomic.Int64
+	// validity holds the time from which the term may no longer act as the confirmed
+	// owner.
+	validity validity
 	// leaseRevision is the last known revision of the lease's row.
 	leaseRevision atomic.Uint64
 	ctx           context.Context
@@ -85,7 +85,7 @@
 		c: c, log: c.log.With(telemetry.Fields{"epoch": row.Epoch}), epoch: row.Epoch, holder: h, fences: make(map[string]uint64), progressRows: make(progressRowCounts), takeoverRevision: revision,
 		links: make(map[types.VMID]*link), metrics: newTermMetrics(c.opts.Telemetry.Metrics),
 	}
-	t.validUntil.Store(int64(h.ValidUntil()))
+	t.validity.set(h.ValidUntil())
 	t.leaseRevision.Store(revision)
 	t.handover.init()
 	for _, p := range partitionNames() {
@@ -96,7 +96,7 @@
 
 // ownershipConfirmed reports whether the ownership is certain at now.
 func (t *term) ownershipConfirmed(now time.Duration) bool {
-	return now < time.Duration(t.validUntil.Load())
+	return now < time.Duration(t.validity.until.Load())
 }
 
 // run acts as the owner until the ownership is lost or the context ends.
@@ -111,6 +111,10 @@
 	go t.maintainLease(ctx)
 	t.wg.Add(1)
 	go t.handOverOnStop(ctx, parent)
+	if t.c.opts.Peers != nil {
+		t.wg.Add(1)
+		go t.yieldInEmergency(ctx)
+	}
 	if t.recoverGuarded(ctx) {
 		t.runCore(ctx)
 	}
@@ -289,22 +293,30 @@
 	for ctx.Err() == nil {
 		now := clock.Now()
 		t.holder.Announce(t.handover.reason())
+		yieldedAt, yielded := t.validity.yieldTime()
+		if yielded {
+			t.holder.Yield()
+		}
 		switch {
 		case t.holder.Lost():
 			t.log.Log(eventOwnershipLost, nil, telemetry.Fields{"why": "the lease has another owner"})
 			t.end()
 			return
 		case t.holder.NeedsRead():
-			t.readLease(ctx)
+			if t.readLease(ctx) && yielded && !t.holder.Lost() && now >= yieldedAt+yieldReclaimDelay {
+				t.log.Log(eventOwnershipLost, nil, telemetry.Fields{"why": "no entry has taken over after a yield"})
+				t.end()
+				return
+			}
 		default:
 			if renewal, ok := t.holder.BeginRenewal(now); ok {
 				t.renew(ctx, renewal)
 			}
 		}
-		t.validUntil.Store(int64(t.holder.ValidUntil()))
+		t.validity.set(t.holder.ValidUntil())
 		_, revision := t.holder.Row()
 		t.leaseRevision.Store(revision)
-		if over := !t.ownershipConfirmed(clock.Now()); over != late {
+		if over := !t.ownershipConfirmed(clock.Now()); over != late && !yielded {
 			late = over
 			e := eventLeaseRestored
 			if late {
@@ -350,14 +362,16 @@
 	})
 }
 
-func (t *term) readLease(ctx context.Context) {
+// readLease reads the lease, and returns false if it could not be read.
+func (t *term) readLease(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	rows, err := t.c.opts.Table.Get(ctx, lease.Key(jobsShard))
 	if err != nil {
-		return // maintainLease tries again
+		return false // maintainLease tries again
 	}
 	t.recordLease(rows[0])
+	return true
 }
 
 func (t *term) recordLease(r platform.Row) {
--- a/internal/jobserver/handover_test.go
+++ b/internal/jobserver/handover_test.go
@@ -79,3 +79,41 @@
 		t.Errorf("the reservation is %+v, want a ready successor %s of epoch %d", reservation, after.Owner, before.Epoch)
 	}
 }
+
+// Guards against jobs that wait for the lease to expire, 2.3 s after its last renewal,
+// when the store refuses the owner alone: the entries must find and call each other, and
+// the former owner must leave its tasks to the next one without running any twice.
+func TestStoreRefusesTheOwner(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 2)
+	d.await("rows of both entries", func() bool { return len(d.store.Rows("entry")) == 2 && d.lease().Owner != "" })
+	time.Sleep(4 * time.Second) // both have read them
+	const attempts, limit = 4, 1500 * time.Millisecond
+	for i := range attempts {
+		before := d.lease()
+		owner := 0
+		if strings.HasPrefix(d.entries[1], before.Owner+":") {
+			owner = 1
+		}
+		early, late := fmt.Sprintf("00000000000001e%d", i), fmt.Sprintf("00000000000002e%d", i)
+		d.call(1-owner, http.MethodPost, "/q/"+early, twoStepJob(12))
+		d.awaitState(1-owner, early, "running")
+		begin := time.Now()
+		d.refused[owner].Store(true)
+		d.await("next owner", func() bool { return d.lease().Owner != before.Owner })
+		took := time.Since(begin)
+		t.Logf("taken over after %v", took)
+		d.call(1-owner, http.MethodPost, "/q/"+late, twoStepJob(2))
+		d.awaitState(1-owner, early, "completed")
+		d.awaitState(1-owner, late, "completed")
+		d.refused[owner].Store(false)
+		if after := d.lease(); after.Epoch != before.Epoch+1 {
+			t.Fatalf("epoch %d after %d, want one takeover", after.Epoch, before.Epoch)
+		}
+		if took <= limit {
+			return
+		}
+		time.Sleep(time.Second) // the former owner becomes a candidate
+	}
+	t.Errorf("no takeover within %v in %d attempts", limit, attempts)
+}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -19,6 +19,7 @@
 	"github.com/boragecrank/boragecrank/internal/agentapi"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
+	"github.com/boragecrank/boragecrank/internal/entryapi"
 	"github.com/boragecrank/boragecrank/internal/httpserve"
 	"github.com/boragecrank/boragecrank/internal/jobs"
 	coreplatform "github.com/boragecrank/boragecrank/internal/platform"
@@ -105,11 +106,15 @@
 		advisor = platform.NewAdvisor(s.Advice)
 	}
 	table := jobs.NewWatchedTable(o.Store, o.Telemetry.Log)
+	vm, incarnation := types.VMID(s.Address), newIncarnation()
+	registry := jobs.NewEntryRegistry(table, table, jobs.EntryRegistration{VM: vm, Address: s.InternalAddress(), Incarnation: incarnation, Cores: s.CPUCores},
+		func() bool { return e.candidate.Owns() }, o.Telemetry.Log)
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
-		VM: types.VMID(s.Address), Cores: s.CPUCores, Incarnation: newIncarnation(), Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
+		VM: vm, Cores: s.CPUCores, Incarnation: incarnation, Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:      jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin, EvacuationBound: s.EvacuationBound},
 		StopTimeout: s.GracePeriod - stopMargin, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 		Evacuated: e.evacuations.domains, ReadOperatorRows: e.readOperatorRows,
+		Peers: registry.Peers, PeerClient: entryapi.NewClient(),
 	})
 	e.intake = jobs.NewIntake(table, o.Store.Limits(), o.Telemetry.Log, e.candidate.NotifyCancelled)
 	callers, err := httpserve.Listen(s.CallerAPI, &platform.CallerAPI{
@@ -122,6 +127,15 @@
 	if err != nil {
 		return err
 	}
+	internal, err := httpserve.Listen(s.InternalAddress(), entryapi.NewHandler(e.candidate, o.Telemetry.Log), entryapi.ServerLimits())
+	if err != nil {
+		return err
+	}
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		registry.Run(ctx)
+	}()
 	followers, stopFollowers := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowers()
 	go e.operatorRowsFollower().Run(followers)
@@ -133,7 +147,9 @@
 	}()
 	o.logStarted()
 	<-ctx.Done()
-	return e.stop(callers, ready, candidateDone)
+	err = e.stop(callers, ready, candidateDone)
+	<-registered // within tableTimeout of package jobs, which has passed
+	return errors.Join(err, internal.Close())
 }
 
 // stop stops an entry: it reports that it is not ready, hands over the ownership, waits
--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,9 +33,11 @@
 	jobs         int
 	rowBytes     int
 	entries      []string
-	stops        []context.CancelFunc
-	stopWorkers  []func()
-	workers      []*standin.Worker
+	// refused is set while the store refuses the calls of an entry.
+	refused     [2]atomic.Bool
+	stops       []context.CancelFunc
+	stopWorkers []func()
+	workers     []*standin.Worker
 	// workerAddresses are the addresses on which the workers listen.
 	workerAddresses []string
 	roleDone        []chan struct{}
@@ -65,8 +68,17 @@
 	if err := d.store.Put(standin.ConfigTable, standin.ConfigKey, standin.Configuration(1, queue)); err != nil {
 		t.Fatal(err)
 	}
-	for range 2 {
-		d.startEntry(store)
+	for i := range d.refused {
+		// Each entry reaches the store through a server of its own, which can refuse it.
+		gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if d.refused[i].Load() {
+				http.Error(w, "unavailable", http.StatusServiceUnavailable)
+				return
+			}
+			d.store.ServeHTTP(w, r)
+		}))
+		t.Cleanup(gate.Close)
+		d.startEntry(strings.TrimPrefix(gate.URL, "http://"))
 	}
 	for i := range workers {
 		d.startWorker(store, i)
