--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/boragecrank/boragecrank/internal/actors"
 	"github.com/boragecrank/boragecrank/internal/clock"
+	"github.com/boragecrank/boragecrank/internal/core/handover"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
@@ -129,6 +130,10 @@
 	// ReadOperatorRows reads the rows on which Queues and Evacuated are based; nil if
 	// they do not change.
 	ReadOperatorRows func(context.Context) error
+	// Peers returns the other entries as last read, and PeerClient calls them. Without
+	// them there is no emergency handover.
+	Peers      func() []handover.Peer
+	PeerClient PeerClient
 }
 
 // Candidate takes over the ownership of all jobs when the lease is free, and acts as
@@ -153,6 +158,14 @@
 	takeoverDue         bool
 	takeoverDueRevision uint64
 	takeoverDueAt       time.Duration
+	// contact records whether the table answers.
+	contact *tableContact
+	// available is set while this candidate can take over; yields holds the last yield
+	// that Run has not received.
+	available atomic.Bool
+	// owning is set during a term.
+	owning atomic.Bool
+	yields chan handover.Yield
 }
 
 func leaseConfig() lease.Config {
@@ -161,7 +174,10 @@
 
 // NewCandidate returns a candidate. It does nothing until Run is called.
 func NewCandidate(o CandidateOptions) *Candidate {
+	contact := &tableContact{answeredAt: clock.Now()}
+	o.Table, o.Changes = contactTable{o.Table, contact}, contactChanges{o.Changes, contact}
 	return &Candidate{
+		contact: contact, yields: make(chan handover.Yield, 1),
 		opts: o, log: o.Telemetry.Log,
 		observer:      lease.NewObserver(leaseConfig(), jobsShard, o.VM, o.Incarnation),
 		rng:           rand.New(rand.NewPCG(uint64(o.Incarnation), 1)), //nolint:gosec // jitter
@@ -176,6 +192,9 @@
 	c.cancellations.add(cancellation{id, revision})
 }
 
+// Owns reports whether this candidate acts as the owner, confirmed or not.
+func (c *Candidate) Owns() bool { return c.owning.Load() }
+
 // NotifyQueuesChanged notifies the owner that a new configuration is in effect.
 func (c *Candidate) NotifyQueuesChanged() {
 	select {
@@ -189,15 +208,34 @@
 func (c *Candidate) Run(ctx context.Context) {
 	defer context.AfterFunc(ctx, func() { c.stoppedAt.Store(int64(clock.Now())) })()
 	c.awaitQueues(ctx)
+	c.available.Store(true)
+	defer c.available.Store(false)
 	for ctx.Err() == nil {
 		c.observeLease(ctx)
-		now := clock.Now()
-		if takeover, ok := c.observer.TryTakeover(now, nil); ok && c.mayTakeOver(ctx, takeover.Revision, now) {
-			c.takeOver(ctx, takeover)
-		}
+		c.tryTakeover(ctx)
 		c.succeed(ctx)
-		sleep(ctx, jitter(leasePollInterval))
+		c.awaitPoll(ctx)
+	}
+}
+
+// tryTakeover tries a takeover if one is due, and runs the term if it succeeds. A
+// candidate that the owner has yielded to does not wait for candidates with more cores:
+// none of them has answered the owner.
+func (c *Candidate) tryTakeover(ctx context.Context) {
+	now := clock.Now()
+	if takeover, ok := c.observer.TryTakeover(now, nil); ok && (c.observer.OwnerYielded() || c.mayTakeOver(ctx, takeover.Revision, now)) {
+		c.takeOver(ctx, takeover)
+	}
+}
+
+// untilNextPoll returns the time until the next read of the lease. It ends early if the
+// lease may be taken over before, so that the takeover does not wait for the poll.
+func (c *Candidate) untilNextPoll(now time.Duration) time.Duration {
+	d := jitter(leasePollInterval)
+	if at, ok := c.observer.TakeoverAt(nil); ok && at > now {
+		d = min(d, at-now)
 	}
+	return d
 }
 
 // awaitQueues waits for the first configuration. It returns as soon as there is one,
@@ -304,6 +342,10 @@
 		// observes its own lease and takes it over again.
 		return false
 	}
+	c.available.Store(false)
+	c.owning.Store(true)
+	defer c.available.Store(true)
+	defer c.owning.Store(false)
 	before, _ := c.observer.Row()
 	c.log.Log(eventOwnershipTaken, nil, telemetry.Fields{"epoch": row.Epoch, "before": before.Owner})
 	t := newTerm(c, lease.NewHolder(leaseConfig(), row, res.Revision, sentAt), res.Revision)
