--- /dev/null
+++ b/internal/core/overload/plan.go
@@ -0,0 +1,146 @@
+package overload
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// priorityBase is how many occurrences of one priority may be deferred for one of
+	// the next higher priority. It is well above 1, since queues are otherwise ordered
+	// strictly by priority, and low enough that one large job does not displace many.
+	priorityBase = 4
+	// maxPriority bounds the exponent of priorityBase, so that no weight is 0.
+	maxPriority = 50
+)
+
+// Occurrence is one execution of a job that can still be in time.
+type Occurrence struct {
+	// Due is when it should be done.
+	Due time.Duration
+	// Work is the remaining work in processor seconds.
+	Work float64
+	// CriticalPath is the time that it takes at least, whatever the throughput.
+	CriticalPath time.Duration
+	// Priority is that of its queue; 0 is the highest.
+	Priority int
+	// Protected: it must not be deferred for its size.
+	Protected bool
+}
+
+// weight is what it costs callers if the occurrence is late.
+func (oc *Occurrence) weight() float64 {
+	return math.Pow(priorityBase, -float64(min(max(0, oc.Priority), maxPriority)))
+}
+
+// Position is the sort key of planned occurrences: when they are due. Protected ones go by
+// when they must begin at the latest: a stream of smaller work that is due earlier would
+// delay them until their critical path no longer fits, although each plan has capacity
+// for all of their work.
+func (oc *Occurrence) Position() time.Duration {
+	if oc.Protected {
+		return oc.Due - oc.CriticalPath
+	}
+	return oc.Due
+}
+
+// Plan returns for each occurrence whether it is deferred. The others are all in time if
+// they get the throughput, in processors, in the order of their positions.
+//
+// It is the algorithm of Moore and Hodgson, which for equal weights maximizes the number
+// of occurrences in time: go through them by due time, and whenever one would be late,
+// defer the one with the most work for its weight. Occurrences are not deferred for one
+// that weighs less than them. Protected ones are deferred only if deferring all others
+// that go before them does not suffice.
+func Plan(now time.Duration, throughput float64, all []Occurrence) []bool {
+	p := plan{all: all, deferred: make([]bool, len(all)), planned: candidates{cost: make([]float64, len(all))}}
+	order := make([]int, len(all))
+	for i := range all {
+		order[i] = i
+		p.planned.cost[i] = all[i].Work / all[i].weight()
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(all[a].Position(), all[b].Position()) })
+	for _, i := range order {
+		oc := &all[i]
+		p.capacity = throughput * (oc.Due - now).Seconds()
+		p.deferred[i] = oc.CriticalPath > oc.Due-now || oc.Work > p.capacity || !p.add(i)
+	}
+	return p.deferred
+}
+
+// plan is the state of Plan while it goes through the occurrences.
+type plan struct {
+	all      []Occurrence
+	deferred []bool
+	// planned holds the planned occurrences that are not protected, work the sum of
+	// the work of all planned ones.
+	planned candidates
+	work    float64
+	// capacity is the work that can be done until the current occurrence is due.
+	capacity float64
+	// removed holds the occurrences that are deferred for the current one.
+	removed []int
+}
+
+// add plans an occurrence, and defers others for it if it would be late otherwise. It
+// reports false, and changes nothing, if that does not suffice or costs more than it
+// gains.
+func (p *plan) add(i int) bool {
+	oc := &p.all[i]
+	work, lost := p.work+oc.Work, 0.0
+	p.removed = p.removed[:0]
+	fits := work <= p.capacity
+	for !fits && len(p.planned.order) > 0 {
+		worst := p.planned.order[0]
+		lost += p.all[worst].weight()
+		if !oc.Protected && (lost > oc.weight() || p.planned.cost[worst] <= p.planned.cost[i]) {
+			break
+		}
+		heap.Pop(&p.planned)
+		p.removed = append(p.removed, worst)
+		work -= p.all[worst].Work
+		fits = work <= p.capacity
+	}
+	if !fits {
+		for _, r := range p.removed {
+			heap.Push(&p.planned, r)
+		}
+		return false
+	}
+	for _, r := range p.removed {
+		p.deferred[r] = true
+	}
+	p.work = work
+	if !oc.Protected {
+		heap.Push(&p.planned, i)
+	}
+	return true
+}
+
+// candidates is a heap of occurrences, with the one of the highest cost first.
+type candidates struct {
+	order []int
+	cost  []float64
+}
+
+func (c *candidates) Len() int { return len(c.order) }
+
+func (c *candidates) Less(a, b int) bool {
+	i, j := c.order[a], c.order[b]
+	return cmp.Or(cmp.Compare(c.cost[j], c.cost[i]), cmp.Compare(i, j)) < 0
+}
+
+func (c *candidates) Swap(a, b int) { c.order[a], c.order[b] = c.order[b], c.order[a] }
+
+// Push implements heap.Interface.
+func (c *candidates) Push(x any) { c.order = append(c.order, x.(int)) }
+
+// Pop implements heap.Interface.
+func (c *candidates) Pop() any {
+	last := c.order[len(c.order)-1]
+	c.order = c.order[:len(c.order)-1]
+	return last
+}
