workflow: plan filling work in time, and slow down what costs callers least

Cause: in bursts of filling work, jobs were placed by remaining work and slowed down by interference alone, whatever their due times. Change: the owner plans filling work in each placement pass and ranks it by the plan; paces are lowered by interference divided by the cost of delay and raised in reverse. Task loads of 0 no longer end the search for paces to lower. Mechanisms are switched off in internal/core/workflow/features.go.

--- /dev/null
+++ b/internal/core/workflow/features.go
@@ -0,0 +1,14 @@
+package workflow
+
+// Mechanisms that can be switched off one by one, to measure what each of them
+// contributes.
+const (
+	// onTimePlan: filling work that can be in time goes by a plan, see overload.Plan.
+	onTimePlan = true
+	// protectedClasses: the plan does not defer size classes that are served too seldom,
+	// see overload.Classes.
+	protectedClasses = true
+	// paceByDelayCost: filling tasks are slowed down by their interference and
+	// overload.DelayCost, otherwise by the load that they add.
+	paceByDelayCost = true
+)
--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -312,4 +312,9 @@
 	// DecisionBlocked: a step has had no running task for a while, and none may start
 	// yet; see Reason.
 	DecisionBlocked
+	// DecisionDeferred: an occurrence is not planned to be in time, since others that
+	// need less work take all that filling work gets; see Reason.
+	DecisionDeferred
+	// DecisionPlanned: a deferred occurrence is planned again.
+	DecisionPlanned
 )
--- a/internal/core/workflow/order.go
+++ b/internal/core/workflow/order.go
@@ -27,9 +27,10 @@
 	// tierStanding is standing tasks, which are useful for as long as they are
 	// up.
 	tierStanding
-	// tierInTime is other work that can still be in time, tierLate other work
-	// that is already late.
+	// tierInTime is other work that can still be in time, tierDeferred filling work of
+	// this kind that is not planned to be, and tierLate other work that is already late.
 	tierInTime
+	tierDeferred
 	tierLate
 	// tierAbandoned is work whose result is assumed to be worthless, see
 	// abandonFactor.
@@ -49,9 +50,14 @@
 // before work that cannot, so that one late job does not delay the next one.
 // Within a tier and priority, occurrences that have started go first, then
 // those with the least remaining work: ordering by deadline under overload
-// makes all jobs a little late.
+// makes all jobs a little late. Filling work that can be in time goes by the
+// plan, see planFilling: planned occurrences by due time, deferred ones by
+// priority and least remaining work.
 type rank struct {
-	tier     tier
+	tier tier
+	// position is the sort key of planned filling work, and 0 for other work, which
+	// does not compete with it for unused processors.
+	position time.Duration
 	priority int
 	// unstarted is 1 if nothing of the occurrence has started, otherwise 0.
 	unstarted int
@@ -80,6 +86,7 @@
 		r.tier = tierShortLate
 	case inTime:
 		r.tier = tierInTime
+		o.applyPlan(&r, s)
 	default:
 		r.tier = tierLate
 	}
@@ -103,13 +110,13 @@
 	work := 0.0
 	for _, s := range oc.steps {
 		left := float64(len(s.tasks) - s.done)
-		work += left * s.runTime.Seconds() * float64(s.spec.Demand.MilliCPU) / 1000
+		work += left * s.taskWork()
 	}
 	return work
 }
 
 func (r rank) compare(other rank) int {
-	return cmp.Or(cmp.Compare(r.tier, other.tier), cmp.Compare(r.priority, other.priority), cmp.Compare(r.unstarted, other.unstarted), cmp.Compare(r.work, other.work))
+	return cmp.Or(cmp.Compare(r.tier, other.tier), cmp.Compare(r.position, other.position), cmp.Compare(r.priority, other.priority), cmp.Compare(r.unstarted, other.unstarted), cmp.Compare(r.work, other.work))
 }
 
 // waitingSteps returns the steps with waiting tasks or background runs in placement
@@ -118,6 +125,7 @@
 	o.ready = slices.DeleteFunc(o.ready, func(s *step) bool {
 		return s.job.outcome != "" || s.occurrence.finished || s.done == len(s.tasks)
 	})
+	o.planFilling()
 	type ranked struct {
 		step *step
 		rank rank
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -74,6 +74,7 @@
 	health         *health.Tracker
 	interference   *interference
 	runTimes       runTimes
+	overload       overloadState
 	checkWorkersAt time.Duration
 	checkIdleAt    time.Duration
 	idleSteps      map[IdleCause]int
@@ -336,6 +337,7 @@
 			done = done && s.done == len(s.tasks)
 		}
 		if done {
+			o.settle(oc, j, o.now <= oc.due+oc.objective)
 			oc.finished = true
 			oc.steps = nil
 			j.finished++
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -132,26 +132,36 @@
 }
 
 // lowerPaces removes the excess load by lowering paces, starting with background runs,
-// then with the tasks that add the most load.
+// then with the tasks that remove the most load for what the delay costs callers.
 func (o *Owner) lowerPaces(v *vm, interference func(*task) float64, excess float64) {
 	type contribution struct {
 		task *task
 		load float64
+		// gain is the load that a unit of processor use adds, divided by the cost of
+		// delaying the task.
+		gain float64
 	}
 	var all []contribution
 	for _, t := range v.tasks {
 		if t.runningFilling() && t.wantedPace > 0 {
 			use := max(t.measurement, float64(t.step.spec.Demand.MilliCPU)*float64(t.wantedPace)/fullPace) / v.processors()
-			all = append(all, contribution{t, interference(t) * use})
+			c := contribution{t, interference(t) * use, interference(t) / o.delayCost(t)}
+			if !paceByDelayCost {
+				c.gain = c.load
+			}
+			all = append(all, c)
 		}
 	}
 	slices.SortStableFunc(all, func(a, b contribution) int {
-		return cmp.Or(cmp.Compare(b.task.backgroundLast(), a.task.backgroundLast()), cmp.Compare(b.load, a.load))
+		return cmp.Or(cmp.Compare(b.task.backgroundLast(), a.task.backgroundLast()), cmp.Compare(b.gain, a.gain))
 	})
 	for _, c := range all {
-		if excess <= 0 || c.load <= 0 {
+		if excess <= 0 {
 			return
 		}
+		if c.load <= 0 {
+			continue
+		}
 		keep := max(0, 1-excess/c.load)
 		excess -= c.load
 		pace := int(float64(c.task.wantedPace) * keep)
@@ -164,21 +174,27 @@
 
 // raisePaces raises lowered paces as far as no standing task's expected load
 // exceeds the load at which its tail is at tailWanted, starting with the tasks
-// that interfere least. Background runs come last, and do not hold up others. It
-// uses all of the spare load at once: if paces rose in small steps, a task would
-// delay its step for seconds after the load has fallen.
+// that interfere least for what the delay costs callers. Background runs come
+// last, and do not hold up others. It uses all of the spare load at once: if
+// paces rose in small steps, a task would delay its step for seconds after the
+// load has fallen.
 func (o *Owner) raisePaces(v *vm) {
-	var lowered []*task
+	type candidate struct {
+		*task
+		// harm is the interference of the task divided by the cost of its delay.
+		harm float64
+	}
+	var lowered []candidate
 	for _, t := range v.tasks {
 		if t.runningFilling() && t.wantedPace < t.paceLimit() {
-			lowered = append(lowered, t)
+			lowered = append(lowered, candidate{t, o.worstFactor(t.step.spec.Image, v) / o.delayCost(t)})
 		}
 	}
 	if len(lowered) == 0 {
 		return
 	}
-	slices.SortStableFunc(lowered, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(a.backgroundLast(), b.backgroundLast()), cmp.Compare(o.worstFactor(a.step.spec.Image, v), o.worstFactor(b.step.spec.Image, v)))
+	slices.SortStableFunc(lowered, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.backgroundLast(), b.backgroundLast()), cmp.Compare(a.harm, b.harm))
 	})
 	foreground := v.uses(func(t *task) bool { return !t.background })
 	all := v.uses(anyTask)
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -145,6 +145,7 @@
 	forecastAt time.Duration
 	steps      []*step
 	finished   bool
+	plan       planState
 }
 
 // job is an unfinished job.
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -31,6 +31,10 @@
 		"For 2 s or more, no task of the step has been running, and none is under way; or a standing task has not. The reason counts the VMs by what prevents them from running the task. Add VMs or check those that are not usable. Fields: job, task, run, age, reason."),
 	workflow.DecisionBlocked: telemetry.Define(660, logrus.InfoLevel, "task may not start yet",
 		"For 2 s or more, no task of the step, or a standing task, has been running, and a new start could run a task twice. The reason says what must end first and how long this can take: a start or a stop without a certain answer, or, after a takeover, VMs out of reach. Check the VMs that it names. Fields: job, task, age, reason; run and vm of an undecided run."),
+	workflow.DecisionDeferred: telemetry.Define(661, logrus.InfoLevel, "job deferred",
+		"Filling work that can still be in time is more than fits. The job goes after the planned ones, since it needs more work for its priority. The reason has the work that it needs, the time until it is due, and the processors that filling work gets. Many deferred jobs mean that VMs are missing. Fields: job, age, reason."),
+	workflow.DecisionPlanned: telemetry.Define(662, logrus.InfoLevel, "deferred job planned again",
+		"A job of event 661 is planned to be in time. Fields: job, age, reason. No action."),
 }
 
 var eventVMLoad = telemetry.Define(658, logrus.DebugLevel, "load of a VM",
@@ -92,6 +96,10 @@
 	jobTime       tally.Histogram
 	idleSteps     map[workflow.IdleCause]tally.Gauge
 	background    tally.Gauge
+	planned       tally.Gauge
+	deferred      tally.Gauge
+	protected     tally.Gauge
+	throughput    tally.Gauge
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
@@ -100,6 +108,8 @@
 		scope: scope, commits: scope.Counter("jobs_batches"), commitRetries: scope.Counter("jobs_batch_retries"),
 		commitTime: scope.Histogram("jobs_batch_seconds", buckets), jobTime: scope.Histogram("jobs_duration_seconds", buckets),
 		idleSteps: make(map[workflow.IdleCause]tally.Gauge), background: scope.Gauge("jobs_background_runs"),
+		planned: scope.Gauge("jobs_planned_occurrences"), deferred: scope.Gauge("jobs_deferred_occurrences"),
+		protected: scope.Gauge("jobs_protected_occurrences"), throughput: scope.Gauge("jobs_filling_throughput"),
 	}
 	for _, cause := range workflow.IdleCauses() {
 		m.idleSteps[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("jobs_idle_steps")
@@ -115,6 +125,14 @@
 	}
 }
 
+// setOverload updates the gauges of the plan of filling work.
+func (m *termMetrics) setOverload(s workflow.OverloadStatus) {
+	m.planned.Update(float64(s.Planned))
+	m.deferred.Update(float64(s.Deferred))
+	m.protected.Update(float64(s.Protected))
+	m.throughput.Update(s.Throughput)
+}
+
 func (m *termMetrics) commit(begin time.Time, changes int) {
 	m.commits.Inc(1)
 	m.commitTime.RecordDuration(time.Since(begin))
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -107,6 +107,7 @@
 	}
 	t.finish()
 	t.metrics.setIdle(nil, 0) // the next owner reports its own
+	t.metrics.setOverload(workflow.OverloadStatus{})
 	if parent.Err() != nil {
 		t.release()
 	}
@@ -219,6 +220,7 @@
 	out := o.Poll(now, unixNow())
 	t.logDecisions(out.Decisions)
 	t.metrics.setIdle(o.IdleSteps(), o.BackgroundRuns())
+	t.metrics.setOverload(o.Overload())
 	t.dispatch(out.Orders)
 	t.requestAdvice(out.TicketRequests)
 	t.logLoads(o, now)
