--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -324,4 +324,9 @@
 	DecisionEvacuationApplied
 	// DecisionEvacuationUnknown: the same, and no VM of the failure domain is known.
 	DecisionEvacuationUnknown
+	// DecisionDeferred: an occurrence is not planned to be in time, since others that
+	// need less work take all that filling work gets; see Reason.
+	DecisionDeferred
+	// DecisionPlanned: a deferred occurrence is planned again.
+	DecisionPlanned
 )
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -36,6 +36,10 @@
 	workflow.DecisionEvacuationEnded:   eventEvacuationEnded,
 	workflow.DecisionEvacuationApplied: eventEvacuationApplied,
 	workflow.DecisionEvacuationUnknown: eventEvacuationUnknown,
+	workflow.DecisionDeferred: telemetry.Define(661, logrus.InfoLevel, "job deferred",
+		"Filling work that can still be in time is more than fits. The job goes after the planned ones, since it needs more work for its priority. The reason has the work that it needs, the time until it is due, and the processors that filling work gets. Many deferred jobs mean that VMs are missing. Fields: job, age, reason."),
+	workflow.DecisionPlanned: telemetry.Define(662, logrus.InfoLevel, "deferred job planned again",
+		"A job of event 661 is planned to be in time. Fields: job, age, reason. No action."),
 }
 
 var eventVMLoad = telemetry.Define(658, logrus.DebugLevel, "load of a VM",
@@ -103,6 +107,10 @@
 	// evacuatedDomains and evacuatedVMs count evacuated failure domains and the known
 	// VMs there.
 	evacuatedDomains, evacuatedVMs tally.Gauge
+	planned                        tally.Gauge
+	deferred                       tally.Gauge
+	protected                      tally.Gauge
+	throughput                     tally.Gauge
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
@@ -112,6 +120,8 @@
 		commitTime: scope.Histogram("jobs_batch_seconds", buckets), jobTime: scope.Histogram("jobs_duration_seconds", buckets),
 		idleSteps: make(map[workflow.IdleCause]tally.Gauge), background: scope.Gauge("jobs_background_runs"),
 		evacuatedDomains: scope.Gauge("jobs_evacuated_domains"), evacuatedVMs: scope.Gauge("jobs_evacuated_vms"),
+		planned: scope.Gauge("jobs_planned_occurrences"), deferred: scope.Gauge("jobs_deferred_occurrences"),
+		protected: scope.Gauge("jobs_protected_occurrences"), throughput: scope.Gauge("jobs_filling_throughput"),
 	}
 	for _, cause := range workflow.IdleCauses() {
 		m.idleSteps[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("jobs_idle_steps")
@@ -133,6 +143,14 @@
 	m.evacuatedVMs.Update(float64(vms))
 }
 
+// setOverload updates the gauges of the plan of filling work.
+func (m *termMetrics) setOverload(s workflow.OverloadStatus) {
+	m.planned.Update(float64(s.Planned))
+	m.deferred.Update(float64(s.Deferred))
+	m.protected.Update(float64(s.Protected))
+	m.throughput.Update(s.Throughput)
+}
+
 func (m *termMetrics) commit(begin time.Time, changes int) {
 	m.commits.Inc(1)
 	m.commitTime.RecordDuration(time.Since(begin))
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -121,6 +121,7 @@
 	t.finish()
 	t.metrics.setIdle(nil, 0) // the next owner reports its own
 	t.metrics.setEvacuated(0, 0)
+	t.metrics.setOverload(workflow.OverloadStatus{})
 	if parent.Err() != nil {
 		t.release()
 	}
@@ -228,6 +229,7 @@
 	t.logDecisions(out.Decisions)
 	t.metrics.setIdle(o.IdleSteps(), o.BackgroundRuns())
 	t.metrics.setEvacuated(o.EvacuatedDomains(), o.EvacuatedVMs())
+	t.metrics.setOverload(o.Overload())
 	t.dispatch(out.Orders)
 	t.requestAdvice(out.TicketRequests)
 	t.logLoads(o, now)
