crowdtest: expose each listener to a crowd of untrusted clients

Cause: clients that stall or exceed their bodies made a process run out of memory. No test showed it.

Change: tests that start the built binary (jobs-entry, jobs-agent, entry) with settings of memory_mb = 64 and play 240 clients with legal, stalled, finished or oversize bodies and stalled headers, and 700 connections with max_open_files = 512. They check the peak of resident memory, open descriptors, that the process is alive and that an ordinary request is answered. make test runs them alone, after the other packages.

--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,13 @@
 	KEEP=$(KEEP) scripts/run.sh
 
 # -count=1 disables the test cache, which does not cover the processes that tests
-# start. SKIP is a pattern of tests to skip.
+# start. SKIP is a pattern of tests to skip. The tests of CROWD_PACKAGE expose
+# processes to hundreds of clients; they run alone, after the other tests, so that
+# neither affects the other.
+CROWD_PACKAGE := internal/crowdtest
 test:
-	go test -race -count=1 -timeout 10m $${SKIP:+-skip "$$SKIP"} ./...
+	go test -race -count=1 -timeout 10m $${SKIP:+-skip "$$SKIP"} $$(go list ./... | grep -v '/$(CROWD_PACKAGE)$$')
+	go test -count=1 -p 1 -parallel 1 -timeout 15m $${SKIP:+-skip "$$SKIP"} ./$(CROWD_PACKAGE)
 
 # Starts up to 107 processes on the loopback interface and takes about six
 # minutes. docs/CAPACITY.md contains the output of one run.
