httpserve: guard the memory and descriptors of a process

Cause: each listener allowed 4,096 connections and its handlers read whole bodies, 15 s each, without a bound over all listeners.

Change: Guard derives connections, bytes of headers, of bodies being received and of requests being handled from the process's memory and descriptors. Bodies are read as a whole before their handler runs; refusals (413, 431, 408, 400, 503) precede it.

--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -32,6 +32,35 @@
 	// Wrap, if not nil, is applied to each accepted connection, for example to
 	// count its bytes.
 	Wrap func(net.Conn) net.Conn
+
+	// Guard, if not nil, protects the process from the clients of this listener.
+	// The following fields apply only with it; bodies are then read as a whole
+	// before the handler runs.
+	Guard *Guard
+	// Name is the name of the listener in metrics and logs.
+	Name string
+	// Share is the share of the connections of the guard for this listener.
+	Share float64
+	// BodyBytes is the maximum size of a request's body.
+	BodyBytes int64
+	// HandleFactor is how many times the size of a body its decoding and handling
+	// take besides the body itself, RequestBytes what each request takes.
+	HandleFactor int
+	RequestBytes int64
+	// Operator, if not nil, returns limits that may change while the server runs.
+	Operator func() OperatorLimits
+	// Refuse, if not nil, writes the response to a request that is refused. The
+	// request has not run.
+	Refuse func(http.ResponseWriter, *http.Request, Cause)
+}
+
+// OperatorLimits are limits that replace those of Limits where they are not zero. A
+// header limit above Limits.HeaderBytes, and times above those of Limits, have no effect
+// beyond them.
+type OperatorLimits struct {
+	ReadHeader, Idle time.Duration
+	HeaderBytes      int
+	BodyBytes        int64
 }
 
 // DefaultLimits returns limits for a server with up to a few thousand clients.
@@ -76,16 +105,25 @@
 		return nil, apperr.Wrap(err, apperr.KindInvalid, "listen address "+address, "cannot be opened",
 			"choose a free port on an address of this VM")
 	}
+	wrapped := wrapListener(inner, l.Wrap)
+	var limited net.Listener
+	if l.Guard != nil {
+		guarded := newGuardedListener(wrapped, l)
+		limited, handler = guarded, guarded.handler(handler)
+	} else {
+		limited = limitListener(wrapped, l.Connections)
+	}
 	s := &Server{
 		http: &http.Server{
 			Handler:           handler,
+			ConnContext:       withConn,
 			ReadHeaderTimeout: l.ReadHeader,
 			ReadTimeout:       l.Read,
 			WriteTimeout:      l.Write,
 			IdleTimeout:       l.Idle,
 			MaxHeaderBytes:    l.HeaderBytes,
 		},
-		listener:    limitListener(wrapListener(inner, l.Wrap), l.Connections),
+		listener:    limited,
 		serveResult: make(chan error, 1),
 		unused:      make(map[net.Conn]time.Time),
 		active:      make(map[net.Conn]bool),
@@ -105,6 +143,7 @@
 // trackState records the state of a connection. It is called by net/http on every
 // change of state.
 func (s *Server) trackState(conn net.Conn, state http.ConnState) {
+	trackGuarded(conn, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.unused, conn)
