platform, jobserver: apply the guard to entries and agents

Cause: 240 submissions that finished at the same time took 4,419 MB of 64; a body of 256 KB can hold 87,000 empty steps.

Change: limits.memory_mb and max_open_files, and the operator's limits on headers, bodies and times, reach the guard. The job roles set Go's memory limit as an additional measure.

--- a/internal/cli/jobroles.go
+++ b/internal/cli/jobroles.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -67,20 +68,34 @@
 			return err
 		}
 		tel.CounterFunc("log_lines_dropped", "Log lines that were dropped because the output was too slow.", nil, output.Dropped)
+		setMemoryLimit(s.MemoryBytes)
+		guard := httpserve.NewGuard(s.MemoryBytes, s.OpenFiles, tel)
 		if port := c.Int("metrics-port"); port > 0 {
-			metrics, err := httpserve.Listen(net.JoinHostPort(s.Address, strconv.Itoa(port)), tel.MetricsHandler, httpserve.DefaultLimits())
+			metrics, err := httpserve.Listen(net.JoinHostPort(s.Address, strconv.Itoa(port)), tel.MetricsHandler, jobserver.MetricsLimits(guard))
 			if err != nil {
 				return err
 			}
 			defer func() { _ = metrics.Close() }()
 		}
 		go checkSettingsOnHangup(ctx, tel.Log)
-		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel})
+		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard})
 		tel.Log.Log(eventJobRoleStopped, err, telemetry.Fields{"dropped": output.Dropped()})
 		return err
 	}
 }
 
+// setMemoryLimit makes the garbage collector run more often when the process comes near
+// the memory of its VM. It is an additional measure: what untrusted clients may take is
+// bounded by httpserve.Guard.
+func setMemoryLimit(memoryBytes int64) {
+	// programBytes is the resident part of the program itself, which the limit does
+	// not count.
+	const programBytes = 20 << 20
+	if memoryBytes > 2*programBytes && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit((memoryBytes - programBytes) * 9 / 10)
+	}
+}
+
 // checkSettingsOnHangup rereads the settings on SIGHUP to report mistakes in
 // them. The running process keeps its settings.
 func checkSettingsOnHangup(ctx context.Context, log *telemetry.Logger) {
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -67,6 +67,17 @@
 	Settings  *platform.Settings
 	Store     *platform.Store
 	Telemetry *telemetry.Telemetry
+	// Guard protects the process from untrusted clients; nil means one with the
+	// limits of the settings.
+	Guard *httpserve.Guard
+}
+
+// withGuard returns the options with a guard.
+func (o Options) withGuard() Options {
+	if o.Guard == nil {
+		o.Guard = httpserve.NewGuard(o.Settings.MemoryBytes, o.Settings.OpenFiles, o.Telemetry)
+	}
+	return o
 }
 
 func newIncarnation() types.Incarnation {
@@ -83,6 +94,7 @@
 	intake    *jobs.Intake
 	candidate *jobs.Candidate
 	config    atomic.Pointer[jobs.Configuration]
+	limits    atomic.Pointer[httpserve.OperatorLimits]
 	stopping  atomic.Bool
 	ready     atomic.Bool
 }
@@ -92,6 +104,7 @@
 // error if an address cannot be listened on, or if the servers do not shut down
 // without an error before the grace period ends.
 func RunEntry(ctx context.Context, o Options) error {
+	o = o.withGuard()
 	e := &entry{Options: o}
 	s := o.Settings
 	var advisor jobs.Advisor
@@ -107,11 +120,11 @@
 	e.intake = jobs.NewIntake(table, o.Store.Limits(), o.Telemetry.Log, e.candidate.NotifyCancelled)
 	callers, err := httpserve.Listen(s.CallerAPI, &platform.CallerAPI{
 		Intake: e.intake, Config: e.config.Load, Log: o.Telemetry.Log, Tracer: o.Telemetry.Tracer,
-	}, httpserve.DefaultLimits())
+	}, e.callerLimits())
 	if err != nil {
 		return err
 	}
-	ready, err := httpserve.Listen(s.Ready, http.HandlerFunc(e.serveReady), httpserve.DefaultLimits())
+	ready, err := httpserve.Listen(s.Ready, http.HandlerFunc(e.serveReady), e.readyLimits())
 	if err != nil {
 		return err
 	}
@@ -180,6 +193,8 @@
 			continue // the rows were read before the current version was written
 		}
 		e.config.Store(c)
+		limits := platform.DecodeLimits(r.Value)
+		e.limits.Store(&limits)
 		e.candidate.NotifyQueuesChanged()
 		e.Telemetry.Log.Log(eventConfigInEffect, nil, telemetry.Fields{"version": c.Version, "before": before, "queues": len(c.Queues)})
 	}
@@ -218,15 +233,16 @@
 // cannot be listened on, or if the servers do not shut down without an error within
 // stopMargin.
 func RunAgent(ctx context.Context, o Options) error {
+	o = o.withGuard()
 	s := o.Settings
 	incarnation := newIncarnation()
 	vm := types.VMID(s.Address) // the IP address identifies the VM
 	a := agent.New(agent.Options{VM: vm, Incarnation: incarnation, WorkerClient: platform.NewWorker(s.Worker), Telemetry: o.Telemetry})
-	announcements, err := httpserve.Listen(s.Announcements, platform.NewAnnouncementHandler(s, a, o.Telemetry.Log), httpserve.DefaultLimits())
+	announcements, err := httpserve.Listen(s.Announcements, platform.NewAnnouncementHandler(s, a, o.Telemetry.Log), o.announcementLimits())
 	if err != nil {
 		return err
 	}
-	calls, err := httpserve.Listen(s.InternalAddress(), agentapi.NewHandler(a), httpserve.DefaultLimits())
+	calls, err := httpserve.Listen(s.InternalAddress(), agentapi.NewHandler(a), o.callLimits())
 	if err != nil {
 		return err
 	}
