entry, worker: apply the guard to the product's own interface

Cause: calls between processes were read up to 9 MB each before their code was checked: 60 clients took up to 1,212 MB.

Change: the listeners of callers, operators, announcements and calls use the guard; the setting limits.memory (256 MB if not set) gives its size.

--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -96,7 +96,7 @@
 	n, err := node.New(node.Options{
 		Name: string(s.ID), Role: string(s.Role), Region: s.Region, FailureDomain: s.FailureDomain,
 		Internal: s.Listen.Internal.String(), Key: []byte(s.Credentials.SharedKey.Value()),
-		Peers: addresses(s.Peers), Telemetry: tel,
+		Peers: addresses(s.Peers), Telemetry: tel, Guard: httpserve.NewGuard(s.Limits.MemoryBytes, 0, tel),
 	})
 	if err != nil {
 		return err
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
 	"github.com/boragecrank/boragecrank/internal/core/types"
+	"github.com/boragecrank/boragecrank/internal/httpserve"
 	"github.com/boragecrank/boragecrank/internal/node"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 	"github.com/boragecrank/boragecrank/internal/wire/runcall"
@@ -74,7 +74,7 @@
 	if len(key) > maxIdempotencyKeyBytes {
 		return nil, errNotRun(apperr.KindInvalid, "Idempotency-Key", "is longer than 255 bytes", "send a shorter key")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.opts.MaxBody))
+	body, err := httpserve.ReadBody(w, r, e.opts.MaxBody)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, errNotRun(apperr.KindTooLarge, "request body", "is larger than "+strconv.FormatInt(e.opts.MaxBody, 10)+" bytes", "send a smaller body")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,16 +135,31 @@
 // limit. Headers between the two limits are refused with a typed error.
 const headerLimitFactor = 2
 
+const (
+	// callHandleFactor covers the copy of a body that is sent to a worker.
+	callHandleFactor = 1
+	// operatorShare is the share of the process's connections for operators; 162 with
+	// the default memory.
+	operatorShare = 0.125
+	// operatorHandleFactor covers the decoded configuration.
+	operatorHandleFactor = 4
+)
+
 // Start opens the listeners of both APIs and starts the background work.
 func (e *Entry) Start() error {
 	limits := e.opts.Limits
 	limits.HeaderBytes *= headerLimitFactor
+	operatorLimits := e.opts.Limits
+	limits.Guard, limits.Name, limits.Share = e.node.Guard, "callers", 1
+	limits.BodyBytes, limits.HandleFactor, limits.Refuse = e.opts.MaxBody, callHandleFactor, httpserve.RefuseRequest
+	operatorLimits.Guard, operatorLimits.Name, operatorLimits.Share = e.node.Guard, "operators", operatorShare
+	operatorLimits.BodyBytes, operatorLimits.HandleFactor, operatorLimits.Refuse = maxOperatorBodyBytes, operatorHandleFactor, httpserve.RefuseCall
 	var err error
 	e.callers, err = httpserve.Listen(e.opts.Callers, e.callersHandler(), limits)
 	if err != nil {
 		return err
 	}
-	e.operators, err = httpserve.Listen(e.opts.Operators, e.operatorsHandler(), e.opts.Limits)
+	e.operators, err = httpserve.Listen(e.opts.Operators, e.operatorsHandler(), operatorLimits)
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,11 @@
 	// maxCallHeader bounds the header of a call in bytes: the largest header that
 	// settings allow for callers (1 MB) and the system's own fields.
 	maxCallHeader = 1<<20 + 64<<10
+	// internalShare is the share of the process's connections for this listener. The
+	// callers' listener may use all, up to its own setting.
+	internalShare = 0.5
+	// callHandleFactor covers the copy of a body that is decoded or sent on.
+	callHandleFactor = 1
 	// fetchTimeout bounds one fetch of the configuration from a peer.
 	fetchTimeout = 3 * time.Second
 	// ageNeverConfirmed is the age, in milliseconds, that a datagram carries for
@@ -56,6 +61,8 @@
 	// Peers are internal addresses to fetch the configuration from at start.
 	Peers     []string
 	Telemetry *telemetry.Telemetry
+	// Guard protects the process from untrusted clients; nil means none, for tests.
+	Guard *httpserve.Guard
 }
 
 // Node is the part of a running process that is common to all roles.
@@ -124,6 +131,8 @@
 	// run long at an upstream.
 	limits.Read, limits.Write = 2*time.Minute, 2*time.Minute
 	limits.HeaderBytes = maxCallHeader
+	limits.Guard, limits.Name, limits.Share = n.Guard, "internal", internalShare
+	limits.BodyBytes, limits.HandleFactor, limits.Refuse = MaxCallBody, callHandleFactor, httpserve.RefuseCall
 	server, err := httpserve.Listen(n.Internal, callauth.Middleware(n.Key, MaxCallBody, n.Mux), limits)
 	if err != nil {
 		return err
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -65,8 +65,9 @@
 			{Key: "body", Type: tomlcheck.Size, Default: "1MB", Min: "1KB", Max: "8MB", Doc: "Body of one request. Each hop holds it as a whole."},
 			{Key: "response", Type: tomlcheck.Size, Default: "4MB", Min: "1KB", Max: "8MB", Doc: "Body of one response. Each hop holds the whole response before it sends the first byte."},
 			{Key: "header", Type: tomlcheck.Size, Default: "32KB", Min: "1KB", Max: "1MB", Doc: "Header of one request."},
-			{Key: "connections", Type: tomlcheck.Int, Default: "1024", Min: "1", Max: "100000", Doc: "Open connections of callers or, for a worker, of entries."},
+			{Key: "connections", Type: tomlcheck.Int, Default: "1024", Min: "1", Max: "100000", Doc: "Open connections of callers, and no more than `memory` allows (1302 with the default)."},
 			{Key: "queue", Type: tomlcheck.Int, Default: "512", Min: "1", Max: "100000", Doc: "Requests that wait for a worker or a slot."},
+			{Key: "memory", Type: tomlcheck.Size, Default: "256MB", Min: "256MB", Max: "64TB", Doc: "Memory of the process. Untrusted clients may take 5/16 of it: 1/8 for connections, 1/16 each for headers, for bodies being received and for requests being handled."},
 		},
 	},
 	{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,12 +68,15 @@
 	ResponseBytes int64
 	// HeaderBytes is the maximum size of the header of one request.
 	HeaderBytes int64
-	// Connections is the maximum number of open connections of callers. The same
-	// maximum applies separately to connections of operators.
+	// Connections is the maximum number of open connections of callers, and separately
+	// of operators. MemoryBytes may allow fewer.
 	Connections int
 	// Queue is the maximum number of requests of one service that wait for a worker
 	// or a slot at an entry.
 	Queue int
+	// MemoryBytes is the memory of the process that the limits on untrusted clients
+	// are derived from.
+	MemoryBytes int64
 }
 
 // Drain holds the times of a graceful shutdown.
@@ -188,6 +191,7 @@
 		HeaderBytes:   r.Int("header"),
 		Connections:   int(r.Int("connections")),
 		Queue:         int(r.Int("queue")),
+		MemoryBytes:   r.Int("memory"),
 	}
 }
 
--- a/internal/wire/callauth/callauth.go
+++ b/internal/wire/callauth/callauth.go
@@ -17,6 +17,7 @@
 	"net/http"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/httpserve"
 )
 
 // Header is the HTTP header that carries the authentication code in hexadecimal.
@@ -49,7 +50,7 @@
 // receives the whole body from memory.
 func Middleware(key []byte, maxBody int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := readAll(http.MaxBytesReader(w, r.Body, maxBody))
+		body, err := httpserve.ReadBody(w, r, maxBody)
 		if err != nil {
 			apperr.WriteHTTP(w, apperr.Wrap(err, apperr.KindTooLarge, "call "+r.URL.Path,
 				"body cannot be read, or exceeds the size limit", "send a smaller body"))
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -136,6 +136,10 @@
 	return w
 }
 
+// announcementShare is the share of the process's connections for announcements; 162
+// with the default memory.
+const announcementShare = 0.125
+
 // Start starts the worker. The node must hold a configuration that contains the
 // VM.
 func (w *Worker) Start(ctx context.Context, vm types.VM) error {
@@ -158,7 +162,10 @@
 	if err := w.tasks.adoptRunning(ctx); err != nil {
 		return err
 	}
-	w.local, err = httpserve.Listen(w.opts.Local, w.localHandler(), httpserve.DefaultLimits())
+	local := httpserve.DefaultLimits()
+	local.Guard, local.Name, local.Share = w.node.Guard, "announcements", announcementShare
+	local.BodyBytes, local.HandleFactor, local.Refuse = maxAnnouncementBytes, 1, httpserve.RefuseCall
+	w.local, err = httpserve.Listen(w.opts.Local, w.localHandler(), local)
 	if err != nil {
 		return err
 	}
