--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -67,6 +67,7 @@
 	t.log.Log(eventOwnerRecovered, nil, telemetry.Fields{
 		"prepared": t.prepared != nil, "jobs": len(s.jobs.Rows), "agents": len(agents), "revision": s.jobs.Revision, "ms": time.Since(begin).Milliseconds(),
 	})
+	t.prepared = nil // the core holds its own state; frees the rows
 	return true
 }
 
