intake: extending a charge keeps the order of the silent holders

Cause: Extend renewed the time of the last progress of a holder, but left it at its place in the order that Press goes through from the front. A body of unknown length that had sent 16 KB slowly and then waited for memory hid all holders behind it for up to 500 ms, so that nothing was given up for requests that wait at most 1.5 s.

Change: Extend moves the holder to the end of the order.

Result: TestWaitingHolderDoesNotHideSilentOnes failed before (0 holders given up of 11 that were silent for 500 ms) and passes, as do the other tests of the package (-race).

--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -99,6 +99,27 @@
 	}
 }
 
+// Guards against a holder at the front of the order that has sent a part recently, waits
+// for more of the pool, and hides those behind it that have been silent for longer.
+func TestWaitingHolderDoesNotHideSilentOnes(t *testing.T) {
+	p := newPool()
+	growing := p.Acquire(0, 16*kb)
+	p.Progress(growing, 0)
+	var silent []*Charge
+	for range 11 {
+		c := p.Acquire(0, body)
+		p.Progress(c, 0)
+		silent = append(silent, c)
+	}
+	p.Extend(growing, 450*time.Millisecond, body)
+	if !growing.Waiting() {
+		t.Fatal("the pool has room for the extension")
+	}
+	if v := p.Press(500 * time.Millisecond); len(v) != 1 || v[0] != silent[0] {
+		t.Errorf("%d holders given up, want the one that was silent for longest", len(v))
+	}
+}
+
 // Guards against a sum above the budget, a release that counts twice, and a small
 // request that waits although only large incomplete bodies hold the budget.
 func FuzzPool(f *testing.F) {
--- a/internal/core/intake/pool.go
+++ b/internal/core/intake/pool.go
@@ -80,6 +80,9 @@
 // while the charge waits.
 func (p *Pool) Extend(c *Charge, now time.Duration, n int64) {
 	c.last = now
+	if c.incomplete != nil {
+		p.incomplete.MoveToBack(c.incomplete) // Press relies on the order
+	}
 	c.want = max(0, min(n, p.Largest()-c.held))
 	c.queue = 0
 	if c.held+c.want > p.cfg.Small {
