intake: small charges within the reserve do not keep out a large one

Cause: a large charge was admitted only if all charges together left the reserve free. A charge that is cut to the largest that fits therefore needed an empty pool, while small ones pass it in the queue. In the interface of the product a configuration of more than 2.4 MB (five times its size exceeds the 12 MB of a process with 256 MB) was refused with 503 as long as any caller's request with a body was in progress; the same held for calls of more than 1.8 MB to an agent with 152 MB.

Change: the bound for large charges counts large ones only. The sum of all charges and the part that large ones cannot take from small ones are as before.

Result: TestSmallChargesDoNotKeepOutLargeOne failed before and passes.

--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -120,6 +120,28 @@
 	}
 }
 
+// Guards against a large charge, in particular one that was cut to the largest that fits,
+// that waits for small ones although these use no more than their reserve.
+func TestSmallChargesDoNotKeepOutLargeOne(t *testing.T) {
+	p := newPool()
+	for range 64 { // 1 MB, the reserve
+		if p.Acquire(0, 16*kb).Waiting() {
+			t.Fatal("a small charge waits")
+		}
+	}
+	large := p.Acquire(0, 64<<20)
+	if large.Waiting() {
+		t.Error("the largest charge waits for small ones within the reserve")
+	}
+	if !p.Acquire(0, 17*kb).Waiting() {
+		t.Error("a second large charge uses the reserve")
+	}
+	p.Release(large)
+	if p.Used() != 64*16*kb+17*kb {
+		t.Errorf("%d bytes used after the release", p.Used())
+	}
+}
+
 // Guards against a sum above the budget, a release that counts twice, and a small
 // request that waits although only large incomplete bodies hold the budget.
 func FuzzPool(f *testing.F) {
@@ -164,7 +186,7 @@
 			p.Release(c)
 			p.Release(c)
 		}
-		if p.Used() != 0 || p.Queued() != 0 || p.leaving != 0 || p.incomplete.Len() != 0 {
+		if p.Used() != 0 || p.large != 0 || p.Queued() != 0 || p.leaving != 0 || p.incomplete.Len() != 0 {
 			t.Fatalf("after all releases: used %d, queued %d, leaving %d, incomplete %d", p.Used(), p.Queued(), p.leaving, p.incomplete.Len())
 		}
 	})
@@ -172,7 +194,7 @@
 
 func checkPool(t *testing.T, p *Pool, all []*Charge) {
 	t.Helper()
-	var sum, small int64
+	var sum, small, large int64
 	smallWaits := int64(0)
 	for _, c := range all {
 		sum += c.held
@@ -181,8 +203,13 @@
 			if c.Waiting() {
 				smallWaits = max(smallWaits, c.want)
 			}
+		} else {
+			large += c.held
 		}
 	}
+	if large != p.large {
+		t.Fatalf("large charges hold %d, counted %d", large, p.large)
+	}
 	if sum != p.Used() || sum > p.cfg.Bytes {
 		t.Fatalf("sum of charges %d, used %d, budget %d", sum, p.Used(), p.cfg.Bytes)
 	}
--- a/internal/core/intake/pool.go
+++ b/internal/core/intake/pool.go
@@ -9,7 +9,8 @@
 type PoolConfig struct {
 	// Bytes is the highest sum of all charges.
 	Bytes int64
-	// Reserve is the part of Bytes that only small charges may use.
+	// Reserve is the part of Bytes that only small charges may use. Large ones do not
+	// wait for small ones that use no more than it.
 	Reserve int64
 	// Small is the size in bytes up to which a charge is small.
 	Small int64
@@ -22,6 +23,8 @@
 type Pool struct {
 	cfg  PoolConfig
 	used int64
+	// large is the part of used that charges above Small hold.
+	large int64
 	// leaving is the sum of the charges that were given up and not yet released.
 	leaving int64
 	// waiting holds the *Charge that wait: small ones, large ones.
@@ -84,9 +87,9 @@
 		p.incomplete.MoveToBack(c.incomplete) // Press relies on the order
 	}
 	c.want = max(0, min(n, p.Largest()-c.held))
-	c.queue = 0
-	if c.held+c.want > p.cfg.Small {
+	if c.queue == 0 && c.held+c.want > p.cfg.Small {
 		c.queue = 1
+		p.large += c.held
 	}
 	if p.waiting[c.queue].Len() == 0 && p.fits(c) {
 		p.admit(c)
@@ -95,16 +98,20 @@
 	c.queued = p.waiting[c.queue].PushBack(c)
 }
 
+// fits reports whether the wanted part of a charge can be admitted. Large charges together
+// leave the reserve free; small ones that use no more than it do not keep out a large one.
 func (p *Pool) fits(c *Charge) bool {
-	limit := p.cfg.Bytes
-	if c.queue == 1 {
-		limit = p.Largest()
+	if c.queue == 1 && p.large+c.want > p.Largest() {
+		return false
 	}
-	return p.used+c.want <= limit
+	return p.used+c.want <= p.cfg.Bytes
 }
 
 func (p *Pool) admit(c *Charge) {
 	p.used += c.want
+	if c.queue == 1 {
+		p.large += c.want
+	}
 	c.held += c.want
 	c.want = 0
 }
@@ -150,6 +157,9 @@
 		c.queued = nil
 	}
 	p.used -= c.held
+	if c.queue == 1 {
+		p.large -= c.held
+	}
 	if c.evicted {
 		p.leaving -= c.held
 	}
