--- a/internal/httpserve/body.go
+++ b/internal/httpserve/body.go
@@ -99,14 +99,11 @@
 }
 
 // maxBody returns the maximum size of a body: the operator's limit or that of the
-// listener, and no more than the memory allows. A listener's own limit holds up to the
-// whole sum for bodies: the charge of one body is cut then, and it is the only large one.
+// listener, and no more than the memory allows.
 func (l *guardedListener) maxBody(operator int64) int64 {
 	limit := l.limits.BodyBytes
 	if operator > 0 {
 		limit = operator
-	} else if limit <= l.guard.receive.bytes {
-		return limit
 	}
 	if fits := l.guard.receive.largest(); limit > fits {
 		if operator > 0 && !l.bodyCut.Swap(true) {
