outage: a call given up by its caller does not open a partition

Cause: the start of a call whose caller gave up (a client that closed its connection, an owner whose term ended), or that was not valid, stayed recorded as unanswered until a later call to the same partition was answered. With one breaker for the table that was milliseconds later; with one for each partition it may be many seconds. After 0.8 s the partition counted as silent although the table answered: event 356 was logged, and the next submission there waited for a probe.

Result: TestGivenUpCallDoesNotSuspendPartition failed before (open, cause silent, 1 partition) and passes; internal/core/outage and the outage tests of internal/jobs pass (-race).

--- a/internal/core/outage/breaker.go
+++ b/internal/core/outage/breaker.go
@@ -159,8 +159,18 @@
 	}
 }
 
+// GivenUp records that the caller of a call that was started at the given time does not
+// wait for its result any more. If reads usually take as long, the missing answer is no
+// evidence of an outage.
+func (b *Breaker) GivenUp(now, started time.Duration) {
+	b.advance(now)
+	if now-started < b.readTimes.Value() {
+		b.silence.GivenUp(started)
+	}
+}
+
 // Ended records the result of a call that was started at the given time. A call that
-// its caller has abandoned has no result.
+// its caller has abandoned has no result; see GivenUp.
 func (b *Breaker) Ended(now, started time.Duration, call Call, r Result) {
 	b.lastResult = r
 	switch r {
--- a/internal/core/outage/group.go
+++ b/internal/core/outage/group.go
@@ -78,6 +78,17 @@
 	return firstLost
 }
 
+// GivenUp records a call without a result, see Breaker.GivenUp. The breaker of a partition
+// needs it, since a later call there, whose answer would prove that the service is not
+// silent, may follow only after a long time.
+func (g *Group) GivenUp(now, started time.Duration, partition string, call Call) {
+	if call == Wait {
+		return // its start was not recorded
+	}
+	g.whole.GivenUp(now, started)
+	g.partition(partition).GivenUp(now, started)
+}
+
 // otherAnswered reports whether another partition has answered recently.
 func (g *Group) otherAnswered(now time.Duration, except string) bool {
 	for name, at := range g.answeredAt {
--- a/internal/core/outage/outage.go
+++ b/internal/core/outage/outage.go
@@ -41,6 +41,14 @@
 	d.unanswered = slices.Delete(d.unanswered, 0, n)
 }
 
+// GivenUp records that the caller of a call that was started at the given time does not
+// wait for its answer any more.
+func (d *Detector) GivenUp(started time.Duration) {
+	if i := slices.Index(d.unanswered, started); i >= 0 {
+		d.unanswered = slices.Delete(d.unanswered, i, i+1)
+	}
+}
+
 // UnansweredFor returns how long the first unanswered call has been waiting, or 0 if
 // there is none.
 func (d *Detector) UnansweredFor(now time.Duration) time.Duration {
--- a/internal/jobs/watched.go
+++ b/internal/jobs/watched.go
@@ -253,10 +253,13 @@
 // context.
 func (s *WatchedTable) callEnded(ctx context.Context, began time.Duration, partition string, call outage.Call, err error) {
 	result, ok := callResult(ctx, err)
+	s.mu.Lock()
 	if !ok {
+		defer s.mu.Unlock()
+		s.breakers.GivenUp(clock.Now(), began, partition, call)
+		s.reportState()
 		return
 	}
-	s.mu.Lock()
 	firstLost := s.breakers.Ended(clock.Now(), began, partition, call, result)
 	s.reportState()
 	s.mu.Unlock()
--- a/internal/jobs/watched_test.go
+++ b/internal/jobs/watched_test.go
@@ -301,6 +301,42 @@
 	}
 }
 
+// Guards against an event about suspended submissions, and a submission that waits for a
+// probe, in a partition whose last call was given up by its caller, such as a client that
+// closes its connection, while the table answers.
+func TestGivenUpCallDoesNotSuspendPartition(t *testing.T) {
+	t.Parallel()
+	table := &faultyTable{rows: make(map[string]platform.Row)}
+	table.setFault(func(write bool) (time.Duration, error) {
+		if write {
+			return 60 * time.Millisecond, nil
+		}
+		return time.Millisecond, nil
+	})
+	s := NewWatchedTable(table, telemetry.Nop())
+	key := stateKey("a")
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if _, err := s.Commit(ctx, platform.Txn{Conditions: []platform.Condition{{Key: key}}, Writes: []platform.Write{{Key: key}}}); err == nil {
+		t.Fatal("the write was not given up")
+	}
+	for range 10 {
+		time.Sleep(silentThreshold / 8)
+		if _, err := s.Get(t.Context(), "lease/jobs"); err != nil {
+			t.Fatal(err)
+		}
+		s.mu.Lock()
+		state, cause, open := s.breakers.State(clock.Now())
+		s.mu.Unlock()
+		if state != outage.Closed {
+			t.Fatalf("%v, cause %v, %d partitions open; want closed", state, cause, open)
+		}
+	}
+	if d := s.ask(partitionOf(key), false); d != outage.Admit {
+		t.Errorf("decision %v for the next submission, want %v", d, outage.Admit)
+	}
+}
+
 // idleCloser counts how often the idle connections are closed.
 type idleCloser struct {
 	*faultyTable
