httpserve: a connection is known to its slot before timeouts can meet it

Cause: Accept entered the owner of a slot after it had released the lock. It needs a header timeout of the operator that is shorter than the time for which Accept is paused there.

Change: the owner is entered under the lock.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -72,12 +72,13 @@
 		l.mu.Lock()
 		c.slot = l.slots.Open(clock.Now())
 		var victim *intake.Conn
-		if c.slot == nil {
+		if c.slot != nil {
+			c.slot.Owner = c // closeExpired may meet it as soon as the lock is free
+		} else {
 			victim = l.slots.Victim(clock.Now())
 		}
 		l.mu.Unlock()
 		if c.slot != nil {
-			c.slot.Owner = c
 			return c, nil
 		}
 		if victim != nil {
--- a/internal/httpserve/guard_test.go
+++ b/internal/httpserve/guard_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/boragecrank/boragecrank/internal/clock"
 	"github.com/boragecrank/boragecrank/internal/core/intake"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
@@ -260,6 +261,33 @@
 	}
 }
 
+// Guards against a timeout, or the need for a slot, that meets a connection between its
+// slot and the entry of its owner, and ends the process.
+func TestNewConnectionMayExpireAtOnce(t *testing.T) {
+	t.Parallel()
+	s, l := listenGuarded(t, 0, func(l *Limits) {
+		l.Operator = func() OperatorLimits { return OperatorLimits{ReadHeader: time.Nanosecond} }
+	})
+	done := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				l.closeExpired(clock.Now() + time.Second)
+			}
+		}
+	}()
+	for range 300 {
+		_ = start(t, s, "").Close()
+	}
+	close(done)
+	<-ended
+}
+
 type lockedBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
