platform: one unreadable limit does not drop the others without a report

Cause: the limits of the operator's row were decoded together, and any error gave zero for all of them. With "header_timeout_ms":"3s" beside "max_body_bytes":1048576 the configuration took effect, but the guard used the default of 256 KB and refused legal bodies with 413; no event said so (trial on the code before: all limits zero, no error). Before the guard, such a row was served with its limit on bodies.

Event 242 names those that are not readable.

--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -66,6 +66,8 @@
 		"The entry uses this version from now on. Fields: version, before, queues. No action.")
 	eventConfigUnreadable = telemetry.Define(241, logrus.ErrorLevel, "configuration not used",
 		"The operator's row is not readable. The previous version stays in effect. Correct the row.")
+	eventLimitsUnreadable = telemetry.Define(242, logrus.ErrorLevel, "limits of the configuration not used",
+		"The rest of the configuration is in effect, and the defaults apply for the limits that the error names. Correct the row. Fields: revision, version.")
 )
 
 // Options configure RunEntry and RunAgent.
@@ -214,7 +216,10 @@
 		if !replaced {
 			continue // the rows were read before the current version was written
 		}
-		limits := platform.DecodeLimits(r.Value)
+		limits, err := platform.DecodeLimits(r.Value)
+		if err != nil {
+			e.Telemetry.Log.Log(eventLimitsUnreadable, err, telemetry.Fields{"revision": r.Revision, "version": c.Version})
+		}
 		e.limits.Store(&limits)
 		e.candidate.NotifyQueuesChanged()
 		e.Telemetry.Log.Log(eventConfigInEffect, nil, telemetry.Fields{"version": c.Version, "before": before, "queues": len(c.Queues)})
