overload: protected work is not planned at the expense of higher priorities

Cause: a protected occurrence deferred any other, whatever it weighs, and was itself never deferred for one that weighs more. Two cases with throughput 10: work 40 of priority 0 was deferred for protected work 90 of priority 1 due at the same time; and was deferred again when it was due after it. The design says that none is deferred for occurrences that weigh less; protection is against being deferred for the size.

Change: protected occurrences displace only what weighs no more, and give way to what weighs more, the lowest weight first. With a single priority the plan is as before.

Result: two new cases of TestPlanWeighsPriorityAndProtection failed before and pass; a third one, among lower priorities, passed before as well. The other tests of the package, with the simulated loads of one priority, and those of the plan and of paces in internal/core/workflow pass. The time of a placement pass was not compared.

--- a/internal/core/overload/plan.go
+++ b/internal/core/overload/plan.go
@@ -53,14 +53,15 @@
 // It is the algorithm of Moore and Hodgson, which for equal weights maximizes the number
 // of occurrences in time: go through them by due time, and whenever one would be late,
 // defer the one with the most work for its weight. Occurrences are not deferred for one
-// that weighs less than them. Protected ones are deferred only if deferring all others
-// that go before them does not suffice.
+// that weighs less than them. Protected ones are deferred only for one that weighs more,
+// or if deferring all others that go before them and weigh no more does not suffice.
 func Plan(now time.Duration, throughput float64, all []Occurrence) []bool {
-	p := plan{all: all, deferred: make([]bool, len(all)), planned: candidates{cost: make([]float64, len(all))}}
+	p := plan{all: all, deferred: make([]bool, len(all)), planned: candidates{cost: make([]float64, len(all))}, protected: candidates{cost: make([]float64, len(all))}}
 	order := make([]int, len(all))
 	for i := range all {
 		order[i] = i
 		p.planned.cost[i] = all[i].Work / all[i].weight()
+		p.protected.cost[i] = 1 / all[i].weight()
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(all[a].Position(), all[b].Position()) })
 	for _, i := range order {
@@ -75,49 +76,85 @@
 type plan struct {
 	all      []Occurrence
 	deferred []bool
-	// planned holds the planned occurrences that are not protected, work the sum of
-	// the work of all planned ones.
-	planned candidates
-	work    float64
+	// planned holds the planned occurrences that are not protected, protected those that
+	// are, with the lowest weight first; work is the sum of the work of both.
+	planned, protected candidates
+	work               float64
 	// capacity is the work that can be done until the current occurrence is due.
 	capacity float64
-	// removed holds the occurrences that are deferred for the current one.
-	removed []int
+	// removed holds the occurrences that are deferred for the current one, skipped those
+	// that weigh more than it.
+	removed, skipped []int
 }
 
 // add plans an occurrence, and defers others for it if it would be late otherwise. It
 // reports false, and changes nothing, if that does not suffice or costs more than it
 // gains.
 func (p *plan) add(i int) bool {
-	oc := &p.all[i]
-	work, lost := p.work+oc.Work, 0.0
-	p.removed = p.removed[:0]
+	work := p.work + p.all[i].Work
+	p.removed, p.skipped = p.removed[:0], p.skipped[:0]
+	if work > p.capacity {
+		work = p.makeRoom(i, work)
+	}
+	for _, r := range p.skipped {
+		heap.Push(&p.planned, r)
+	}
 	fits := work <= p.capacity
-	for !fits && len(p.planned.order) > 0 {
+	for _, r := range p.removed {
+		if fits {
+			p.deferred[r] = true
+		} else {
+			heap.Push(p.heapOf(r), r)
+		}
+	}
+	if fits {
+		p.work = work
+		heap.Push(p.heapOf(i), i)
+	}
+	return fits
+}
+
+func (p *plan) heapOf(i int) *candidates {
+	if p.all[i].Protected {
+		return &p.protected
+	}
+	return &p.planned
+}
+
+// makeRoom removes planned occurrences until the work fits or no other may be deferred for
+// the given one, and returns the work that is left.
+func (p *plan) makeRoom(i int, work float64) float64 {
+	oc, lost := &p.all[i], 0.0
+	for work > p.capacity && len(p.planned.order) > 0 {
 		worst := p.planned.order[0]
+		if oc.Protected && p.all[worst].weight() > oc.weight() {
+			heap.Pop(&p.planned)
+			p.skipped = append(p.skipped, worst)
+			continue
+		}
 		lost += p.all[worst].weight()
 		if !oc.Protected && (lost > oc.weight() || p.planned.cost[worst] <= p.planned.cost[i]) {
+			lost -= p.all[worst].weight()
 			break
 		}
-		heap.Pop(&p.planned)
-		p.removed = append(p.removed, worst)
-		work -= p.all[worst].Work
-		fits = work <= p.capacity
+		work = p.remove(&p.planned, work)
 	}
-	if !fits {
-		for _, r := range p.removed {
-			heap.Push(&p.planned, r)
+	for work > p.capacity && len(p.protected.order) > 0 {
+		worst := p.protected.order[0]
+		lost += p.all[worst].weight()
+		if p.all[worst].weight() >= oc.weight() || !oc.Protected && lost > oc.weight() {
+			break
 		}
-		return false
+		work = p.remove(&p.protected, work)
 	}
-	for _, r := range p.removed {
-		p.deferred[r] = true
-	}
-	p.work = work
-	if !oc.Protected {
-		heap.Push(&p.planned, i)
-	}
-	return true
+	return work
+}
+
+// remove removes the first occurrence of a heap, and returns the work without its own.
+func (p *plan) remove(c *candidates, work float64) float64 {
+	worst := heap.Pop(c).(int)
+	p.removed = append(p.removed, worst)
+	return work - p.all[worst].Work
 }
 
 // candidates is a heap of occurrences, with the one of the highest cost first.
--- a/internal/core/overload/plan_test.go
+++ b/internal/core/overload/plan_test.go
@@ -93,6 +93,11 @@
 	small, large := Occurrence{Due: due, Work: 40}, Occurrence{Due: due, Work: 90}
 	low, protected := small, large
 	low.Priority, protected.Protected = 1, true
+	lowProtected := protected
+	lowProtected.Priority = 1
+	late := small
+	late.Due += time.Second
+	lowSmall := Occurrence{Due: due, Work: 30, Priority: 1}
 	for _, c := range []struct {
 		name string
 		all  []Occurrence
@@ -102,6 +107,9 @@
 		{"not for a lower priority", []Occurrence{large, low}, []bool{false, true}},
 		{"lower priority is deferred", []Occurrence{low, low, large}, []bool{true, true, false}},
 		{"protected", []Occurrence{small, small, protected}, []bool{true, true, false}},
+		{"protected, not for a higher priority", []Occurrence{small, lowProtected}, []bool{false, true}},
+		{"protected, for the higher priority only", []Occurrence{late, lowProtected, late}, []bool{false, true, false}},
+		{"protected, others of its priority", []Occurrence{{Due: due, Work: 5}, lowSmall, lowProtected}, []bool{false, true, false}},
 		{"protected and too large", []Occurrence{small, {Due: due, Work: 101, Protected: true}}, []bool{false, true}},
 	} {
 		if got := Plan(testNow, testThroughput, c.all); !slices.Equal(got, c.want) {
