httpserve: test of the largest configuration beside a small request

With the least memory of the product (256 MB), a body of 8 MB on a listener with the limits of the operators is served beside small charges, announced and chunked.

--- a/internal/httpserve/guard_test.go
+++ b/internal/httpserve/guard_test.go
@@ -128,6 +128,44 @@
 	_ = resp.Body.Close()
 }
 
+// Guards against refusing the largest configuration of the product's operators, whose
+// handling is charged with more than the budget, beside an ordinary request that is in
+// progress, with the least memory that its settings allow.
+func TestLargestBodyIsServedBesideSmallOne(t *testing.T) {
+	t.Parallel()
+	const limit = 8 << 20
+	l := DefaultLimits()
+	l.Guard = NewGuard(256<<20, DefaultOpenFiles, telemetry.Nop())
+	l.Name, l.Share, l.BodyBytes, l.HandleFactor = "test", 1, limit, 4
+	s, err := Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := ReadBody(w, r, limit)
+		_, _ = fmt.Fprint(w, len(body), err)
+	}), l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	for _, b := range []*budget{l.Guard.receive, l.Guard.handle} {
+		other := b.hold(nil)
+		if !other.extend(4<<10, 0, nil) {
+			t.Fatal("a small charge waits")
+		}
+		t.Cleanup(other.release)
+	}
+	body := strings.Repeat("x", limit)
+	for _, reader := range []io.Reader{strings.NewReader(body), io.MultiReader(strings.NewReader(body))} { // announced, chunked
+		resp, err := http.Post("http://"+s.Addr().String(), "text/plain", reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if want := fmt.Sprint(limit, nil); resp.StatusCode != http.StatusOK || string(got) != want {
+			t.Errorf("status %d, %.100q, want %q", resp.StatusCode, got, want)
+		}
+	}
+}
+
 // Guards against reading a body over the limit, by its announced length or in chunks.
 func TestOversizeIsRefused(t *testing.T) {
 	t.Parallel()
