workflow: planned filling work goes by remaining work

Change: within the planned occurrences the order is that of before (started is left out), protected size classes first, deferred ones last. Tests of the plan, order, paces and starvation passed with -race.

--- a/internal/core/workflow/order.go
+++ b/internal/core/workflow/order.go
@@ -51,14 +51,14 @@
 // Within a tier and priority, occurrences that have started go first, then
 // those with the least remaining work: ordering by deadline under overload
 // makes all jobs a little late. Filling work that can be in time goes by the
-// plan, see planFilling: planned occurrences by due time, deferred ones by
-// priority and least remaining work.
+// plan, see planFilling: protected occurrences first, then the other planned ones,
+// then the deferred ones.
 type rank struct {
 	tier tier
-	// position is the sort key of planned filling work, and 0 for other work, which
-	// does not compete with it for unused processors.
-	position time.Duration
-	priority int
+	// unprotected is 0 for planned filling work whose size class is protected,
+	// otherwise 1.
+	unprotected int
+	priority    int
 	// unstarted is 1 if nothing of the occurrence has started, otherwise 0.
 	unstarted int
 	// work is the remaining work of the occurrence in processor seconds.
@@ -69,7 +69,7 @@
 	j := s.job
 	o.forecast(s.occurrence, j)
 	due := s.occurrence.due + s.occurrence.objective
-	r := rank{priority: o.queueOf(j).Priority, work: s.occurrence.remainingWork()}
+	r := rank{unprotected: 1, priority: o.queueOf(j).Priority, work: s.occurrence.remainingWork()}
 	if !s.occurrence.started() {
 		r.unstarted = 1
 	}
@@ -116,7 +116,7 @@
 }
 
 func (r rank) compare(other rank) int {
-	return cmp.Or(cmp.Compare(r.tier, other.tier), cmp.Compare(r.position, other.position), cmp.Compare(r.priority, other.priority), cmp.Compare(r.unstarted, other.unstarted), cmp.Compare(r.work, other.work))
+	return cmp.Or(cmp.Compare(r.tier, other.tier), cmp.Compare(r.unprotected, other.unprotected), cmp.Compare(r.priority, other.priority), cmp.Compare(r.unstarted, other.unstarted), cmp.Compare(r.work, other.work))
 }
 
 // waitingSteps returns the steps with waiting tasks or background runs in placement
--- a/internal/core/workflow/overload.go
+++ b/internal/core/workflow/overload.go
@@ -55,11 +55,10 @@
 type planState struct {
 	// pass is the last plan that had the occurrence.
 	pass uint64
-	// deferred and position are the result with the given throughput; position is the
-	// sort key of planned occurrences.
-	deferred   bool
-	position   time.Duration
-	throughput float64
+	// deferred is the result with the given throughput. protected: the size class is
+	// protected.
+	deferred, protected bool
+	throughput          float64
 	// criticalPath is the longest critical path of its ready steps that can be in time.
 	criticalPath time.Duration
 	// waits: tasks of such steps wait.
@@ -94,7 +93,7 @@
 
 // set records the result of a plan.
 func (plan *planState) set(throughput float64, deferred bool, oc *overload.Occurrence) {
-	plan.throughput, plan.deferred, plan.position = throughput, deferred, oc.Position()
+	plan.throughput, plan.deferred, plan.protected = throughput, deferred, oc.Protected
 }
 
 func (s *OverloadStatus) count(oc *occurrence, input *overload.Occurrence) {
@@ -224,17 +223,18 @@
 }
 
 // applyPlan changes the rank of a filling step that can be in time: planned occurrences go
-// by position, deferred ones after them.
+// by least remaining work, protected ones first, and deferred ones after them.
 func (o *Owner) applyPlan(r *rank, s *step) {
 	plan := &s.occurrence.plan
 	if !onTimePlan || !s.spec.Fills || plan.pass != o.overload.pass {
 		return
 	}
 	r.unstarted = 0
-	if plan.deferred {
+	switch {
+	case plan.deferred:
 		r.tier = tierDeferred
-	} else {
-		r.position = plan.position
+	case plan.protected:
+		r.unprotected = 0
 	}
 	o.recordPlan(s)
 }
