faultsoak: evacuations, faults of the store, stopping owners, untrusted clients

Cause: the fault soak did not know evacuations of failure domains, stores that reset connections or refuse single entries, owners that stop in series, and clients that do not stay within the limits.

Change: these faults are drawn from a generator of their own. The soak checks that nothing starts in an evacuated failure domain after the bound, that no process ends by itself, and that each entry answers after the faults. The stand-in store can reset calls for some partitions. A process may now be stopped by two faults at a time, so stops and starts of one are serialised.

--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -165,9 +165,9 @@
 	return resp.StatusCode, string(text)
 }
 
-func (j *jobClient) awaitReady(ctx context.Context) bool {
+func (j *jobClient) awaitReady(ctx context.Context, entry int) bool {
 	for range 200 {
-		if code, _ := j.call(ctx, 0, http.MethodGet, "", nil); code == http.StatusOK {
+		if code, _ := j.call(ctx, entry, http.MethodGet, "", nil); code == http.StatusOK {
 			return true
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/internal/faultsoak/cmd/main.go
+++ b/internal/faultsoak/cmd/main.go
@@ -27,6 +27,7 @@
 	workers := flag.Int("workers", 4, "number of workers, each with an agent process")
 	rate := flag.Float64("jobs", 4, "jobs submitted per second")
 	workerFaults := flag.Bool("workerfaults", true, "also restart workers and let them fail tasks")
+	platformFaults := flag.Bool("platformfaults", true, "also evacuations, further faults of the store, owners that stop in series, and untrusted clients")
 	silentRestarts := flag.String("silentrestarts", "off", "workers that restart behind a silent network and are cut off soon after: off, also, or only (no other faults)")
 	maxLease := flag.Duration("maxlease", standin.DefaultMaxLease, "longest lease of a worker")
 	rowBytes := flag.Int("rowbytes", 0, "maximum size of a value in the store, 0 for one that divides the progress of large jobs")
@@ -35,7 +36,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := runAll(ctx, *first, *seeds, faultsoak.Options{
 		Binary: *binary, Entries: *entries, Workers: *workers, Faults: *faults, WorkerFaults: *workerFaults, RowBytes: *rowBytes, JobsPerSecond: *rate,
-		SilentRestarts: *silentRestarts != "off", OnlySilentRestarts: *silentRestarts == "only", MaxLease: *maxLease,
+		SilentRestarts: *silentRestarts != "off", OnlySilentRestarts: *silentRestarts == "only", PlatformFaults: *platformFaults && *silentRestarts != "only", MaxLease: *maxLease,
 	})
 	stop()
 	os.Exit(code)
@@ -55,7 +56,7 @@
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 			return 2
 		}
-		fmt.Printf("seed %d: %d accepted, %d refused, %d unknown, %d completed, %d starts, %d store calls, faults", seed, r.Accepted, r.Refused, r.Unknown, r.Completed, r.Starts, r.Calls)
+		fmt.Printf("seed %d: %d accepted, %d refused, %d unknown, %d completed, %d starts, %d store calls, %d excused starts, faults", seed, r.Accepted, r.Refused, r.Unknown, r.Completed, r.Starts, r.Calls, r.ExcusedStarts)
 		for _, k := range slices.Sorted(maps.Keys(r.Faults)) {
 			fmt.Printf(" %s %d", k, r.Faults[k])
 		}
--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -25,6 +25,14 @@
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
+	// cycleMu is held from the signal that ends the process until it has started again.
+	cycleMu sync.Mutex
+	// ending is set before the soak ends the process. onCrash, if not nil, is called
+	// when it has ended otherwise.
+	ending  atomic.Bool
+	onCrash func(name string, err error)
+	// faults holds the kills and pauses.
+	faults faultLog
 	// pausedUntil is the end of a pause of the process, in Unix nanoseconds.
 	pausedUntil atomic.Int64
 }
@@ -48,14 +56,18 @@
 		return fmt.Errorf("process %s cannot be started: %w", p.name, err)
 	}
 	p.mu.Lock()
+	p.pausedUntil.Store(0)
 	p.cmd = cmd
 	p.mu.Unlock()
 	ended := make(chan struct{})
 	p.ended = ended
-	p.pausedUntil.Store(0)
+	p.ending.Store(false)
 	go func() {
-		_ = cmd.Wait() // the status of a killed process is not an error here
+		err := cmd.Wait() // the status of a killed process is not an error here
 		_ = out.Close()
+		if !p.ending.Load() && p.onCrash != nil {
+			p.onCrash(p.name, err)
+		}
 		close(ended)
 	}()
 	return nil
@@ -70,6 +82,9 @@
 // kill continues the process, which may be paused, and ends it immediately with
 // SIGKILL.
 func (p *process) kill() {
+	p.ending.Store(true)
+	p.faults.set(true)
+	p.faults.set(false)
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
 	<-p.ended
@@ -77,14 +92,22 @@
 
 // stop sends SIGTERM to the process and kills it after stopTimeout. It reports
 // whether the process ended without being killed. A paused process handles the
-// signal only when it runs again, so stopTimeout counts from then on.
+// signal only when it runs again, so stopTimeout counts from then on, also if the pause
+// begins after the signal.
 func (p *process) stop() bool {
+	p.ending.Store(true)
 	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.ended:
-		return true
-	case <-time.After(max(0, time.Until(time.Unix(0, p.pausedUntil.Load()))) + stopTimeout):
-		p.kill()
-		return false
+	for sentAt := time.Now(); ; {
+		runsFrom := time.Unix(0, max(sentAt.UnixNano(), p.pausedUntil.Load()))
+		left := time.Until(runsFrom.Add(stopTimeout))
+		if left <= 0 {
+			p.kill()
+			return false
+		}
+		select {
+		case <-p.ended:
+			return true
+		case <-time.After(left):
+		}
 	}
 }
--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -50,6 +50,8 @@
 	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// faults holds the times in which the mode was not pass.
+	faults faultLog
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -80,6 +82,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	p.faults.set(m != pass)
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if m != reset {
--- a/internal/faultsoak/silentrestart.go
+++ b/internal/faultsoak/silentrestart.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"sync"
 	"time"
-
-	"github.com/boragecrank/boragecrank/internal/core/lease"
 )
 
 // Times of a series of faults: workers restart under their IDs while their network is
@@ -93,19 +91,9 @@
 
 // killOwner kills the entry that owns the jobs and starts it again.
 func (s *silentRestarts) killOwner() {
-	for _, row := range s.w.store.Rows("lease") {
-		l, err := lease.Decode(row.Value)
-		if err != nil {
-			s.w.addViolation("lease row %s: %v", row.Key, err)
-			continue
-		}
-		for i, p := range s.w.entries {
-			if s.w.entryAddresses[i] == string(l.Owner) {
-				s.w.countFault("owner killed after the restart")
-				p.kill()
-				s.w.restart(p)
-			}
-		}
+	if i := s.w.owner(); i >= 0 {
+		s.w.countFault("owner killed after the restart")
+		s.w.killAndRestart(s.w.entries[i])
 	}
 }
 
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -34,6 +35,9 @@
 	// and are cut off soon after, and long tasks. OnlySilentRestarts leaves out all
 	// other faults.
 	SilentRestarts, OnlySilentRestarts bool
+	// PlatformFaults adds evacuations, further faults of the store, owners that stop in
+	// series, and untrusted clients.
+	PlatformFaults bool
 	// MaxLease is the longest lease of a worker; 0 means standin.DefaultMaxLease.
 	MaxLease time.Duration
 	// RowBytes is the maximum size of a value in the store; 0 means defaultRowBytes.
@@ -53,6 +57,8 @@
 	Faults     map[string]int
 	Calls      int
 	Violations []string
+	// ExcusedStarts counts starts in evacuated failure domains that a fault excuses.
+	ExcusedStarts int
 }
 
 const (
@@ -94,6 +100,11 @@
 	res            Result
 	resMu          sync.Mutex
 	pendingUndos   sync.WaitGroup
+	// allGate is in front of the store, entryGates are in front of it for each entry.
+	storeFaults faultLog
+	allGate     *gate
+	entryGates  []*gate
+	evacuations evacuationChecker
 }
 
 // Run performs a run with one seed.
@@ -109,7 +120,7 @@
 	if err := w.startProcesses(); err != nil {
 		return w.res, err
 	}
-	if !w.jobClient.awaitReady(ctx) {
+	if !w.jobClient.awaitReady(ctx, 0) {
 		return w.res, fmt.Errorf("entry 0 was not ready in time (logs are in %s)", o.Dir)
 	}
 	submitCtx, stop := context.WithCancel(ctx)
@@ -126,12 +137,22 @@
 			newSilentRestarts(w).run(ctx, time.Now().Add(o.Faults))
 		}
 	}()
+	sampleCtx, stopSampling := context.WithCancel(ctx)
+	go w.sampleOwner(sampleCtx)
+	defer stopSampling()
 	w.injectFaults(ctx)
 	<-silent
 	stop()
 	submitting.Wait()
 	w.pendingUndos.Wait()
 	w.jobClient.awaitCompletion(ctx)
+	for i, p := range w.entries {
+		if !w.jobClient.awaitReady(ctx, i) {
+			w.addViolation("entry %s does not answer after the faults", p.name)
+		}
+	}
+	violations, excused := w.evacuations.check()
+	w.res.Violations, w.res.ExcusedStarts = append(w.res.Violations, violations...), excused
 	w.res.Calls = w.store.Calls()
 	w.res.Starts = w.runChecker.starts
 	w.res.Violations = append(w.res.Violations, w.runChecker.violations...)
@@ -149,17 +170,17 @@
 
 // startProcesses configures the platform and starts the processes.
 func (w *soakRun) startProcesses() error {
-	server := httptest.NewServer(w.store)
-	w.closers = append(w.closers, server.Close)
+	w.allGate = &gate{next: w.store}
+	w.evacuations.store = []*faultLog{&w.storeFaults, &w.allGate.faults}
+	store := w.serve(w.allGate)
 	config := standin.Configuration(1, standin.Queue{Name: "r-q", Host: host, Prefix: prefix, Service: service})
 	if err := w.store.Put(standin.ConfigTable, standin.ConfigKey, config); err != nil {
 		return err
 	}
-	store := strings.TrimPrefix(server.URL, "http://")
 	w.agentAddresses = make(map[string]string)
 	w.store.SetRewrite(w.rewriteAgentAddress)
 	for i := range w.opts.Entries {
-		if err := w.addEntry(store, i); err != nil {
+		if err := w.addEntry(i); err != nil {
 			return err
 		}
 	}
@@ -171,6 +192,14 @@
 	return nil
 }
 
+// serve starts a server and returns its address.
+func (w *soakRun) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	// Calls that the stand-in leaves without a response would block Close.
+	w.closers = append(w.closers, func() { server.CloseClientConnections(); server.Close() })
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // addProxy starts a proxy in front of a target. It is subject to random faults if
 // drawn is set.
 func (w *soakRun) addProxy(target string, drawn bool) (*proxy, error) {
@@ -196,18 +225,24 @@
 	return value
 }
 
-func (w *soakRun) addEntry(store string, i int) error {
-	storeProxy, err := w.addProxy(store, true)
+func (w *soakRun) addEntry(i int) error {
+	g := &gate{next: w.allGate}
+	storeProxy, err := w.addProxy(w.serve(g), true)
 	if err != nil {
 		return err
 	}
 	settings := standin.NewLocalVM().EntryOptions(fmt.Sprintf("entry-%d", i), storeProxy.address())
 	settings.RowBytes, settings.MaxLease = w.opts.RowBytes, w.opts.MaxLease
+	if w.opts.PlatformFaults {
+		settings.MemoryMB, settings.MaxOpenFiles = entryMemoryMB, entryOpenFiles
+	}
 	p, err := newProcess(w.opts.Dir, w.opts.Binary, "jobs-entry", settings)
 	if err != nil {
 		return err
 	}
-	w.entries = append(w.entries, p)
+	p.onCrash = w.recordCrash
+	w.entries, w.entryGates = append(w.entries, p), append(w.entryGates, g)
+	w.evacuations.entries = append(w.evacuations.entries, []*faultLog{&p.faults, &storeProxy.faults, &g.faults})
 	w.callerAddresses = append(w.callerAddresses, settings.CallerAPI)
 	w.entryAddresses = append(w.entryAddresses, settings.IP)
 	return p.start()
@@ -227,6 +262,9 @@
 	}
 	settings := vm.AgentOptions(fmt.Sprintf("agent-%d", i), storeProxy.address(), service, workerProxy.address())
 	settings.MaxLease = w.opts.MaxLease
+	if w.opts.PlatformFaults {
+		settings.FailureDomain = failureDomain(i)
+	}
 	agentAddress := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InternalPort))
 	agentProxy, err := w.addProxy(agentAddress, false)
 	if err != nil {
@@ -238,7 +276,13 @@
 	w.agentProxies = append(w.agentProxies, []*proxy{agentProxy, storeProxy})
 	options := standin.WorkerOptions{
 		ID: fmt.Sprintf("i-%d", i), Service: service, Address: workerProxy.address(), AgentAddress: settings.Announcements, MilliCPU: 4000, RunTime: runTime,
-		Checkpoint: "00000bb87a21d94b", MaxLease: w.opts.MaxLease, Record: w.runChecker.record,
+		Checkpoint: "00000bb87a21d94b", MaxLease: w.opts.MaxLease,
+		Record: func(event, task string, run uint64) {
+			w.runChecker.record(event, task, run)
+			if event == "start" {
+				w.evacuations.recordStart(i, task, run)
+			}
+		},
 	}
 	if i == 0 {
 		options.Labels = []string{labelOfOne}
@@ -253,7 +297,9 @@
 	if err != nil {
 		return err
 	}
+	p.onCrash = w.recordCrash
 	w.agents = append(w.agents, p)
+	w.evacuations.workers = append(w.evacuations.workers, []*faultLog{&p.faults, &agentProxy.faults, &workerProxy.faults})
 	return p.start()
 }
 
@@ -262,6 +308,13 @@
 // least one is submitted.
 func (w *soakRun) injectFaults(ctx context.Context) {
 	end := time.Now().Add(w.opts.Faults)
+	platformFaults := make(chan struct{})
+	go func() {
+		defer close(platformFaults)
+		if w.opts.PlatformFaults {
+			newPlatformFaults(w).run(ctx, end)
+		}
+	}()
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if !w.opts.OnlySilentRestarts {
 			w.injectFault()
@@ -271,11 +324,20 @@
 	if w.opts.Faults == 0 {
 		time.Sleep(time.Duration(float64(time.Second) / w.opts.JobsPerSecond))
 	}
+	<-platformFaults
 	w.pendingUndos.Wait()
 	for _, p := range w.proxies {
 		p.setMode(pass)
 	}
-	w.store.SetFaults(standin.Faults{})
+	w.setStoreFaults(standin.Faults{})
+}
+
+// setStoreFaults replaces the faults of the store and records the times in which it
+// does not serve its clients. Faults of single partitions do not concern the rows of
+// evacuations.
+func (w *soakRun) setStoreFaults(f standin.Faults) {
+	w.storeFaults.set(f.Unavailable || f.DropResponses || f.Reset)
+	w.store.SetFaults(f)
 }
 
 func (w *soakRun) countFault(kind string) {
@@ -314,18 +376,15 @@
 	switch w.rng.IntN(7) {
 	case 0:
 		w.countFault("kill")
-		p.kill()
-		w.restart(p)
+		w.killAndRestart(p)
 	case 1:
 		w.countFault("terminate")
-		if !p.stop() {
-			w.addViolation("process %s did not end within %v of SIGTERM", p.name, stopTimeout)
-		}
-		w.restart(p)
+		w.stopAndRestart(p)
 	case 2:
 		w.countFault("pause")
 		p.signal(syscall.SIGSTOP)
-		paused := w.undoLater(5*time.Second, func() { p.signal(syscall.SIGCONT) })
+		p.faults.set(true)
+		paused := w.undoLater(5*time.Second, func() { p.signal(syscall.SIGCONT); p.faults.set(false) })
 		p.pausedUntil.Store(time.Now().Add(paused).UnixNano())
 	case 3:
 		w.countFault("reload")
@@ -340,9 +399,29 @@
 		faults := []standin.Faults{{Unavailable: true}, {DropResponses: true}, {Compacted: true}}
 		i := w.rng.IntN(len(faults))
 		w.countFault([]string{"store refuses", "store loses responses", "store compacts history"}[i])
-		w.store.SetFaults(faults[i])
-		w.undoLater(3*time.Second, func() { w.store.SetFaults(standin.Faults{}) })
+		w.setStoreFaults(faults[i])
+		w.undoLater(3*time.Second, func() { w.setStoreFaults(standin.Faults{}) })
+	}
+}
+
+func (w *soakRun) recordCrash(name string, err error) {
+	w.addViolation("process %s ended without a signal of the soak: %v", name, err)
+}
+
+func (w *soakRun) killAndRestart(p *process) {
+	p.cycleMu.Lock()
+	defer p.cycleMu.Unlock()
+	p.kill()
+	w.restart(p)
+}
+
+func (w *soakRun) stopAndRestart(p *process) {
+	p.cycleMu.Lock()
+	defer p.cycleMu.Unlock()
+	if !p.stop() {
+		w.addViolation("process %s did not end within %v of SIGTERM", p.name, stopTimeout)
 	}
+	w.restart(p)
 }
 
 func (w *soakRun) restart(p *process) {
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// Guards against starts in evacuated failure domains, and against jobs that are lost or
+// run twice and processes that end, when the store resets connections, is slow or
+// refuses the owner, owners stop one after another, and untrusted clients stall, beside
+// the faults of TestWorkerFaultSeeds.
+func TestPlatformFaultSeeds(t *testing.T) {
+	runSeed(t, Options{
+		Seed: 70001, Binary: buildBinary(t), Entries: 3, Workers: 6, Faults: 9 * time.Second, WorkerFaults: true, PlatformFaults: true, JobsPerSecond: 8,
+	}, platformFaultKinds...)
+}
+
 // Guards against a driver that crashes when a pause of a process ends while the process
 // is restarted (seed 31107, once): the new command had no process yet.
 func TestSignalDuringRestart(t *testing.T) {
