faultsoak: excuse late starts by delayed orders only

Cause: the check of evacuations also excused starts on workers whose agent was killed or whose connections were reset or silent. Neither delays an order.

Change: pauses and slow connections are recorded apart from other faults.

--- a/internal/faultsoak/evacuation.go
+++ b/internal/faultsoak/evacuation.go
@@ -19,8 +19,8 @@
 	// not served or does not run, goes on with the tasks and worker leases that it has,
 	// and so does a successor of it that has to read the rows first.
 	faultGrace = 4 * time.Second
-	// agentCallTime is how long an agent waits for a worker. An order that a paused
-	// agent or a slow connection carries out late was sent by the owner before.
+	// agentCallTime is how long an agent waits for a worker, and thus how long after a
+	// pause of the agent the worker may receive an order that was sent before.
 	agentCallTime = 1500 * time.Millisecond
 	// failureDomains is the number of failure domains of the workers.
 	failureDomains      = 3
@@ -91,15 +91,15 @@
 //   - while the store did not serve its clients, and in faultGrace after that;
 //   - while the owner was paused, killed or cut off from the store, and in faultGrace
 //     after that or after another entry has become the owner;
-//   - late orders: the worker's agent was paused, or one of the connections to it was
-//     faulty, in the last agentCallTime. The owner can't recall an order.
+//   - late orders: the worker's agent was paused, or a connection on the way from the
+//     owner was slow, in the last agentCallTime. The owner can't recall an order.
 type evacuationChecker struct {
 	mu          sync.Mutex
 	evacuations [failureDomains]faultLog
 	starts      []taskStart
 	owners      []ownership
-	// store, entries and workers are the faults of the store, of each entry, and of the
-	// path from the owner to each worker.
+	// store and entries are the faults of the store and of each entry, workers those that
+	// deliver orders for each worker late.
 	store            []*faultLog
 	entries, workers [][]*faultLog
 }
--- a/internal/faultsoak/platformfaults.go
+++ b/internal/faultsoak/platformfaults.go
@@ -140,9 +140,9 @@
 	case 4:
 		f.closeGate(w.entryGates[entry], gateReset, length)
 	case 5:
-		var parts []string
-		for _, p := range f.rng.Perm(partitions)[:1+f.rng.IntN(partitions/2)] {
-			parts = append(parts, strconv.Itoa(p))
+		parts := make([]string, 1+f.rng.IntN(partitions/2))
+		for i, p := range f.rng.Perm(partitions)[:len(parts)] {
+			parts[i] = strconv.Itoa(p)
 		}
 		w.setStoreFaults(standin.Faults{ResetParts: parts})
 		f.inBackground(func() {
@@ -163,7 +163,7 @@
 		f.closeGate(w.allGate, gateSlow, maxStoreFault)
 		f.stopOwners(len(w.entries), f.duration(0, maxStopInterval))
 	default:
-		f.inBackground(func() { crowd(w.callerAddresses[entry], length) })
+		f.inBackground(func() { crowd(context.Background(), w.callerAddresses[entry], length) })
 	}
 }
 
@@ -219,7 +219,7 @@
 
 // crowd opens connections to an entry with bodies that stall before their end, and
 // others that exceed the limit, with and without an announced length.
-func crowd(address string, length time.Duration) {
+func crowd(ctx context.Context, address string, length time.Duration) {
 	body := standin.ManyStepsBody(crowdBody)
 	stalled := body[:len(body)-1]
 	chunked := fmt.Appendf(nil, "%x\r\n%s", len(body), stalled)
@@ -227,7 +227,7 @@
 	var clients sync.WaitGroup
 	for i := range crowdSize {
 		clients.Go(func() {
-			conn, err := net.DialTimeout("tcp", address, length)
+			conn, err := (&net.Dialer{Timeout: length}).DialContext(ctx, "tcp", address)
 			if err != nil {
 				return // the entry is restarted, or has too many connections
 			}
--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -31,8 +31,8 @@
 	// when it has ended otherwise.
 	ending  atomic.Bool
 	onCrash func(name string, err error)
-	// faults holds the kills and pauses.
-	faults faultLog
+	// kills and pauses hold the times of these faults.
+	kills, pauses faultLog
 	// pausedUntil is the end of a pause of the process, in Unix nanoseconds.
 	pausedUntil atomic.Int64
 }
@@ -83,8 +83,9 @@
 // SIGKILL.
 func (p *process) kill() {
 	p.ending.Store(true)
-	p.faults.set(true)
-	p.faults.set(false)
+	p.kills.set(true)
+	p.kills.set(false)
+	p.pauses.set(false)
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
 	<-p.ended
--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -50,8 +50,9 @@
 	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
 	conns   map[net.Conn]bool
-	// faults holds the times in which the mode was not pass.
-	faults faultLog
+	// faults holds the times in which the mode was not pass, delays those in which it
+	// delivered data late.
+	faults, delays faultLog
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -83,6 +84,7 @@
 	defer p.mu.Unlock()
 	p.mode = m
 	p.faults.set(m != pass)
+	p.delays.set(m == delay || m == hold)
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if m != reset {
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -242,7 +242,7 @@
 	}
 	p.onCrash = w.recordCrash
 	w.entries, w.entryGates = append(w.entries, p), append(w.entryGates, g)
-	w.evacuations.entries = append(w.evacuations.entries, []*faultLog{&p.faults, &storeProxy.faults, &g.faults})
+	w.evacuations.entries = append(w.evacuations.entries, []*faultLog{&p.kills, &p.pauses, &storeProxy.faults, &g.faults})
 	w.callerAddresses = append(w.callerAddresses, settings.CallerAPI)
 	w.entryAddresses = append(w.entryAddresses, settings.IP)
 	return p.start()
@@ -299,7 +299,7 @@
 	}
 	p.onCrash = w.recordCrash
 	w.agents = append(w.agents, p)
-	w.evacuations.workers = append(w.evacuations.workers, []*faultLog{&p.faults, &agentProxy.faults, &workerProxy.faults})
+	w.evacuations.workers = append(w.evacuations.workers, []*faultLog{&p.pauses, &agentProxy.delays, &workerProxy.delays})
 	return p.start()
 }
 
@@ -383,8 +383,8 @@
 	case 2:
 		w.countFault("pause")
 		p.signal(syscall.SIGSTOP)
-		p.faults.set(true)
-		paused := w.undoLater(5*time.Second, func() { p.signal(syscall.SIGCONT); p.faults.set(false) })
+		p.pauses.set(true)
+		paused := w.undoLater(5*time.Second, func() { p.signal(syscall.SIGCONT); p.pauses.set(false) })
 		p.pausedUntil.Store(time.Now().Add(paused).UnixNano())
 	case 3:
 		w.countFault("reload")
