jobs: calls for the release end with the grace period

Change: reads and writes of the lease for a release are bounded by the stop timeout, and a lease that was released before is not read again.

--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -158,10 +158,12 @@
 	case <-timer.C:
 	case <-t.handover.wake:
 	case release := <-t.handover.release:
+		stopCtx, cancel := t.stopContext()
+		defer cancel()
 		if t.holder.NeedsRead() {
-			t.readLease(ctx)
+			t.readLease(stopCtx)
 		}
-		t.writeRelease(release)
+		t.writeRelease(stopCtx, release)
 		close(t.handover.done)
 		return true
 	case <-ctx.Done():
@@ -169,12 +171,22 @@
 	return false
 }
 
+// stopContext returns a context that ends when the calls of a stopping process must have
+// ended. It has no end while the process is not asked to stop, or without a StopTimeout.
+func (t *term) stopContext() (context.Context, context.CancelFunc) {
+	stoppedAt := time.Duration(t.c.stoppedAt.Load())
+	if stoppedAt == 0 || t.c.opts.StopTimeout == 0 {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), max(0, stoppedAt+t.c.opts.StopTimeout-clock.Now()))
+}
+
 // writeRelease releases the lease. Before it is sent, the core acts as an unconfirmed
 // owner: the successor may take over as soon as the table has executed the write. A
 // renewal that was executed late changes the row's revision, and the release is
 // repeated with the new one. Without an answer it is repeated until the process has to
 // end; if an earlier attempt was executed, the repetition finds the lease released.
-func (t *term) writeRelease(release handover.Release) {
+func (t *term) writeRelease(ctx context.Context, release handover.Release) {
 	renewal, ok := t.holder.Release(release.Successor)
 	t.validity.set(t.holder.ValidUntil())
 	if !ok {
@@ -184,7 +196,7 @@
 	var err error
 	for {
 		var res platform.TxnResult
-		res, err = t.writeLease(context.Background(), renewal)
+		res, err = t.writeLease(ctx, renewal)
 		if err == nil && res.Committed {
 			break
 		}
@@ -196,10 +208,10 @@
 			renewal.Row.Renewal, renewal.Revision = row.Renewal+1, res.Rows[0].Revision
 			err = errRenewedLate
 		}
-		if clock.Now() >= t.handover.stopBy {
+		if clock.Now() >= t.handover.stopBy || ctx.Err() != nil {
 			break
 		}
-		sleep(context.Background(), jitter(tableBackoffMin))
+		sleep(ctx, jitter(tableBackoffMin))
 	}
 	t.log.Log(eventOwnershipReleased, err, telemetry.Fields{"successor": release.Successor, "cause": release.Cause})
 }
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -140,10 +140,15 @@
 // release releases the lease if it was not released before, so that another entry can
 // take over without waiting for leaseTTL.
 func (t *term) release() {
+	if t.holder.ValidUntil() == 0 {
+		return // released or lost before
+	}
+	ctx, cancel := t.stopContext()
+	defer cancel()
 	if t.holder.NeedsRead() {
-		t.readLease(context.Background())
+		t.readLease(ctx)
 	}
-	t.writeRelease(handover.Release{Cause: causeTermEnded})
+	t.writeRelease(ctx, handover.Release{Cause: causeTermEnded})
 }
 
 // runCore runs the core until the term ends.
@@ -334,7 +339,9 @@
 }
 
 func (t *term) renew(ctx context.Context, r lease.Renewal) {
-	res, err := t.writeLease(ctx, r)
+	// The end of the term does not cancel the call: the release needs the revision of
+	// the last renewal.
+	res, err := t.writeLease(context.WithoutCancel(ctx), r)
 	switch {
 	case err == nil && res.Committed:
 		t.holder.Committed(res.Revision)
@@ -347,14 +354,13 @@
 	}
 }
 
-// writeLease writes the lease. The end of the term does not cancel a call: the
-// release needs the revision of the last renewal.
+// writeLease writes the lease.
 func (t *term) writeLease(ctx context.Context, r lease.Renewal) (platform.TxnResult, error) {
 	value, err := r.Row.Encode()
 	if err != nil {
 		return platform.TxnResult{}, err
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tableTimeout)
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	key := lease.Key(jobsShard)
 	return t.c.opts.Table.Commit(ctx, platform.Txn{
