workflow: paces follow the cost of delay only while work is deferred

Cause: pace control by the cost of delay also acted while there was room for all work. Change: Owner.weighsDelay: the cost of delay counts only while filling work that could be in time is deferred.

--- a/internal/core/workflow/overload.go
+++ b/internal/core/workflow/overload.go
@@ -262,10 +262,17 @@
 	}
 }
 
+// weighsDelay reports whether paces follow the cost of delay: only while filling work that
+// can be in time is deferred. Otherwise there is room for all of it, and paces remove a
+// high tail with the fewest changes.
+func (o *Owner) weighsDelay() bool {
+	return paceByDelayCost && o.overload.status.Deferred > 0
+}
+
 // delayCost returns what slowing down a filling task costs callers.
 func (o *Owner) delayCost(t *task) float64 {
 	s := t.step
-	if !paceByDelayCost || s.spec.Standing {
+	if !o.weighsDelay() || s.spec.Standing {
 		return 1
 	}
 	o.forecast(s.occurrence, s.job)
--- a/internal/core/workflow/overload_test.go
+++ b/internal/core/workflow/overload_test.go
@@ -10,9 +10,9 @@
 	"github.com/boragecrank/boragecrank/internal/core/types"
 )
 
-// Load: filling tasks of one image beside standing tasks that are over their targets.
-// Guards against slowing down what costs callers most: tasks of late jobs go first, the
-// last tasks of a step last.
+// Load: filling tasks of one image beside standing tasks that are over their targets,
+// while other filling work is deferred for want of room. Guards against slowing down what
+// costs callers most: tasks of late jobs go first, the last tasks of a step last.
 func TestLateTasksAreSlowedDownFirst(t *testing.T) {
 	h := newHarness(t, 1, map[string]float64{"press": 0})
 	usersLoad := 0.2
@@ -43,6 +43,10 @@
 	}
 	v := h.o.vms["a"]
 	one := func(*task) float64 { return 1 }
+	if h.o.weighsDelay() {
+		t.Error("paces follow the cost of delay although nothing is deferred")
+	}
+	h.o.overload.status.Deferred = 1
 	for _, c := range []struct {
 		excess           float64
 		late, time, last int
@@ -60,6 +64,7 @@
 	usersLoad = 0.5
 	for h.o.raisePaces(v); pace("last") < fullPace; h.o.raisePaces(v) {
 		h.step(120 * time.Millisecond)
+		h.o.overload.status.Deferred = 1
 	}
 	if pace("late") > pace("time") {
 		t.Errorf("the pace of a late job was raised before that of a job in time")
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -146,7 +146,7 @@
 		if t.runningFilling() && t.wantedPace > 0 {
 			use := max(t.measurement, float64(t.step.spec.Demand.MilliCPU)*float64(t.wantedPace)/fullPace) / v.processors()
 			c := contribution{t, interference(t) * use, interference(t) / o.delayCost(t)}
-			if !paceByDelayCost {
+			if !o.weighsDelay() {
 				c.gain = c.load
 			}
 			all = append(all, c)
