--- a/internal/cli/jobroles.go
+++ b/internal/cli/jobroles.go
@@ -33,7 +33,11 @@
 		{
 			Name: "jobs-entry", Category: "Roles on the users' platform",
 			Usage: "accept jobs, report their states, and own the jobs if no other entry does",
-			Flags: jobRoleFlags(), Action: jobRoleAction("jobs-entry", jobserver.RunEntry),
+			Flags: append(jobRoleFlags(), &cli.BoolFlag{
+				Name:  flagOverloadControl,
+				Usage: "plan which large jobs are delayed when not all can be in time, and protect size classes",
+			}),
+			Action: jobRoleAction("jobs-entry", jobserver.RunEntry),
 		},
 		{
 			Name: "jobs-agent", Category: "Roles on the users' platform",
@@ -43,6 +47,8 @@
 	}
 }
 
+const flagOverloadControl = "overload-control"
+
 func jobRoleFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "minimum level of log lines"},
@@ -78,7 +84,7 @@
 			defer func() { _ = metrics.Close() }()
 		}
 		go checkSettingsOnHangup(ctx, tel.Log)
-		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard})
+		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard, OverloadControl: c.Bool(flagOverloadControl)})
 		tel.Log.Log(eventJobRoleStopped, err, telemetry.Fields{"dropped": output.Dropped()})
 		return err
 	}
--- a/internal/core/workflow/overload.go
+++ b/internal/core/workflow/overload.go
@@ -74,7 +74,7 @@
 
 // planFilling makes the plan of filling work. rankOf applies it.
 func (o *Owner) planFilling() {
-	if !onTimePlan {
+	if !onTimePlan || !o.cfg.OverloadControl {
 		return
 	}
 	o.overload.pass++
@@ -226,7 +226,7 @@
 // by least remaining work, protected ones first, and deferred ones after them.
 func (o *Owner) applyPlan(r *rank, s *step) {
 	plan := &s.occurrence.plan
-	if !onTimePlan || !s.spec.Fills || plan.pass != o.overload.pass {
+	if !onTimePlan || !o.cfg.OverloadControl || !s.spec.Fills || plan.pass != o.overload.pass {
 		return
 	}
 	r.unstarted = 0
--- a/internal/core/workflow/overload_test.go
+++ b/internal/core/workflow/overload_test.go
@@ -15,6 +15,7 @@
 // costs callers most: tasks of late jobs go first, the last tasks of a step last.
 func TestLateTasksAreSlowedDownFirst(t *testing.T) {
 	h := newHarness(t, 1, map[string]float64{"press": 0})
+	h.o.cfg.OverloadControl = true
 	usersLoad := 0.2
 	h.usersLoad = func(time.Duration) float64 { return usersLoad }
 	filling := func(tasks int) Step {
@@ -76,6 +77,7 @@
 // deferrals that the log does not show.
 func TestLargestJobIsDeferredInABurst(t *testing.T) {
 	h := newHarness(t, 1, nil)
+	h.o.cfg.OverloadControl = true
 	job := func(name string, tasks int) {
 		h.submit(types.JobID(name), Step{Tasks: tasks, Demand: types.Resources{MilliCPU: 4000}, RunTime: 4 * time.Second, Fills: true, Image: "calm", Checkpoints: true})
 	}
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -8,7 +8,8 @@
 	"github.com/boragecrank/boragecrank/internal/core/types"
 )
 
-// Config holds the times and limits of an owner. All fields are required.
+// Config holds the times and limits of an owner. All fields but OverloadControl are
+// required.
 type Config struct {
 	Epoch types.Epoch
 	// LeaseDuration is the length of a lease, counted from the last reading of
@@ -30,6 +31,8 @@
 	// MaxChanges limits the jobs changed by one batch and, separately, the
 	// expired jobs in it.
 	MaxChanges int
+	// OverloadControl turns on the plan of filling work and paces by the cost of delay.
+	OverloadControl bool
 }
 
 // maxPlaceInterval is the longest time between placement passes while tasks
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -117,6 +117,8 @@
 	// returns. An owner uses it for a planned handover; without it, it releases the
 	// lease at once.
 	StopTimeout time.Duration
+	// OverloadControl is passed on to the core.
+	OverloadControl bool
 	// Advisor answers which workers may run a step; nil if there is none.
 	Advisor   Advisor
 	Telemetry *telemetry.Telemetry
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -72,9 +72,11 @@
 
 // Options configure RunEntry and RunAgent.
 type Options struct {
-	Settings  *platform.Settings
-	Store     *platform.Store
-	Telemetry *telemetry.Telemetry
+	// OverloadControl makes an owner plan filling work, see internal/core/overload.
+	OverloadControl bool
+	Settings        *platform.Settings
+	Store           *platform.Store
+	Telemetry       *telemetry.Telemetry
 	// Guard protects the process from untrusted clients; nil means one with the
 	// limits of the settings.
 	Guard *httpserve.Guard
@@ -130,7 +132,7 @@
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: vm, Cores: s.CPUCores, Incarnation: incarnation, Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:      jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin, EvacuationBound: s.EvacuationBound},
-		StopTimeout: s.GracePeriod - stopMargin, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
+		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 		Evacuated: e.evacuations.domains, ReadOperatorRows: e.readOperatorRows,
 		Peers: registry.Peers, PeerClient: entryapi.NewClient(),
 	})
