--- a/internal/core/workflow/ownerpass_test.go
+++ b/internal/core/workflow/ownerpass_test.go
@@ -65,6 +65,7 @@
 		factors[fmt.Sprint("fill", i)] = 0.05
 	}
 	f := &targetFleet{harness: newHarness(tb, targetVMs, factors)}
+	f.o.cfg.OverloadControl = true
 	for i := range targetStandingJobs {
 		f.submit(types.JobID(fmt.Sprint("standing", i)), Step{Tasks: targetStandingTasks, Demand: types.Resources{MilliCPU: 1600}, Standing: true, Image: fmt.Sprint("serve", i%16), TailTarget: 125 * time.Millisecond})
 	}
