jobs, outage: submissions are refused at once when the table is silent

While a takeover hangs, for up to 1.5 s, its candidate makes no call that the circuit breakers see, so they do not notice the outage. And a submission to a partition that is only suspected waited for a probe although the breaker of the whole table was open.

The candidate now reads the lease at its usual interval during a takeover, and an open breaker of the whole table rejects first. Each cause has a test that failed before.

--- a/internal/core/outage/breaker.go
+++ b/internal/core/outage/breaker.go
@@ -309,13 +309,13 @@
 // was sent before and whose outcome is unknown. Each one that is admitted must be
 // followed by Done.
 func (b *Breaker) Ask(now time.Duration, resend bool) Decision {
-	b.advance(now)
-	if b.state == Open && b.cause == CauseWrites && b.inFlight == 0 && now >= b.openedAt+trialPause(resend) {
+	if b.rejects(now, resend) {
+		return Reject
+	}
+	if b.state == Open {
 		b.toHalfOpen(now)
 	}
 	switch {
-	case b.state == Open:
-		return Reject
 	case b.Suspected(now):
 		return Probe
 	case b.state == HalfOpen && b.inFlight >= b.window:
@@ -325,6 +325,14 @@
 	return Admit
 }
 
+// rejects reports whether a submission would be rejected now, and changes nothing but
+// what depends on the time.
+func (b *Breaker) rejects(now time.Duration, resend bool) bool {
+	b.advance(now)
+	trial := b.cause == CauseWrites && b.inFlight == 0 && now >= b.openedAt+trialPause(resend)
+	return b.state == Open && !trial
+}
+
 func trialPause(resend bool) time.Duration {
 	if resend {
 		return resendPause
--- a/internal/core/outage/group.go
+++ b/internal/core/outage/group.go
@@ -110,6 +110,9 @@
 // Ask decides whether a submission to a partition may be sent now. Each one that is
 // admitted must be followed by Done. A probe must read from the same partition.
 func (g *Group) Ask(now time.Duration, partition string, resend bool) Decision {
+	if g.whole.rejects(now, resend) {
+		return Reject // also if the partition is only suspected: a probe would be in vain
+	}
 	b := g.partition(partition)
 	if d := b.Ask(now, resend); d != Admit {
 		return d
--- a/internal/core/outage/group_test.go
+++ b/internal/core/outage/group_test.go
@@ -106,3 +106,21 @@
 		})
 	}
 }
+
+// Guards against submissions that wait for a probe of a partition without recent calls
+// while the service as a whole is known to be silent: they must be rejected at once.
+func TestSilentServiceWithSuspectedPartition(t *testing.T) {
+	g := NewGroup(800 * ms)
+	for _, partition := range []string{"a", "b"} {
+		g.Started(1*ms, partition, Read)
+		g.Ended(2*ms, 1*ms, partition, Read, Answered)
+	}
+	g.Started(10*ms, "a", Read) // never answered
+	g.Started(900*ms, "b", Read) // unanswered, but not for long enough to open b
+	if d := g.Ask(1200*ms, "b", false); d != Reject {
+		t.Errorf("decision for a suspected partition of a silent service: %v, want Reject", d)
+	}
+	if d := g.Ask(1200*ms, "c", false); d != Reject {
+		t.Errorf("decision for a partition without calls: %v, want Reject", d)
+	}
+}
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -313,6 +313,22 @@
 	c.observer.Observe(row, r.Revision, exists, clock.Now(), c.rng)
 }
 
+// readLeasePeriodically reads the lease at the usual interval until the returned function
+// is called. The circuit breakers learn of an outage from these reads: a takeover, during
+// which the candidate does not poll, may take takeoverTimeout, and a call to another table
+// says nothing to them.
+func (c *Candidate) readLeasePeriodically(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for sleep(ctx, jitter(leasePollInterval)); ctx.Err() == nil; sleep(ctx, jitter(leasePollInterval)) {
+			readCtx, cancelRead := context.WithTimeout(ctx, tableTimeout)
+			_, _ = c.opts.Table.Get(readCtx, lease.Key(jobsShard))
+			cancelRead()
+		}
+	}()
+	return cancel
+}
+
 // takeOver tries a takeover and runs the term if it succeeds. It returns when the
 // term has ended, and reports whether there was one.
 func (c *Candidate) takeOver(ctx context.Context, takeover lease.Takeover) bool {
@@ -333,12 +349,14 @@
 	// outcome would leave others to wait for leaseTTL.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), takeoverTimeout)
 	defer cancel()
+	stopReading := c.readLeasePeriodically(callCtx)
 	sentAt := clock.Now()
 	res, err := c.opts.Takeovers.Commit(callCtx, platform.Txn{
 		Conditions: []platform.Condition{{Key: lease.Key(jobsShard), Revision: takeover.Revision}},
 		Writes:     writes,
 		Reads:      []string{lease.Key(jobsShard)},
 	})
+	stopReading()
 	if err != nil || !res.Committed {
 		// Without an answer the takeover may have succeeded. This candidate then
 		// observes its own lease and takes it over again.
--- a/internal/jobs/owner_test.go
+++ b/internal/jobs/owner_test.go
@@ -100,3 +100,18 @@
 		t.Errorf("the next poll after the takeover was due is %v away, want at least %v", d, leasePollInterval/2)
 	}
 }
+
+// Guards against a candidate that makes no watched call while its takeover hangs: the
+// circuit breakers then do not notice that the table is silent, and submissions wait.
+func TestBreakersNoticeSilenceDuringTakeover(t *testing.T) {
+	t.Parallel()
+	table := &faultyTable{rows: make(map[string]platform.Row)}
+	table.setFault(func(bool) (time.Duration, error) { return unanswered, nil })
+	watched := NewWatchedTable(table, telemetry.Nop())
+	c := NewCandidate(CandidateOptions{VM: "a", Incarnation: 1, Table: watched, Takeovers: table, Changes: watched, Telemetry: telemetry.Nop()})
+	go c.takeOver(t.Context(), lease.Takeover{Row: lease.Row{Shard: jobsShard, Owner: "a", Incarnation: 1, Epoch: 1}})
+	time.Sleep(3*leasePollInterval/2 + silentThreshold)
+	if err := watched.Admit(t.Context(), stateKey("00000000000000a1"), false); !errors.Is(err, errTableUnresponsive) {
+		t.Errorf("submission while a takeover hangs: %v, want %v", err, errTableUnresponsive)
+	}
+}
