--- a/internal/core/outage/group_test.go
+++ b/internal/core/outage/group_test.go
@@ -115,7 +115,7 @@
 		g.Started(1*ms, partition, Read)
 		g.Ended(2*ms, 1*ms, partition, Read, Answered)
 	}
-	g.Started(10*ms, "a", Read) // never answered
+	g.Started(10*ms, "a", Read)  // never answered
 	g.Started(900*ms, "b", Read) // unanswered, but not for long enough to open b
 	if d := g.Ask(1200*ms, "b", false); d != Reject {
 		t.Errorf("decision for a suspected partition of a silent service: %v, want Reject", d)
