jobs: the end of a job says whether it was in time, and its work

Nothing showed operators which callers pay when capacity is short: the log had the time that a job took, but neither its objective nor its size.

Event 653 has queue, declared work, objective and in_time, event 730 the declared work, and jobs_ended counts by queue and whether in time.

--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -93,7 +93,7 @@
 	limit := o.queueOf(s.job).MaxAttempts
 	if limit > 0 && len(t.failures) >= limit && s.job.outcome == "" {
 		s.job.outcome = JobFailed
-		o.recordDecision(Decision{Kind: DecisionFinished, Job: s.job.spec.ID, Task: t.key(), Reason: string(JobFailed), Age: o.now - s.job.accepted})
+		o.recordDecision(Decision{Kind: DecisionFinished, Job: s.job.spec.ID, Task: t.key(), Reason: string(JobFailed), Age: o.now - s.job.accepted, Outcome: s.job.ended()})
 		o.stopAll(s.job)
 	}
 }
--- a/internal/core/workflow/job.go
+++ b/internal/core/workflow/job.go
@@ -169,6 +169,18 @@
 	return nil
 }
 
+// Work returns the declared work of one occurrence in core-seconds. Standing tasks, which
+// have no end, do not count.
+func (j *Job) Work() float64 {
+	work := 0.0
+	for i := range j.Steps {
+		if s := &j.Steps[i]; !s.Standing {
+			work += float64(s.Tasks) * s.RunTime.Seconds() * float64(s.Demand.MilliCPU) / 1000
+		}
+	}
+	return work
+}
+
 // tasks returns the number of tasks of one occurrence. A step with more tasks
 // than allowed counts as maxTasks+1, so that the sum cannot overflow.
 func (j *Job) tasks() int {
--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -273,6 +273,20 @@
 	// Evacuation is set for decisions about an evacuated failure domain, and nil
 	// otherwise.
 	Evacuation *EvacuationState
+	// Outcome is set for the end of a job.
+	Outcome *Outcome
+}
+
+// Outcome is how a job has ended for its caller.
+type Outcome struct {
+	Queue string
+	// Work is the declared work of one occurrence in core-seconds.
+	Work float64
+	// Objective is the time after it was due in which the last occurrence should have
+	// been done; 0 if none was done. InTime reports whether the job has completed with
+	// all occurrences in time.
+	Objective time.Duration
+	InTime    bool
 }
 
 // VMLoad is the load of a VM on which a placement was based.
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -341,7 +341,10 @@
 			done = done && s.done == len(s.tasks)
 		}
 		if done {
-			o.settle(oc, j, o.now <= oc.due+oc.objective)
+			o.forecast(oc, j)
+			inTime := o.now <= oc.due+oc.objective
+			o.settle(oc, j, inTime)
+			j.objective, j.anyLate = oc.objective, j.anyLate || !inTime
 			oc.finished = true
 			oc.steps = nil
 			j.finished++
@@ -349,7 +352,7 @@
 	}
 	if j.finished >= j.occurrenceCount() {
 		j.outcome = JobCompleted
-		o.recordDecision(Decision{Kind: DecisionFinished, Job: j.spec.ID, Reason: string(JobCompleted), Age: o.now - j.accepted})
+		o.recordDecision(Decision{Kind: DecisionFinished, Job: j.spec.ID, Reason: string(JobCompleted), Age: o.now - j.accepted, Outcome: j.ended()})
 		o.markDirty(j)
 	}
 }
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -171,6 +171,15 @@
 	live            int
 	// created counts the occurrences that exist, finished those that are done.
 	created, finished int
+	// objective is that of the last occurrence that was done; anyLate is set once one
+	// missed its own.
+	objective time.Duration
+	anyLate   bool
+}
+
+// ended returns how the job has ended for its caller.
+func (j *job) ended() *Outcome {
+	return &Outcome{Queue: j.spec.Queue, Work: j.spec.Work(), Objective: j.objective, InTime: j.outcome == JobCompleted && !j.anyLate}
 }
 
 func (j *job) occurrenceCount() int {
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -30,7 +30,7 @@
 
 var (
 	eventAccepted = telemetry.Define(730, logrus.InfoLevel, "job accepted",
-		"The job is stored. Fields: job, queue, version of the configuration, ms, and repeat if the job had been stored before. Search the owner's log for the job's ID.")
+		"The job is stored. Fields: job, queue, work in declared core-seconds, version of the configuration, ms, and repeat if the job had been stored before. Search the owner's log for the job's ID.")
 	eventNotAccepted = telemetry.Define(731, logrus.WarnLevel, "job not accepted",
 		"The caller got the answer that the job was not stored or, with kind uncertain, that it may have been stored. Fields: job, queue, version, ms, kind; cause, if the job was not sent or was refused.")
 	eventCancelled = telemetry.Define(732, logrus.InfoLevel, "job cancelled",
@@ -193,7 +193,7 @@
 		Reads:      []string{key},
 	}
 	stored, err := in.commitNew(ctx, job.ID, txn)
-	fields := telemetry.Fields{"job": job.ID, "queue": job.Queue, "version": version, "ms": time.Since(begin).Milliseconds()}
+	fields := telemetry.Fields{"job": job.ID, "queue": job.Queue, "work": job.Work(), "version": version, "ms": time.Since(begin).Milliseconds()}
 	if err != nil {
 		fields["kind"] = apperr.KindOf(err)
 		if apperr.KindOf(err) == apperr.KindUnavailable {
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,7 +20,7 @@
 	workflow.DecisionRequeued: telemetry.Define(652, logrus.WarnLevel, "task requeued",
 		"The run ended or never began, and the task will be started again. The reason names the cause. If many tasks name the same VM, search the log for it. Fields: job, task, run, vm, age, reason."),
 	workflow.DecisionFinished: telemetry.Define(653, logrus.InfoLevel, "job ended",
-		"The reason is the final state of the job. For a failed job, the task that has used up its attempts is named. Fields: job, age, reason; task and run of a failed job."),
+		"The reason is the final state of the job. For a failed job, the task that has used up its attempts is named. Fields: job, age, reason; queue; work, the declared core-seconds; objective in ms; in_time; task and run of a failed job. Counts by work show which callers pay when capacity is short."),
 	workflow.DecisionVMReached: telemetry.Define(654, logrus.InfoLevel, "VM takes work",
 		"The worker on the VM has confirmed the owner's epoch and sent its lists of runs. Fields: vm; reason, which is the ID of the worker's boot. No action."),
 	workflow.DecisionVMLost: telemetry.Define(655, logrus.WarnLevel, "nothing runs on a VM any more",
@@ -90,6 +91,9 @@
 		if e := d.Evacuation; e != nil {
 			fields["failure_domain"], fields["vms"], fields["tasks"] = e.Domain, e.VMs, e.Tasks
 		}
+		if e := d.Outcome; e != nil {
+			fields["queue"], fields["work"], fields["objective"], fields["in_time"] = e.Queue, e.Work, e.Objective.Milliseconds(), e.InTime
+		}
 		t.log.Log(decisionEvents[d.Kind], nil, fields)
 		t.metrics.countDecision(d)
 	}
@@ -167,6 +171,9 @@
 		m.scope.Counter("jobs_tasks_returned").Inc(1)
 	case workflow.DecisionFinished:
 		m.scope.Tagged(map[string]string{"state": d.Reason}).Counter("jobs_over").Inc(1)
+		if d.Outcome != nil {
+			m.scope.Tagged(map[string]string{"queue": d.Outcome.Queue, "in_time": strconv.FormatBool(d.Outcome.InTime)}).Counter("jobs_ended").Inc(1)
+		}
 		m.jobTime.RecordDuration(d.Age)
 	}
 }
