--- a/internal/core/workflow/order.go
+++ b/internal/core/workflow/order.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/boragecrank/boragecrank/internal/core/overload"
 )
 
 // abandonFactor is a multiple of the objective. A job that has taken longer is
 // placed after all other work, since its result is assumed to be worthless by
 // then.
-const abandonFactor = 3
+const abandonFactor = overload.AbandonFactor
 
 // Work with a critical path of at most maxShortPath counts as short. It is
 // placed before standing tasks, because it frees its capacity again within
