--- a/internal/core/workflow/features.go
+++ b/internal/core/workflow/features.go
@@ -11,4 +11,7 @@
 	// paceByDelayCost: filling tasks are slowed down by their interference and
 	// overload.DelayCost, otherwise by the load that they add.
 	paceByDelayCost = true
+	// forecastAdmission: the owner forecasts when the jobs of each queue complete, and
+	// entries reject those that would be worthless by then, see overload.Admission.
+	forecastAdmission = true
 )
--- a/internal/core/workflow/overload.go
+++ b/internal/core/workflow/overload.go
@@ -26,6 +26,8 @@
 	// pass is the number of the last plan, and status its summary.
 	pass   uint64
 	status OverloadStatus
+	// forecast is the state of the forecast for admission.
+	forecast forecastState
 }
 
 // servicePlan is the plan of the filling work that competes for the VMs of one service.
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -31,7 +31,8 @@
 	// MaxChanges limits the jobs changed by one batch and, separately, the
 	// expired jobs in it.
 	MaxChanges int
-	// OverloadControl turns on the plan of filling work and paces by the cost of delay.
+	// OverloadControl turns on the plan of filling work, paces by the cost of delay, and
+	// the forecast for admission.
 	OverloadControl bool
 }
 
@@ -237,6 +238,7 @@
 	}
 	j.occurrences = append(j.occurrences, oc)
 	j.created = max(j.created, number+1)
+	o.recordForecastArrival(oc, j)
 	o.activateSteps(oc)
 	return oc
 }
