jobs, jobserver: the owner publishes its forecast, entries reject by it

The owner writes the row forecast/jobs at most once a second, and only while a queue is over its limit or the row must be replaced. Entries follow it and reject submissions with 503 and the cause forecast. They admit all jobs while the row is missing, not readable, of another format, of a former owner, or older than 3 s by their own clock. A job that may be stored is not rejected.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -27,7 +27,7 @@
 	return &cli.Command{
 		Name: "explain", Usage: "show the timeline of a job from the logs of all processes", ArgsUsage: "JOB FILE...",
 		Description: "Reads structured logs, in any order and with any text before the JSON object, and prints in order of time\n" +
-			"the events of the job, marked with *, and the events of the same period about processes, configurations, dependencies, owners, evacuations and VMs.",
+			"the events of the job, marked with *, and the events of the same period about processes, configurations, dependencies, owners, evacuations, VMs and queues over their limit.",
 		Action: func(_ context.Context, c *cli.Command) error {
 			args := c.Args().Slice()
 			if len(args) < 2 {
@@ -84,9 +84,14 @@
 // isContextEvent reports whether an event is shown in addition to those of the
 // job: events about the process, its configuration, its dependencies, membership,
 // evacuations and shard ownership (100 to 599), and about workers and VMs that are reached,
-// lost or quarantined (640, 641, 654, 655, 657).
+// lost or quarantined (640, 641, 654, 655, 657), and about the forecast of queues (663 to
+// 665, 740, 741).
 func isContextEvent(event int) bool {
-	return event >= 100 && event < 600 || event == 640 || event == 641 || event == 654 || event == 655 || event == 657
+	switch event {
+	case 640, 641, 654, 655, 657, 663, 664, 665, 740, 741:
+		return true
+	}
+	return event >= 100 && event < 600
 }
 
 func readLog(r io.Reader, job string) ([]logLine, error) {
--- a/internal/cli/jobroles.go
+++ b/internal/cli/jobroles.go
@@ -35,7 +35,7 @@
 			Usage: "accept jobs, report their states, and own the jobs if no other entry does",
 			Flags: append(jobRoleFlags(), &cli.BoolFlag{
 				Name:  flagOverloadControl,
-				Usage: "plan which large jobs are delayed when not all can be in time, and protect size classes",
+				Usage: "plan which large jobs are delayed when not all can be in time, protect size classes, and reject jobs that would be worthless when done",
 			}),
 			Action: jobRoleAction("jobs-entry", jobserver.RunEntry),
 		},
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -32,7 +32,7 @@
 	eventAccepted = telemetry.Define(730, logrus.InfoLevel, "job accepted",
 		"The job is stored. Fields: job, queue, version of the configuration, ms, and repeat if the job had been stored before. Search the owner's log for the job's ID.")
 	eventNotAccepted = telemetry.Define(731, logrus.WarnLevel, "job not accepted",
-		"The caller got the answer that the job was not stored or, with kind uncertain, that it may have been stored. Fields: job, queue, version, ms, kind; cause, if the job was not sent or was refused.")
+		"The caller got the answer that the job was not stored or, with kind uncertain, that it may have been stored. Fields: job, queue, version, ms, kind; cause, if the job was not sent or was refused; with the cause forecast also expected_ms, limit_ms and retry_ms.")
 	eventCancelled = telemetry.Define(732, logrus.InfoLevel, "job cancelled",
 		"The caller's cancellation is stored. Fields: job, state before. The owner stops the job's tasks.")
 	eventReadBack = telemetry.Define(734, logrus.InfoLevel, "job found after a lost response",
@@ -73,6 +73,7 @@
 	log         *telemetry.Logger
 	onCancelled func(types.JobID, uint64)
 	gate        gate
+	forecast    *ForecastReader
 
 	mu     sync.RWMutex
 	states map[types.JobID]knownState
@@ -101,6 +102,10 @@
 	return in
 }
 
+// UseForecast makes the intake reject submissions by the owner's forecast. It must be
+// called before the first submission.
+func (in *Intake) UseForecast(r *ForecastReader) { in.forecast = r }
+
 // StateFollower returns the follower that keeps the states up to date.
 func (in *Intake) StateFollower(changes platform.ChangeLog) *Follower {
 	return &Follower{Log: changes, Prefix: prefixState, Partitions: partitionNames(), Logger: in.log, Reset: in.reset, Apply: in.apply, OnSuccess: in.markCurrent, Interval: statesInterval}
@@ -192,8 +197,14 @@
 		Writes:     []platform.Write{{Key: jobKey(job.ID), Value: spec}, {Key: key, Value: encode(row)}},
 		Reads:      []string{key},
 	}
-	stored, err := in.commitNew(ctx, job.ID, txn)
-	fields := telemetry.Fields{"job": job.ID, "queue": job.Queue, "version": version, "ms": time.Since(begin).Milliseconds()}
+	fields := telemetry.Fields{"job": job.ID, "queue": job.Queue, "version": version}
+	var stored platform.Row
+	err := in.checkForecast(job, fields)
+	if err == nil {
+		in.forecast.begin(job.ID)
+		stored, err = in.commitNew(ctx, job.ID, txn)
+	}
+	fields["ms"] = time.Since(begin).Milliseconds()
 	if err != nil {
 		fields["kind"] = apperr.KindOf(err)
 		if apperr.KindOf(err) == apperr.KindUnavailable {
@@ -204,10 +215,18 @@
 		return err
 	}
 	in.recordState(&stored)
+	in.forecast.end(job.ID)
 	in.log.Log(eventAccepted, nil, fields)
 	return nil
 }
 
+// checkForecast returns an error of kind unavailable if the forecast rejects the job, and
+// adds fields for the log.
+func (in *Intake) checkForecast(job *workflow.Job, fields telemetry.Fields) error {
+	age, loaded := in.StatesAge()
+	return in.forecast.check(job, loaded && age <= maxStatesAge, fields)
+}
+
 // stored reports whether a job with the ID is known to be stored.
 func (in *Intake) stored(id types.JobID) bool {
 	in.mu.RLock()
@@ -229,6 +248,8 @@
 		return "resuming"
 	case errors.Is(err, errDeadlineTooShort):
 		return "deadline"
+	case errors.Is(err, errForecastOver):
+		return "forecast"
 	}
 	return "refused_by_table"
 }
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -111,6 +111,7 @@
 	deferred                       tally.Gauge
 	protected                      tally.Gauge
 	throughput                     tally.Gauge
+	forecasts                      forecastGauges
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -72,6 +72,7 @@
 	// table.
 	learned          []byte
 	nextLearnedWrite time.Duration
+	forecast         forecastPublisher
 	links            map[types.VMID]*link
 	linksMu          sync.Mutex
 	wg               sync.WaitGroup
@@ -122,6 +123,7 @@
 	t.metrics.setIdle(nil, 0) // the next owner reports its own
 	t.metrics.setEvacuated(0, 0)
 	t.metrics.setOverload(workflow.OverloadStatus{})
+	t.metrics.setForecast(nil)
 	if parent.Err() != nil {
 		t.release()
 	}
@@ -242,6 +244,7 @@
 		return
 	}
 	t.storeLearned(o, now)
+	t.publishForecast(o, now)
 	if now >= t.nextFlush || o.BatchUrgent() {
 		if b := o.Batch(now); b != nil {
 			t.nextFlush = now + flushInterval
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -72,7 +72,8 @@
 
 // Options configure RunEntry and RunAgent.
 type Options struct {
-	// OverloadControl makes an owner plan filling work, see internal/core/overload.
+	// OverloadControl makes an owner plan filling work and publish a forecast, by which
+	// entries reject submissions, see internal/core/overload.
 	OverloadControl bool
 	Settings        *platform.Settings
 	Store           *platform.Store
@@ -137,6 +138,7 @@
 		Peers: registry.Peers, PeerClient: entryapi.NewClient(),
 	})
 	e.intake = jobs.NewIntake(table, o.Store.Limits(), o.Telemetry.Log, e.candidate.NotifyCancelled)
+	forecast := e.useForecast()
 	callers, err := httpserve.Listen(s.CallerAPI, &platform.CallerAPI{
 		Intake: e.intake, Config: e.config.Load, Log: o.Telemetry.Log, Tracer: o.Telemetry.Tracer,
 	}, e.callerLimits())
@@ -160,6 +162,9 @@
 	defer stopFollowers()
 	go e.operatorRowsFollower().Run(followers)
 	go e.intake.StateFollower(table).Run(followers)
+	if forecast != nil {
+		go forecast.Follower(table).Run(followers)
+	}
 	candidateDone := make(chan struct{})
 	go func() {
 		defer close(candidateDone)
@@ -192,6 +197,17 @@
 	return err
 }
 
+// useForecast makes the intake use the owner's forecast, with overload control only. It
+// returns the reader of the forecast, or nil.
+func (e *entry) useForecast() *jobs.ForecastReader {
+	if !e.OverloadControl {
+		return nil
+	}
+	reader := jobs.NewForecastReader(e.Telemetry)
+	e.intake.UseForecast(reader)
+	return reader
+}
+
 func (e *entry) queues() (map[string]workflow.Queue, bool) {
 	c := e.config.Load()
 	if c == nil {
