jobs: forward submissions to an entry that the store serves

Cause: while the store refuses or does not reach one entry, that entry rejects every submission for as long as its circuit breaker is open, although the other entries could store them.

A submission that was not sent because the breaker is open, or a probe was not answered, is forwarded once to an entry that has just read the lease. The peer reads the job's state before it writes, and never forwards. Submissions of unknown outcome are remembered for 30 s, so that a retry is neither forwarded nor answered as not run. Bodies count against the limits on untrusted clients of both entries.

--- a/internal/jobs/emergency.go
+++ b/internal/jobs/emergency.go
@@ -222,6 +222,12 @@
 	if !c.available.Load() {
 		return handover.LeaseRead{}, errNoCandidate
 	}
+	return c.ReadLeaseForSubmissions(ctx)
+}
+
+// ReadLeaseForSubmissions reads the lease row for an entry that the table does not serve.
+// It fails if the table does not serve this entry either.
+func (c *Candidate) ReadLeaseForSubmissions(ctx context.Context) (handover.LeaseRead, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	rows, err := c.opts.Table.Get(ctx, lease.Key(jobsShard))
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/boragecrank/boragecrank/internal/apperr"
+	"github.com/boragecrank/boragecrank/internal/core/outage"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/core/workflow"
 	"github.com/boragecrank/boragecrank/internal/platform"
@@ -30,7 +31,7 @@
 
 var (
 	eventAccepted = telemetry.Define(730, logrus.InfoLevel, "job accepted",
-		"The job is stored. Fields: job, queue, version of the configuration, ms, and repeat if the job had been stored before. Search the owner's log for the job's ID.")
+		"The job is stored. Fields: job, queue, version of the configuration, ms, and repeat if the job had been stored before; by, the entry that has stored it, if it was forwarded (745). Search the owner's log for the job's ID.")
 	eventNotAccepted = telemetry.Define(731, logrus.WarnLevel, "job not accepted",
 		"The caller got the answer that the job was not stored or, with kind uncertain, that it may have been stored. Fields: job, queue, version, ms, kind; cause, if the job was not sent or was refused.")
 	eventCancelled = telemetry.Define(732, logrus.InfoLevel, "job cancelled",
@@ -73,6 +74,8 @@
 	log         *telemetry.Logger
 	onCancelled func(types.JobID, uint64)
 	gate        gate
+	// forwarder forwards submissions that the table does not serve; nil if none are.
+	forwarder *Forwarder
 
 	mu     sync.RWMutex
 	states map[types.JobID]knownState
@@ -176,6 +179,12 @@
 // uncertain if the outcome is unknown when the context ends. Any other error means
 // that the table rejected the transaction.
 func (in *Intake) Submit(ctx context.Context, job *workflow.Job, version types.Version) error {
+	return in.submit(ctx, job, version, false)
+}
+
+// submit stores a job. forwarded is set for one that another entry has forwarded, which is
+// not forwarded again.
+func (in *Intake) submit(ctx context.Context, job *workflow.Job, version types.Version, forwarded bool) error {
 	begin := time.Now()
 	if in.stored(job.ID) {
 		in.log.Log(eventAccepted, nil, telemetry.Fields{"job": job.ID, "queue": job.Queue, "version": version, "ms": 0, "repeat": true})
@@ -192,8 +201,19 @@
 		Writes:     []platform.Write{{Key: jobKey(job.ID), Value: spec}, {Key: key, Value: encode(row)}},
 		Reads:      []string{key},
 	}
-	stored, err := in.commitNew(ctx, job.ID, txn)
-	fields := telemetry.Fields{"job": job.ID, "queue": job.Queue, "version": version, "ms": time.Since(begin).Milliseconds()}
+	forwarder := in.forwarder
+	if forwarded {
+		forwarder = nil
+	}
+	fields := telemetry.Fields{"job": job.ID, "queue": job.Queue, "version": version}
+	stored, err := in.commitNew(ctx, job.ID, txn, func(cause error) (ForwardAnswer, bool) {
+		answer, ok := forwarder.forward(ctx, ForwardedJob{ID: job.ID, Spec: spec, Version: version}, cause)
+		if ok && answer.Outcome == outage.ForwardAccepted {
+			fields["by"] = answer.By
+		}
+		return answer, ok
+	})
+	fields["ms"] = time.Since(begin).Milliseconds()
 	if err != nil {
 		fields["kind"] = apperr.KindOf(err)
 		if apperr.KindOf(err) == apperr.KindUnavailable {
@@ -255,10 +275,12 @@
 // them as it is stored. A conflict means that the rows already exist, from an earlier
 // submission or from an attempt whose answer was lost; they may have changed since
 // then. The first key in txn.Reads must be the key of the last write. The error is of
-// kind unavailable only if no attempt may have been stored.
-func (in *Intake) commitNew(ctx context.Context, id types.JobID, txn platform.Txn) (platform.Row, error) {
+// kind unavailable only if no attempt may have been stored. An attempt that was not sent is
+// passed to forward, which returns false if it has not forwarded the job.
+func (in *Intake) commitNew(ctx context.Context, id types.JobID, txn platform.Txn, forward func(cause error) (ForwardAnswer, bool)) (_ platform.Row, failed error) {
 	created := txn.Writes[len(txn.Writes)-1]
-	uncertain := false
+	uncertain := in.forwarder.begin(id)
+	defer func() { in.forwarder.end(id, failed != nil && apperr.KindOf(failed) != apperr.KindUnavailable) }()
 	for {
 		res, sent, err := in.send(ctx, txn, uncertain)
 		switch {
@@ -271,8 +293,19 @@
 		case sent && !errors.Is(err, platform.ErrUnavailable):
 			return platform.Row{}, err
 		}
+		var answer ForwardAnswer
+		if !uncertain && !sent {
+			var forwarded bool
+			answer, forwarded = forward(err)
+			if forwarded && answer.Outcome == outage.ForwardAccepted {
+				return acceptedRow(created, answer), nil
+			}
+			uncertain = forwarded && answer.Outcome == outage.ForwardLost
+		}
 		if !uncertain {
-			return platform.Row{}, in.unavailableError(created.Key, err)
+			failed := in.unavailableError(created.Key, err)
+			apperr.From(failed).RetryAfter = max(apperr.From(failed).RetryAfter, answer.RetryAfter)
+			return platform.Row{}, failed
 		}
 		sleep(ctx, jitter(commitRetryDelay))
 		if row, ok := in.readBack(ctx, id, created.Key); ok {
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -74,6 +74,9 @@
 type Options struct {
 	// OverloadControl makes an owner plan filling work, see internal/core/overload.
 	OverloadControl bool
+	// PassSubmissions makes an entry forward submissions that the store does not serve to
+	// other entries, and accept theirs.
+	PassSubmissions bool
 	Settings        *platform.Settings
 	Store           *platform.Store
 	Telemetry       *telemetry.Telemetry
@@ -129,14 +132,18 @@
 	vm, incarnation := types.VMID(s.Address), newIncarnation()
 	registry := jobs.NewEntryRegistry(table, table, jobs.EntryRegistration{VM: vm, Address: s.InternalAddress(), Incarnation: incarnation, Cores: s.CPUCores},
 		func() bool { return e.candidate.Owns() }, o.Telemetry.Log)
+	peers := entryapi.NewClient()
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: vm, Cores: s.CPUCores, Incarnation: incarnation, Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:      jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin, EvacuationBound: s.EvacuationBound},
 		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 		Evacuated: e.evacuations.domains, ReadOperatorRows: e.readOperatorRows,
-		Peers: registry.Peers, PeerClient: entryapi.NewClient(),
+		Peers: registry.Peers, PeerClient: peers,
 	})
 	e.intake = jobs.NewIntake(table, o.Store.Limits(), o.Telemetry.Log, e.candidate.NotifyCancelled)
+	if o.PassSubmissions {
+		e.intake.ForwardTo(jobs.NewForwarder(registry.Peers, peers, uint64(incarnation), o.Telemetry))
+	}
 	callers, err := httpserve.Listen(s.CallerAPI, &platform.CallerAPI{
 		Intake: e.intake, Config: e.config.Load, Log: o.Telemetry.Log, Tracer: o.Telemetry.Tracer,
 	}, e.callerLimits())
@@ -147,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	internal, err := httpserve.Listen(s.InternalAddress(), entryapi.NewHandler(e.candidate, o.Telemetry.Log), e.entryCallLimits())
+	internal, err := httpserve.Listen(s.InternalAddress(), entryapi.NewHandler(entryCalls{e.candidate, e}, o.Telemetry.Log), e.entryCallLimits())
 	if err != nil {
 		return err
 	}
--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -41,6 +41,8 @@
 	// workerAddresses are the addresses on which the workers listen.
 	workerAddresses []string
 	roleDone        []chan struct{}
+	// passSubmissions makes the entries forward submissions.
+	passSubmissions bool
 	// domains are the failure domains of the workers in order; "here" for the rest.
 	domains []string
 	mu      sync.Mutex
@@ -56,10 +58,13 @@
 }
 
 // newDeploymentWithLimit returns a deployment whose store takes values of at most
-// rowBytes.
-func newDeploymentWithLimit(t *testing.T, workers, rowBytes int) *deployment {
+// rowBytes. The options are applied before the processes start.
+func newDeploymentWithLimit(t *testing.T, workers, rowBytes int, options ...func(*deployment)) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: standin.NewStore(), rowBytes: rowBytes, startsBy: map[int]int{}, starts: map[string]int{}, running: map[string]int{}}
+	for _, set := range options {
+		set(d)
+	}
 	d.store.SetRowBytes(rowBytes)
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
@@ -116,7 +121,7 @@
 	}
 	go func() {
 		defer close(done)
-		if err := role(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel}); err != nil {
+		if err := role(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, PassSubmissions: d.passSubmissions}); err != nil {
 			d.t.Errorf("role of %s: %v", s.Name, err)
 		}
 	}()
--- a/internal/jobserver/listeners.go
+++ b/internal/jobserver/listeners.go
@@ -22,6 +22,8 @@
 	// jobHandleFactor covers the decoding of a job: 64 steps, and dependencies of 8
 	// bytes for each 2 bytes of the body, whose list doubles while it grows.
 	jobHandleFactor = 8
+	// forwardFactor covers the encoded job and the request of a forwarded submission.
+	forwardFactor = 2
 	// announcementHandleFactor and callHandleFactor cover the decoded message and
 	// its conversion.
 	announcementHandleFactor = 4
@@ -54,6 +56,9 @@
 	l := e.listenerLimits("callers", callerShare)
 	l.BodyBytes, l.HandleFactor = platform.DefaultBodyBytes, jobHandleFactor
 	l.Operator, l.Refuse = e.operatorLimits, platform.RefuseRequest
+	if e.PassSubmissions {
+		l.HandleFactor += forwardFactor
+	}
 	return l
 }
 
@@ -78,6 +83,11 @@
 func (e *entry) entryCallLimits() httpserve.Limits {
 	l := entryapi.ServerLimits()
 	l.Guard, l.Name, l.Share, l.BodyBytes, l.HandleFactor = e.Guard, "internal", entryCallShare, probeBodyBytes, callHandleFactor
+	if e.PassSubmissions {
+		// The other entry's caller has sent the body to it, and may send many: they count
+		// here as they do there.
+		l.BodyBytes, l.HandleFactor = entryapi.MaxRequestBytes(), jobHandleFactor
+	}
 	return l
 }
 
--- a/internal/wire/wirepb/entry.twirp.go
+++ b/internal/wire/wirepb/entry.twirp.go
@@ -36,6 +36,10 @@
 
 	// Yield tells the entry that the owner does not act as the confirmed owner any more.
 	Yield(context.Context, *YieldRequest) (*YieldResponse, error)
+
+	// SubmitJob stores a job that the calling entry cannot store because the table does
+	// not serve it. The entry never forwards the job further.
+	SubmitJob(context.Context, *SubmitJobRequest) (*SubmitJobResponse, error)
 }
 
 // ============================
@@ -44,7 +48,7 @@
 
 type entryServiceProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -72,9 +76,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "boragecrank.wire", "EntryService")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "ReadLease",
 		serviceURL + "Yield",
+		serviceURL + "SubmitJob",
 	}
 
 	return &entryServiceProtobufClient{
@@ -177,13 +182,59 @@
 	return out, nil
 }
 
+func (c *entryServiceProtobufClient) SubmitJob(ctx context.Context, in *SubmitJobRequest) (*SubmitJobResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "boragecrank.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "EntryService")
+	ctx = ctxsetters.WithMethodName(ctx, "SubmitJob")
+	caller := c.callSubmitJob
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubmitJobRequest) (*SubmitJobResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitJobRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitJobRequest) when calling interceptor")
+					}
+					return c.callSubmitJob(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitJobResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitJobResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryServiceProtobufClient) callSubmitJob(ctx context.Context, in *SubmitJobRequest) (*SubmitJobResponse, error) {
+	out := new(SubmitJobResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ========================
 // EntryService JSON Client
 // ========================
 
 type entryServiceJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -211,9 +262,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "boragecrank.wire", "EntryService")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "ReadLease",
 		serviceURL + "Yield",
+		serviceURL + "SubmitJob",
 	}
 
 	return &entryServiceJSONClient{
@@ -316,6 +368,52 @@
 	return out, nil
 }
 
+func (c *entryServiceJSONClient) SubmitJob(ctx context.Context, in *SubmitJobRequest) (*SubmitJobResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "boragecrank.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "EntryService")
+	ctx = ctxsetters.WithMethodName(ctx, "SubmitJob")
+	caller := c.callSubmitJob
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubmitJobRequest) (*SubmitJobResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitJobRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitJobRequest) when calling interceptor")
+					}
+					return c.callSubmitJob(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitJobResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitJobResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryServiceJSONClient) callSubmitJob(ctx context.Context, in *SubmitJobRequest) (*SubmitJobResponse, error) {
+	out := new(SubmitJobResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===========================
 // EntryService Server Handler
 // ===========================
@@ -419,6 +517,9 @@
 	case "Yield":
 		s.serveYield(ctx, resp, req)
 		return
+	case "SubmitJob":
+		s.serveSubmitJob(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -786,6 +887,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *entryServiceServer) serveSubmitJob(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSubmitJobJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSubmitJobProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *entryServiceServer) serveSubmitJobJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "SubmitJob")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SubmitJobRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.EntryService.SubmitJob
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitJobRequest) (*SubmitJobResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitJobRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitJobRequest) when calling interceptor")
+					}
+					return s.EntryService.SubmitJob(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitJobResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitJobResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SubmitJobResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitJobResponse and nil error while calling SubmitJob. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entryServiceServer) serveSubmitJobProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "SubmitJob")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SubmitJobRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.EntryService.SubmitJob
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitJobRequest) (*SubmitJobResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitJobRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitJobRequest) when calling interceptor")
+					}
+					return s.EntryService.SubmitJob(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubmitJobResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitJobResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SubmitJobResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitJobResponse and nil error while calling SubmitJob. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *entryServiceServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor1, 0
 }
@@ -802,25 +1083,40 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 311 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x52, 0x41, 0x6b, 0x32, 0x31,
-	0x10, 0x65, 0xbf, 0x4f, 0x8b, 0x8e, 0x0a, 0x36, 0xf4, 0x20, 0x7b, 0xa8, 0xb2, 0xbd, 0x08, 0x85,
-	0x15, 0xf4, 0x50, 0x7a, 0x2d, 0x14, 0x7a, 0x28, 0x14, 0x52, 0x2f, 0x2d, 0x94, 0x92, 0xcd, 0x0e,
-	0x1a, 0xaa, 0x49, 0x3a, 0x89, 0x4a, 0xff, 0x54, 0x7f, 0x63, 0xd9, 0xb8, 0xd8, 0x55, 0x69, 0x4f,
-	0xbd, 0x84, 0xbc, 0x99, 0x97, 0x79, 0x2f, 0x2f, 0x81, 0x16, 0x6a, 0x4f, 0x1f, 0xa9, 0x25, 0xe3,
-	0x0d, 0xeb, 0x66, 0x86, 0xc4, 0x0c, 0x25, 0x09, 0xfd, 0x96, 0x6e, 0x14, 0x61, 0xf2, 0x02, 0x9d,
-	0x87, 0x8d, 0x46, 0x72, 0x73, 0x65, 0xa7, 0x48, 0x4b, 0x76, 0x06, 0x75, 0x53, 0x14, 0x7a, 0xd1,
-	0x20, 0x1a, 0x36, 0xf9, 0x16, 0xb0, 0x01, 0xb4, 0x94, 0x96, 0x82, 0xb4, 0xf0, 0xca, 0xe8, 0xde,
-	0xbf, 0x41, 0x34, 0xac, 0xf1, 0x6a, 0xa9, 0x38, 0x87, 0xd6, 0xc8, 0x79, 0xef, 0x7f, 0xe8, 0x6d,
-	0x41, 0xc2, 0xa0, 0xcb, 0x51, 0xe4, 0xf7, 0x28, 0x1c, 0x72, 0x7c, 0x5f, 0xa1, 0xf3, 0x49, 0x0e,
-	0xa7, 0x95, 0x9a, 0xb3, 0x46, 0x3b, 0x64, 0x13, 0xa8, 0x79, 0xa4, 0x65, 0x50, 0x6d, 0x8d, 0xfb,
-	0xe9, 0xa1, 0xd1, 0x74, 0xcf, 0x25, 0x0f, 0x64, 0x16, 0x43, 0x83, 0x70, 0xad, 0xdc, 0xb7, 0xa5,
-	0x1d, 0x4e, 0x5e, 0xa1, 0xfd, 0xa4, 0x70, 0x91, 0x97, 0xaa, 0x7f, 0x2f, 0x70, 0x09, 0x9d, 0x52,
-	0xa0, 0xbc, 0x42, 0x0c, 0x0d, 0x21, 0x25, 0x5a, 0x8f, 0x79, 0x50, 0x69, 0xf0, 0x1d, 0x1e, 0x7f,
-	0x46, 0xd0, 0xbe, 0x2d, 0x1e, 0xe2, 0x11, 0x69, 0xad, 0x24, 0xb2, 0x29, 0x34, 0x77, 0x21, 0xb0,
-	0xe4, 0xd8, 0xcd, 0x61, 0x6a, 0xf1, 0xc5, 0xaf, 0x9c, 0xd2, 0xc2, 0x1d, 0xd4, 0x83, 0x27, 0x76,
-	0x7e, 0xcc, 0xae, 0xa6, 0x11, 0xf7, 0x7f, 0xec, 0x6f, 0x27, 0xdd, 0x5c, 0x3f, 0x5f, 0xcd, 0x94,
-	0x9f, 0xaf, 0xb2, 0x54, 0x9a, 0xe5, 0xa8, 0x42, 0xde, 0xdb, 0x2b, 0xed, 0x91, 0xb4, 0x58, 0x8c,
-	0x8a, 0x09, 0x61, 0xb1, 0x59, 0x76, 0x12, 0xfe, 0xda, 0xe4, 0x2b, 0x00, 0x00, 0xff, 0xff, 0xf4,
-	0x89, 0xd7, 0xf2, 0x7a, 0x02, 0x00, 0x00,
+	// 550 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x54, 0xdb, 0x6e, 0xd3, 0x40,
+	0x10, 0xc5, 0x69, 0x43, 0x93, 0xc9, 0x05, 0x77, 0x85, 0x20, 0x0a, 0x82, 0x46, 0x06, 0x89, 0x08,
+	0xa4, 0x54, 0x6a, 0x1f, 0x50, 0xc5, 0x53, 0x1b, 0x22, 0x71, 0x4b, 0x8c, 0x36, 0x8e, 0x10, 0x48,
+	0xc8, 0xf2, 0x65, 0xd2, 0x2c, 0xd4, 0x5e, 0xb3, 0xbb, 0x4e, 0xd5, 0x77, 0x3e, 0x8b, 0x8f, 0x43,
+	0x5e, 0x3b, 0x69, 0x6e, 0xf0, 0xc4, 0x4b, 0xe4, 0x99, 0x9d, 0xe3, 0x73, 0xe6, 0xec, 0x89, 0xa1,
+	0x86, 0xb1, 0x12, 0x37, 0xbd, 0x44, 0x70, 0xc5, 0x89, 0xe9, 0x73, 0xe1, 0x5d, 0x62, 0x20, 0xbc,
+	0xf8, 0x47, 0xef, 0x9a, 0x09, 0xb4, 0xbe, 0x41, 0xc3, 0xbe, 0x8e, 0x51, 0xc8, 0x19, 0x4b, 0x1c,
+	0x14, 0x11, 0xb9, 0x0f, 0x65, 0x9e, 0x35, 0x5a, 0x46, 0xc7, 0xe8, 0x56, 0x69, 0x5e, 0x90, 0x0e,
+	0xd4, 0x58, 0x1c, 0x78, 0x22, 0xf6, 0x14, 0xe3, 0x71, 0xab, 0xd4, 0x31, 0xba, 0xfb, 0x74, 0xb5,
+	0x95, 0xe1, 0x30, 0xe1, 0xc1, 0xac, 0xb5, 0xa7, 0xcf, 0xf2, 0xc2, 0x7a, 0x0d, 0x26, 0x45, 0x2f,
+	0xfc, 0x88, 0x9e, 0x44, 0x8a, 0x3f, 0x53, 0x94, 0x8a, 0x3c, 0x87, 0x7b, 0x53, 0x2e, 0x5c, 0x99,
+	0xfa, 0x11, 0x93, 0x92, 0xf1, 0x58, 0x6a, 0xae, 0x0a, 0x6d, 0x4e, 0xb9, 0x18, 0xdf, 0x76, 0xad,
+	0x10, 0x0e, 0x57, 0xc0, 0x32, 0xe1, 0xb1, 0x44, 0x72, 0x0a, 0xfb, 0x0a, 0x45, 0xa4, 0x21, 0xb5,
+	0x93, 0xa3, 0xde, 0xe6, 0x46, 0xbd, 0xb5, 0x75, 0xa8, 0x1e, 0x26, 0x6d, 0xa8, 0x08, 0x9c, 0x33,
+	0x79, 0xab, 0x7d, 0x59, 0x5b, 0x2e, 0xd4, 0xbf, 0x30, 0xbc, 0x0a, 0x17, 0xf2, 0xfe, 0x3b, 0xc1,
+	0x4b, 0x68, 0x14, 0x04, 0xc5, 0x0a, 0x6d, 0xa8, 0x78, 0x41, 0x80, 0x89, 0xc2, 0xb0, 0xd8, 0x7c,
+	0x59, 0x5b, 0x11, 0x98, 0xda, 0x02, 0xf5, 0x9e, 0xfb, 0x0b, 0x45, 0x4d, 0x28, 0xb1, 0xb0, 0xb8,
+	0x8f, 0x12, 0x0b, 0x89, 0x09, 0x7b, 0xdf, 0xb9, 0xaf, 0x79, 0xea, 0x34, 0x7b, 0x24, 0x2d, 0x38,
+	0x98, 0xa3, 0xd0, 0xec, 0xb9, 0xfd, 0x8b, 0x92, 0x3c, 0x06, 0x50, 0x2c, 0x42, 0x9e, 0x2a, 0x37,
+	0x92, 0xad, 0xfd, 0x8e, 0xd1, 0x6d, 0xd0, 0x6a, 0xd1, 0x19, 0x4a, 0xeb, 0xb7, 0x01, 0x87, 0x2b,
+	0x7c, 0x85, 0xc0, 0x33, 0x38, 0xe0, 0xa9, 0x0a, 0x78, 0x84, 0x9a, 0xb5, 0xb9, 0xcb, 0x85, 0x1c,
+	0x65, 0xe7, 0x63, 0x74, 0x31, 0x9f, 0xc5, 0x20, 0xf0, 0x52, 0x89, 0x5a, 0x5d, 0x95, 0xe6, 0x05,
+	0x79, 0x06, 0x4d, 0x81, 0x4a, 0xdc, 0xb8, 0xde, 0x54, 0xa1, 0xc8, 0x94, 0xec, 0x69, 0x25, 0x75,
+	0xdd, 0x3d, 0xcf, 0x9a, 0x43, 0x99, 0x61, 0xa5, 0xf2, 0x14, 0x6a, 0x99, 0x75, 0x9a, 0x17, 0x6b,
+	0xd6, 0x96, 0xd7, 0xad, 0x7d, 0x11, 0x42, 0x63, 0x4d, 0x07, 0x69, 0xc3, 0x83, 0xf1, 0xe4, 0x62,
+	0xf8, 0xce, 0x71, 0xed, 0x89, 0xd3, 0xb7, 0x87, 0x03, 0x77, 0x32, 0xfa, 0x30, 0xb2, 0x3f, 0x8f,
+	0xcc, 0x3b, 0xe4, 0x11, 0x3c, 0xdc, 0x38, 0x3b, 0xef, 0xf7, 0x07, 0x9f, 0x9c, 0xc1, 0x1b, 0xd3,
+	0xd8, 0x01, 0x1c, 0xd9, 0x8e, 0x4b, 0x27, 0x23, 0xb3, 0x74, 0xf2, 0xab, 0x04, 0xf5, 0x41, 0xf6,
+	0x2f, 0x1a, 0xa3, 0x98, 0xb3, 0x00, 0x89, 0x03, 0xd5, 0x65, 0x30, 0x89, 0xb5, 0xed, 0xcd, 0x66,
+	0xe4, 0xdb, 0x4f, 0xff, 0x39, 0x53, 0xb8, 0xfe, 0x16, 0xca, 0x3a, 0x27, 0xe4, 0xc9, 0xf6, 0xf4,
+	0x6a, 0x42, 0xdb, 0x47, 0x7f, 0x3d, 0x2f, 0xde, 0xe4, 0x40, 0x75, 0x79, 0xa9, 0xbb, 0xf4, 0x6d,
+	0x26, 0x6c, 0x97, 0xbe, 0xad, 0x54, 0x5c, 0x9c, 0x7d, 0x7d, 0x75, 0xc9, 0xd4, 0x2c, 0xf5, 0x7b,
+	0x01, 0x8f, 0x8e, 0x57, 0x00, 0x6b, 0xcf, 0x2c, 0x56, 0x28, 0x62, 0xef, 0xea, 0x38, 0x7b, 0x8b,
+	0xfe, 0x49, 0x7c, 0xff, 0xae, 0xfe, 0xfc, 0x9c, 0xfe, 0x09, 0x00, 0x00, 0xff, 0xff, 0xb5, 0xc7,
+	0x62, 0x4e, 0x8d, 0x04, 0x00, 0x00,
 }
