jobs: hand over from a small owner to a larger entry in quiet periods

Cause: an entry with 0.1 cores that becomes the owner of a large deployment keeps it until it stops, although larger entries are alive.

Reservations from before an announcement are ignored, since several attempts share an epoch.

--- a/internal/cli/jobroles.go
+++ b/internal/cli/jobroles.go
@@ -39,6 +39,9 @@
 			}, &cli.BoolFlag{
 				Name:  flagPassSubmissions,
 				Usage: "forward submissions to another entry while the store serves it but not this one, and accept those of others",
+			}, &cli.BoolFlag{
+				Name:  flagQuietHandover,
+				Usage: "as an owner with few cores of a large deployment, hand over to a larger entry in a quiet period",
 			}),
 			Action: jobRoleAction("jobs-entry", jobserver.RunEntry),
 		},
@@ -53,6 +56,7 @@
 const (
 	flagOverloadControl = "overload-control"
 	flagPassSubmissions = "pass-submissions"
+	flagQuietHandover   = "quiet-handover"
 )
 
 func jobRoleFlags() []cli.Flag {
@@ -92,7 +96,7 @@
 		go checkSettingsOnHangup(ctx, tel.Log)
 		err = run(ctx, jobserver.Options{
 			Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard,
-			OverloadControl: c.Bool(flagOverloadControl), PassSubmissions: c.Bool(flagPassSubmissions),
+			OverloadControl: c.Bool(flagOverloadControl), PassSubmissions: c.Bool(flagPassSubmissions), QuietHandover: c.Bool(flagQuietHandover),
 		})
 		tel.Log.Log(eventJobRoleStopped, err, telemetry.Fields{"dropped": output.Dropped()})
 		return err
--- a/internal/core/handover/doc.go
+++ b/internal/core/handover/doc.go
@@ -1,5 +1,5 @@
-// Package handover implements the decisions of a planned handover of ownership, and of an
-// emergency handover. It performs no I/O.
+// Package handover implements the decisions of a planned handover of ownership, of one in a
+// quiet period, and of an emergency handover. It performs no I/O.
 //
 // # Planned handover
 //
@@ -25,6 +25,19 @@
 // lease expires as usual. The reservation row stays after a handover; a reservation for
 // a later epoch replaces it.
 //
+// # Handover in a quiet period
+//
+// Load condition: the owner of a large deployment has few cores, and a larger candidate is
+// alive.
+//
+// Contract: type Quiet decides when the owner announces a planned handover although its
+// process does not stop. If no larger candidate is ready in time, or the period is no longer
+// quiet, the owner withdraws the announcement and goes on.
+//
+// State: in memory, for one term. Failure modes are those of the planned handover; in
+// addition a reservation of an earlier attempt in the same term may still be stored, which
+// the caller must not pass on.
+//
 // # Emergency handover
 //
 // Load condition: the table does not serve the owner, but other entries. Jobs that these
--- a/internal/core/handover/property_test.go
+++ b/internal/core/handover/property_test.go
@@ -53,8 +53,10 @@
 	// affects all entries at once and there are no other faults. current is the entry
 	// that makes a call.
 	cuts, whole bool
-	current     *simEntry
-	counts      map[string]int
+	// quiet is set if owners also hand over in quiet periods.
+	quiet   bool
+	current *simEntry
+	counts  map[string]int
 }
 
 type delayed struct {
@@ -79,6 +81,11 @@
 	released       bool
 	nextRead       time.Duration
 	cut            simCut
+	// quiet is set during an attempt in a quiet period, and ignored is the revision of the
+	// reservation before it.
+	quiet     bool
+	ignored   uint64
+	nextQuiet time.Duration // on its own clock
 }
 
 func (e *simEntry) clock() time.Duration { return e.offset + time.Duration(float64(e.s.now)*e.rate) }
@@ -196,7 +203,11 @@
 	if s.cuts {
 		e.stepEmergency()
 	}
-	if e.stopping() && e.owner == nil {
+	if s.quiet && !e.stopping() {
+		e.beginQuiet(now)
+	}
+	if e.stopping() && (e.owner == nil || e.quiet) {
+		e.quiet = false
 		row, _ := e.holder.Row()
 		e.owner = NewOwner(DefaultConfig(), row.Epoch, now+3700*ms)
 		e.preparedAt = now
@@ -207,9 +218,16 @@
 			e.owner.Announced(now)
 		}
 		if !e.rowBusy {
-			e.readReservation(e.owner.Observe)
+			owner := e.owner
+			e.readReservation(func(r Reservation, revision uint64, now time.Duration) {
+				if revision > e.ignored {
+					owner.Observe(r, revision, now)
+				}
+			})
 		}
-		if r, ok := e.owner.Next(now); ok {
+		if r, ok := e.owner.Next(now); ok && e.quiet {
+			e.endQuiet(r)
+		} else if ok {
 			e.released = true
 			s.causes[r.Cause]++
 			if release, ok := e.holder.Release(r.Successor); ok {
@@ -219,10 +237,10 @@
 			s.t.Fatalf("seed %d: a handover lasts longer than its deadline", s.seed)
 		}
 	}
-	if e.leaseBusy {
+	h := e.holder
+	if e.leaseBusy || h == nil {
 		return
 	}
-	h := e.holder
 	switch {
 	case h.Lost():
 		e.holder, e.owner = nil, nil
@@ -279,6 +297,9 @@
 		}
 	}
 	row, _ := e.observer.Row()
+	if s.quiet && row.Handover == "" && row.Owner != "" {
+		e.announced, e.successor = 0, nil // its withdrawal is lost
+	}
 	if row.Handover != "" && e.announced != row.Epoch {
 		e.announced, e.preparedAt = row.Epoch, 0
 		e.successor = NewSuccessor(DefaultConfig(), row.Epoch, e.vm, row.Incarnation, s.rng.Float64(), now)
--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -12,6 +12,7 @@
 	"github.com/boragecrank/boragecrank/internal/clock"
 	"github.com/boragecrank/boragecrank/internal/core/handover"
 	"github.com/boragecrank/boragecrank/internal/core/lease"
+	"github.com/boragecrank/boragecrank/internal/core/types"
 	"github.com/boragecrank/boragecrank/internal/platform"
 	"github.com/boragecrank/boragecrank/internal/telemetry"
 )
@@ -46,9 +47,15 @@
 
 // termHandover is the state of the handover of a term that its goroutines share.
 type termHandover struct {
-	// announced is set while the lease row should hold the announcement, and stored
-	// while it does.
-	announced, stored atomic.Bool
+	// announced is the reason that the lease row should hold, or empty; stored is set
+	// while it holds it.
+	announced atomic.Value
+	stored    atomic.Bool
+	// attempted is set after an attempt to hand over in a quiet period, and reservedBefore
+	// is the revision of the reservation before the last such announcement. Both belong to
+	// the goroutine of the handover.
+	attempted      bool
+	reservedBefore uint64
 	// spawned is set once the core's actor exists.
 	spawned atomic.Bool
 	// wake makes maintainLease check the lease at once.
@@ -62,21 +69,33 @@
 }
 
 func (h *termHandover) init() {
+	h.announced.Store("")
 	h.wake, h.release, h.done = make(chan struct{}, 1), make(chan handover.Release, 1), make(chan struct{})
 }
 
 // reason returns the announcement that the lease row should hold.
 func (h *termHandover) reason() string {
-	if h.announced.Load() {
-		return handover.ReasonStopping
+	reason, _ := h.announced.Load().(string)
+	return reason
+}
+
+// announce sets the reason that the lease row should hold.
+func (h *termHandover) announce(reason string) {
+	h.stored.Store(false)
+	h.announced.Store(reason)
+	select {
+	case h.wake <- struct{}{}:
+	default:
 	}
-	return ""
 }
 
-// handOverOnStop hands the ownership over when the context parent ends. It returns at
-// the latest when the term ends.
-func (t *term) handOverOnStop(ctx, parent context.Context) {
+// handOver hands the ownership over when the context parent ends, or in a quiet period if
+// that is enabled. It returns at the latest when the term ends.
+func (t *term) handOver(ctx, parent context.Context) {
 	defer t.wg.Done()
+	if t.c.opts.QuietHandover && t.c.opts.Peers != nil && t.c.opts.Cores < coresWithoutTakeoverDelay && t.handOverWhenQuiet(ctx, parent) {
+		return
+	}
 	select {
 	case <-parent.Done():
 	case <-ctx.Done():
@@ -88,6 +107,11 @@
 	if !ok {
 		return // the term has ended
 	}
+	t.releaseTo(ctx, release, stopBy)
+}
+
+// releaseTo releases the lease before a time, and ends the term.
+func (t *term) releaseTo(ctx context.Context, release handover.Release, stopBy time.Duration) {
 	if t.handover.spawned.Load() {
 		t.flushOnStop()
 	}
@@ -106,21 +130,18 @@
 // lease. It returns false if the term has ended.
 func (t *term) awaitSuccessor(ctx context.Context, deadline time.Duration) (handover.Release, bool) {
 	h := handover.NewOwner(handover.DefaultConfig(), t.epoch, deadline)
+	if t.handover.attempted && t.handover.reason() == "" {
+		_ = t.ignoreReservation(ctx) // without an answer the release may go to a candidate that has not prepared
+	}
 	if now := clock.Now(); now < deadline {
 		t.log.Log(eventHandoverAnnounced, nil, telemetry.Fields{"limit": (deadline - now).Milliseconds()})
-		t.handover.announced.Store(true)
-		t.handover.wake <- struct{}{}
+		t.handover.announce(handover.ReasonStopping)
 	}
 	for ctx.Err() == nil {
 		if release, ok := h.Next(clock.Now()); ok {
 			return release, true
 		}
-		if t.handover.stored.Load() {
-			h.Announced(clock.Now())
-			if row, revision, err := t.c.readReservation(ctx); err == nil {
-				h.Observe(row, revision, clock.Now())
-			}
-		}
+		t.observeReservation(ctx, h, func(types.VMID) bool { return true })
 		sleep(ctx, reservationPollInterval)
 	}
 	return handover.Release{}, false
--- a/internal/jobs/handover_test.go
+++ b/internal/jobs/handover_test.go
@@ -186,7 +186,7 @@
 	done  chan struct{}
 }
 
-func startEntry(t *testing.T, m *memoryTable, vm types.VMID, cores float64, callTime time.Duration) *handoverEntry {
+func startEntry(t *testing.T, m *memoryTable, vm types.VMID, cores float64, callTime time.Duration, options ...func(*Candidate)) *handoverEntry {
 	logger, hook := logtest.NewNullLogger()
 	e := &handoverEntry{table: &entryTable{memoryTable: m, callTime: callTime, cut: make(chan struct{})}, log: hook, done: make(chan struct{})}
 	system := actors.NewSystem()
@@ -198,6 +198,9 @@
 		Peers:  func() []handover.Peer { return m.net.peers(vm) }, PeerClient: &m.net,
 	})
 	e.c = c
+	for _, set := range options {
+		set(c)
+	}
 	m.net.add(c)
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -65,7 +65,7 @@
 	eventOwnerRecovered = telemetry.Define(542, logrus.InfoLevel, "jobs recovered",
 		"The owner has read the rows of jobs and agents. Fields: jobs, agents, revision, ms; prepared is true if it had read all but the latest changes before its takeover. No action.")
 	eventOwnershipReleased = telemetry.Define(543, logrus.InfoLevel, "ownership of jobs released",
-		"This process stops; another entry takes over. Fields: successor, the VM that has read the rows beforehand; cause. Without a successor nothing is placed until the next owner has read them; no action unless it repeats, see 560 to 564.")
+		"This process stops, or has few cores (570); another entry takes over. Fields: successor, the VM that has read the rows beforehand; cause. Without a successor nothing is placed until the next owner has read them; no action unless it repeats, see 560 to 564.")
 	eventLeaseLate = telemetry.Define(544, logrus.WarnLevel, "lease of jobs cannot be renewed",
 		"The table does not answer. Until the workers' leases expire, running tasks continue and the owner starts further tasks of known jobs. Fields: epoch; age, the time since the owner's lease ceased to be valid.")
 	eventAdviceFailed = telemetry.Define(546, logrus.WarnLevel, "policy service gives no advice",
@@ -119,6 +119,9 @@
 	StopTimeout time.Duration
 	// OverloadControl is passed on to the core.
 	OverloadControl bool
+	// QuietHandover makes an owner with few cores hand over to a larger entry in a quiet
+	// period. It needs Peers.
+	QuietHandover bool
 	// Advisor answers which workers may run a step; nil if there is none.
 	Advisor   Advisor
 	Telemetry *telemetry.Telemetry
@@ -160,6 +163,7 @@
 	takeoverDue         bool
 	takeoverDueRevision uint64
 	takeoverDueAt       time.Duration
+	quiet               handover.QuietConfig
 	// contact records whether the table answers.
 	contact *tableContact
 	// available is set while this candidate can take over; yields holds the last yield
@@ -179,7 +183,7 @@
 	contact := &tableContact{answeredAt: clock.Now()}
 	o.Table, o.Changes = contactTable{o.Table, contact}, contactChanges{o.Changes, contact}
 	return &Candidate{
-		contact: contact, yields: make(chan handover.Yield, 1),
+		quiet: handover.DefaultQuietConfig(), contact: contact, yields: make(chan handover.Yield, 1),
 		opts: o, log: o.Telemetry.Log,
 		observer:      lease.NewObserver(leaseConfig(), jobsShard, o.VM, o.Incarnation),
 		rng:           rand.New(rand.NewPCG(uint64(o.Incarnation), 1)), //nolint:gosec // jitter
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -176,6 +176,11 @@
 	m.scope.Tagged(map[string]string{"step": step}).Counter("jobs_emergency_handovers").Inc(1)
 }
 
+// countQuietHandover counts a step of a handover in a quiet period.
+func (m *termMetrics) countQuietHandover(step string) {
+	m.scope.Tagged(map[string]string{"step": step}).Counter("jobs_quiet_handovers").Inc(1)
+}
+
 // countHandover counts a release of the ownership.
 func (m *termMetrics) countHandover(r handover.Release) {
 	m.scope.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("jobs_handovers").Inc(1)
--- a/internal/jobs/successor.go
+++ b/internal/jobs/successor.go
@@ -49,7 +49,7 @@
 // does. It returns when the handover has ended.
 func (c *Candidate) succeed(ctx context.Context) {
 	row, ok := c.observer.Row()
-	if !ok || row.Owner == "" || row.Handover == "" || ctx.Err() != nil {
+	if !ok || row.Owner == "" || row.Handover == "" || ctx.Err() != nil || !c.quiet.TakesPart(row.Handover, c.opts.Cores) {
 		return
 	}
 	s := &succession{
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -66,6 +66,7 @@
 	// prepared are the rows that were read before the takeover; nil if none were.
 	prepared       *preparedRows
 	handover       termHandover
+	activity       activityLog
 	nextFlush      time.Duration
 	nextLoadReport time.Duration
 	// learned is the value of the row keyLearned that was last read, or sent to the
@@ -110,7 +111,7 @@
 	t.wg.Add(1)
 	go t.maintainLease(ctx)
 	t.wg.Add(1)
-	go t.handOverOnStop(ctx, parent)
+	go t.handOver(ctx, parent)
 	if t.c.opts.Peers != nil {
 		t.wg.Add(1)
 		go t.yieldInEmergency(ctx)
@@ -231,6 +232,7 @@
 	confirmed := t.ownershipConfirmed(now)
 	o.SetOwnershipConfirmed(now, confirmed)
 	out := o.Poll(now, unixNow())
+	t.activity.decided(now, out.Decisions)
 	t.logDecisions(out.Decisions)
 	t.metrics.setIdle(o.IdleSteps(), o.BackgroundRuns())
 	t.metrics.setEvacuated(o.EvacuatedDomains(), o.EvacuatedVMs())
@@ -341,7 +343,9 @@
 func (t *term) renew(ctx context.Context, r lease.Renewal) {
 	// The end of the term does not cancel the call: the release needs the revision of
 	// the last renewal.
+	began := clock.Now()
 	res, err := t.writeLease(context.WithoutCancel(ctx), r)
+	t.activity.renewed(clock.Now() - began)
 	switch {
 	case err == nil && res.Committed:
 		t.holder.Committed(res.Revision)
--- a/internal/jobserver/handover_test.go
+++ b/internal/jobserver/handover_test.go
@@ -7,6 +7,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/boragecrank/boragecrank/internal/jobserver"
+	"github.com/boragecrank/boragecrank/platform/standin"
 )
 
 // leaseRow is the row of the lease as it is stored.
@@ -117,3 +120,38 @@
 	}
 	t.Errorf("no takeover within %v in %d attempts", limit, attempts)
 }
+
+// Guards against an owner with few cores that keeps the ownership of a large deployment in a
+// quiet period although a larger entry is alive, and against tasks that run twice around the
+// handover. The entries of the deployment have no cores in their settings.
+func TestSmallOwnerHandsOver(t *testing.T) {
+	t.Parallel()
+	d := newDeploymentWithLimit(t, 30, standin.RowBytes, func(d *deployment) { d.quietHandover = true })
+	d.await("owner", func() bool { return d.lease().Owner != "" && len(d.store.Rows("agent")) == 30 })
+	before := d.lease()
+	p := standin.NewLocalVM().EntryOptions("entry-large", d.storeAddress)
+	s := d.settings(p)
+	s.CPUCores = 1
+	d.entries = append(d.entries, p.CallerAPI)
+	d.startRole(s, jobserver.RunEntry)
+	var ids []string
+	// 10 s until the first attempt, and as long again if a worker was silent meanwhile or
+	// the attempt fails.
+	begin := time.Now()
+	for d.lease().Owner == before.Owner && time.Since(begin) < time.Minute {
+		id := fmt.Sprintf("00000000000003%02x", len(ids))
+		if code, text := d.call(0, http.MethodPost, "/q/"+id, twoStepJob(2)); code != http.StatusOK {
+			t.Errorf("submission: %d %s", code, text)
+		}
+		ids = append(ids, id)
+		time.Sleep(400 * time.Millisecond)
+	}
+	d.await("next owner", func() bool { return d.lease().Owner != "" })
+	if after := d.lease(); after.Owner != s.Address || after.Epoch != before.Epoch+1 {
+		t.Fatalf("the lease before and after: %+v, %+v, want the next epoch at %s", before, after, s.Address)
+	}
+	t.Logf("handed over after %v", time.Since(begin))
+	for _, id := range ids {
+		d.awaitState(0, id, "completed")
+	}
+}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -77,9 +77,12 @@
 	// PassSubmissions makes an entry forward submissions that the store does not serve to
 	// other entries, and accept theirs.
 	PassSubmissions bool
-	Settings        *platform.Settings
-	Store           *platform.Store
-	Telemetry       *telemetry.Telemetry
+	// QuietHandover makes an owner with few cores hand over to a larger entry in a quiet
+	// period, see internal/core/handover.
+	QuietHandover bool
+	Settings      *platform.Settings
+	Store         *platform.Store
+	Telemetry     *telemetry.Telemetry
 	// Guard protects the process from untrusted clients; nil means one with the
 	// limits of the settings.
 	Guard *httpserve.Guard
@@ -136,7 +139,7 @@
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: vm, Cores: s.CPUCores, Incarnation: incarnation, Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:      jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin, EvacuationBound: s.EvacuationBound},
-		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
+		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, QuietHandover: o.QuietHandover, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 		Evacuated: e.evacuations.domains, ReadOperatorRows: e.readOperatorRows,
 		Peers: registry.Peers, PeerClient: peers,
 	})
--- a/internal/jobserver/jobserver_test.go
+++ b/internal/jobserver/jobserver_test.go
@@ -41,8 +41,8 @@
 	// workerAddresses are the addresses on which the workers listen.
 	workerAddresses []string
 	roleDone        []chan struct{}
-	// passSubmissions makes the entries forward submissions.
-	passSubmissions bool
+	// passSubmissions and quietHandover are options of the entries.
+	passSubmissions, quietHandover bool
 	// domains are the failure domains of the workers in order; "here" for the rest.
 	domains []string
 	mu      sync.Mutex
@@ -121,7 +121,7 @@
 	}
 	go func() {
 		defer close(done)
-		if err := role(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, PassSubmissions: d.passSubmissions}); err != nil {
+		if err := role(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, PassSubmissions: d.passSubmissions, QuietHandover: d.quietHandover}); err != nil {
 			d.t.Errorf("role of %s: %v", s.Name, err)
 		}
 	}()
