entryapi: bound the time of a forwarded submission at the peer

Cause: the peer took the time limit from the request without a bound, so that another process at the internal port could hold jobs, and their memory, for long.

--- a/internal/entryapi/entryapi.go
+++ b/internal/entryapi/entryapi.go
@@ -137,7 +137,8 @@
 	if r.GetId() == "" || r.GetTimeoutMs() == 0 {
 		return nil, twirp.RequiredArgumentError("id and timeout_ms")
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetTimeoutMs())*time.Millisecond)
+	timeout := min(time.Duration(r.GetTimeoutMs())*time.Millisecond, outage.DefaultForwardConfig().MaxTime)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a := s.entry.SubmitJob(ctx, jobs.ForwardedJob{ID: types.JobID(r.GetId()), Spec: r.GetJob(), Version: types.Version(r.GetVersion())})
 	return &wirepb.SubmitJobResponse{
--- a/internal/entryapi/entryapi_test.go
+++ b/internal/entryapi/entryapi_test.go
@@ -133,6 +133,10 @@
 			}
 		})
 	}
+	*e = fakeEntry{answer: answered}
+	if _, err := NewClient().SubmitJob(t.Context(), address, job, time.Hour); err != nil || e.left > 2*time.Second {
+		t.Errorf("an entry may hold a job for %v, %v", e.left, err)
+	}
 	*e = fakeEntry{err: errors.New("this entry is the owner")}
 	if err := NewClient().ReadLeaseForSubmissions(t.Context(), address); err != nil {
 		t.Errorf("the owner does not take submissions: %v", err)
