handover: test which candidates take part in a quiet period

Cause: no test failed when candidates with few cores took part.

Change: one assertion for each side of the limit.

--- a/internal/core/handover/quiet_test.go
+++ b/internal/core/handover/quiet_test.go
@@ -50,6 +50,9 @@
 			}
 		})
 	}
+	if c := DefaultQuietConfig(); c.TakesPart(ReasonQuiet, 0.49) || !c.TakesPart(ReasonQuiet, 0.5) || !c.TakesPart(ReasonStopping, 0.1) {
+		t.Error("a small candidate reserves in a quiet period, or one that may does not")
+	}
 	q := NewQuiet(DefaultQuietConfig(), time.Second)
 	for now := time.Second; now < time.Minute; now += 100 * ms {
 		if got := q.Next(now, quietSituation(), quietPeers[:1]); got != nil {
