--- a/internal/cli/jobroles.go
+++ b/internal/cli/jobroles.go
@@ -36,6 +36,12 @@
 			Flags: append(jobRoleFlags(), &cli.BoolFlag{
 				Name:  flagOverloadControl,
 				Usage: "plan which large jobs are delayed when not all can be in time, protect size classes, and reject jobs that would be worthless when done",
+			}, &cli.BoolFlag{
+				Name:  flagPassSubmissions,
+				Usage: "forward submissions to another entry while the store serves it but not this one, and accept those of others",
+			}, &cli.BoolFlag{
+				Name:  flagQuietHandover,
+				Usage: "as an owner with few cores of a large deployment, hand over to a larger entry in a quiet period",
 			}),
 			Action: jobRoleAction("jobs-entry", jobserver.RunEntry),
 		},
@@ -47,7 +53,11 @@
 	}
 }
 
-const flagOverloadControl = "overload-control"
+const (
+	flagOverloadControl = "overload-control"
+	flagPassSubmissions = "pass-submissions"
+	flagQuietHandover   = "quiet-handover"
+)
 
 func jobRoleFlags() []cli.Flag {
 	return []cli.Flag{
@@ -84,7 +94,10 @@
 			defer func() { _ = metrics.Close() }()
 		}
 		go checkSettingsOnHangup(ctx, tel.Log)
-		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard, OverloadControl: c.Bool(flagOverloadControl)})
+		err = run(ctx, jobserver.Options{
+			Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard,
+			OverloadControl: c.Bool(flagOverloadControl), PassSubmissions: c.Bool(flagPassSubmissions), QuietHandover: c.Bool(flagQuietHandover),
+		})
 		tel.Log.Log(eventJobRoleStopped, err, telemetry.Fields{"dropped": output.Dropped()})
 		return err
 	}
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -75,9 +75,15 @@
 	// OverloadControl makes an owner plan filling work and publish a forecast, by which
 	// entries reject submissions, see internal/core/overload.
 	OverloadControl bool
-	Settings        *platform.Settings
-	Store           *platform.Store
-	Telemetry       *telemetry.Telemetry
+	// PassSubmissions makes an entry forward submissions that the store does not serve to
+	// other entries, and accept theirs.
+	PassSubmissions bool
+	// QuietHandover makes an owner with few cores hand over to a larger entry in a quiet
+	// period, see internal/core/handover.
+	QuietHandover bool
+	Settings      *platform.Settings
+	Store         *platform.Store
+	Telemetry     *telemetry.Telemetry
 	// Guard protects the process from untrusted clients; nil means one with the
 	// limits of the settings.
 	Guard *httpserve.Guard
@@ -130,15 +136,19 @@
 	vm, incarnation := types.VMID(s.Address), newIncarnation()
 	registry := jobs.NewEntryRegistry(table, table, jobs.EntryRegistration{VM: vm, Address: s.InternalAddress(), Incarnation: incarnation, Cores: s.CPUCores},
 		func() bool { return e.candidate.Owns() }, o.Telemetry.Log)
+	peers := entryapi.NewClient()
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: vm, Cores: s.CPUCores, Incarnation: incarnation, Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:      jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin, EvacuationBound: s.EvacuationBound},
-		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
+		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, QuietHandover: o.QuietHandover, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 		Evacuated: e.evacuations.domains, ReadOperatorRows: e.readOperatorRows,
-		Peers: registry.Peers, PeerClient: entryapi.NewClient(),
+		Peers: registry.Peers, PeerClient: peers,
 	})
 	e.intake = jobs.NewIntake(table, o.Store.Limits(), o.Telemetry.Log, e.candidate.NotifyCancelled)
 	forecast := e.useForecast()
+	if o.PassSubmissions {
+		e.intake.ForwardTo(jobs.NewForwarder(registry.Peers, peers, uint64(incarnation), o.Telemetry))
+	}
 	callers, err := httpserve.Listen(s.CallerAPI, &platform.CallerAPI{
 		Intake: e.intake, Config: e.config.Load, Log: o.Telemetry.Log, Tracer: o.Telemetry.Tracer,
 	}, e.callerLimits())
@@ -149,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	internal, err := httpserve.Listen(s.InternalAddress(), entryapi.NewHandler(e.candidate, o.Telemetry.Log), e.entryCallLimits())
+	internal, err := httpserve.Listen(s.InternalAddress(), entryapi.NewHandler(entryCalls{e.candidate, e}, o.Telemetry.Log), e.entryCallLimits())
 	if err != nil {
 		return err
 	}
