jobs: a test gives up a write that cannot be answered before

TestGivenUpCallDoesNotSuspendPartition failed once beside load (load average 43): the write was answered after 60 ms, before the timer that gives it up after 20 ms was served.

--- a/internal/jobs/watched_test.go
+++ b/internal/jobs/watched_test.go
@@ -309,7 +309,7 @@
 	table := &faultyTable{rows: make(map[string]platform.Row)}
 	table.setFault(func(write bool) (time.Duration, error) {
 		if write {
-			return 60 * time.Millisecond, nil
+			return unanswered, nil
 		}
 		return time.Millisecond, nil
 	})
