workflow: failed runs of a gang count for the gang as a whole

Cause: countFailure recorded the failed run of a gang with the task whose end was reported first, and compared the failures of that task alone with MaxAttempts. The first report differs from run to run, so a gang of n tasks could fail up to n times as often as allowed. The sharing of attempts was lost at takeovers as well.

Change: the attempts of a gang are the distinct failed runs of all its tasks, also for the decision whether it may probe a quarantined worker. The stored progress is unchanged. The simulation checks the limit for gangs too, which it left out.

--- a/internal/core/workflow/budget_test.go
+++ b/internal/core/workflow/budget_test.go
@@ -88,3 +88,59 @@
 		t.Errorf("%d of %d occurrences are done", j.finished, job.Occurrences)
 	}
 }
+
+// Guards against gangs that run more often than their attempts allow: in each run, the
+// failure of another task was reported first, and each task counted only its own.
+func TestFailuresOfAGangCountTogether(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// stored is the progress that an earlier owner stored.
+		stored []StepProgress
+		// runs are the ends of the two tasks in each run of this owner.
+		runs [][2]EndKind
+	}{
+		{"all tasks fail", nil, [][2]EndKind{{EndFailed, EndFailed}, {EndFailed, EndFailed}}},
+		{"in turns", nil, [][2]EndKind{{EndFailed, EndBroken}, {EndBroken, EndFailed}}},
+		{"after a takeover", []StepProgress{{Failures: map[int]Failures{0: {1}}}}, [][2]EndKind{{EndBroken, EndFailed}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Minute
+			o := New(simConfig(mutantNone, 1), now)
+			o.SetQueues(map[string]Queue{"q": {Name: "q", Service: "svc", MaxAttempts: 2}})
+			seq := uint64(0)
+			report := func(vm types.VMID, ended ...End) {
+				seq++
+				boot := Boot{ID: string(vm), Born: 1}
+				o.Report(now, Report{
+					VM: vm, Agent: 1, Fence: FirstFence(1), Boot: boot, Clock: now, ListSeq: seq, Ended: ended,
+					Upstream: &Upstream{Boot: boot, Service: "svc", Capacity: types.Resources{MilliCPU: 1000}},
+				})
+			}
+			report("a")
+			report("b")
+			job := Job{ID: "j", Queue: "q", Steps: []Step{{Tasks: 2, Gang: true, Demand: types.Resources{MilliCPU: 1000}}}}
+			if err := o.AddJob(now, now, job, JobQueued, 1, Progress{Occurrences: []OccurrenceProgress{{Steps: c.stored}}}, true); err != nil {
+				t.Fatal(err)
+			}
+			for n, ends := range c.runs {
+				now += avoidDuration
+				report("a")
+				report("b")
+				orders := o.Poll(now, now).Orders
+				if len(orders) != 2 {
+					t.Fatalf("run %d: %d orders, want two starts", n, len(orders))
+				}
+				// The failure of task n is reported first.
+				for i := range orders {
+					order := orders[(i+n)%2]
+					seq++
+					o.ApplyResults(now, 1, []OrderResult{{Order: order, Result: ResultDone, Seq: seq}})
+					report(order.VM, End{Number: uint64(n + 1), Task: order.Task, Run: order.Run, Kind: ends[order.Task.Index]})
+				}
+			}
+			if outcome := o.jobs["j"].outcome; outcome != JobFailed {
+				t.Errorf("job is %q after two failed runs of the gang, want failed", outcome)
+			}
+		})
+	}
+}
--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -76,11 +76,12 @@
 }
 
 // countFailure counts a failed run, even one that has been given up. The job
-// fails when a task has used up its attempts. The tasks of a gang fail
-// together, which counts once.
+// fails when a task has used up its attempts. The tasks of a gang run together under
+// one run number and have their attempts in common: a run of the gang in which any of
+// them fails counts once.
 func (o *Owner) countFailure(t *task, v *vm, e *End) {
 	s := t.step
-	if t.phase == phaseDone || slices.Contains(t.failures, e.Run) || s.spec.Gang && s.lastFailedGangRun == e.Run {
+	if t.phase == phaseDone || slices.Contains(t.failedRuns(), e.Run) {
 		return
 	}
 	t.avoid(v, o.now)
@@ -88,16 +89,33 @@
 		return // restarted regardless of the number of failures
 	}
 	t.failures = append(t.failures, e.Run)
-	s.lastFailedGangRun = e.Run
 	o.markDirty(s.job)
 	limit := o.queueOf(s.job).MaxAttempts
-	if limit > 0 && len(t.failures) >= limit && s.job.outcome == "" {
+	if limit > 0 && len(t.failedRuns()) >= limit && s.job.outcome == "" {
 		s.job.outcome = JobFailed
 		o.recordDecision(Decision{Kind: DecisionFinished, Job: s.job.spec.ID, Task: t.key(), Reason: string(JobFailed), Age: o.now - s.job.accepted})
 		o.stopAll(s.job)
 	}
 }
 
+// failedRuns returns the failed runs that use up the attempts of a task: those of the
+// task, or of its whole gang. Each run of a gang is stored with the task whose failure
+// was reported first, which differs from run to run.
+func (t *task) failedRuns() Failures {
+	if !t.step.spec.Gang {
+		return t.failures
+	}
+	var runs Failures
+	for i := range t.step.tasks {
+		for _, run := range t.step.tasks[i].failures {
+			if !slices.Contains(runs, run) {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
 // requeue returns a live task to the waiting state.
 func (o *Owner) requeue(t *task, reason string) {
 	if !t.phase.live() {
--- a/internal/core/workflow/quarantine.go
+++ b/internal/core/workflow/quarantine.go
@@ -18,7 +18,7 @@
 // MaxAttempts 0 have no limit of attempts.
 func (o *Owner) hasSpareAttempt(t *task) bool {
 	limit := o.queueOf(t.step.job).MaxAttempts
-	return t.step.spec.Standing || limit == 0 || len(t.failures)+1 < limit
+	return t.step.spec.Standing || limit == 0 || len(t.failedRuns())+1 < limit
 }
 
 // probeFree reports whether a quarantined worker is due for a probe that no task
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -114,17 +114,20 @@
 	// end was acknowledged to the worker.
 	doneEver, acked map[TaskKey]bool
 	// failures counts the failed runs whose ends were acknowledged.
-	failures   map[TaskKey]int
-	starts     int
-	faults     map[string]int
-	violations []string
-	events     []string
+	failures map[TaskKey]int
+	// gangFailures holds the failed runs of gangs whose ends were acknowledged, by the
+	// first task of the step.
+	gangFailures map[TaskKey]map[uint64]bool
+	starts       int
+	faults       map[string]int
+	violations   []string
+	events       []string
 }
 
 func newSim(seed uint64, m mutant) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 3)), restartRNG: rand.New(rand.NewPCG(seed, 4)), mutant: m, now: time.Minute, rows: make(map[types.JobID]*stored),
-		doneEver: make(map[TaskKey]bool), acked: make(map[TaskKey]bool), failures: make(map[TaskKey]int), faults: make(map[string]int),
+		doneEver: make(map[TaskKey]bool), acked: make(map[TaskKey]bool), failures: make(map[TaskKey]int), gangFailures: make(map[TaskKey]map[uint64]bool), faults: make(map[string]int),
 	}
 	for i := range 4 {
 		w := &simWorker{id: types.VMID(fmt.Sprintf("vm%d", i))}
--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -107,6 +107,7 @@
 			}
 			if w.ended[0].Kind == EndFailed {
 				s.failures[w.ended[0].Task]++
+				s.countGangFailure(&w.ended[0])
 			}
 			w.ended = w.ended[1:]
 		}
@@ -224,8 +225,12 @@
 			s.fail("task %s run %d starts on %s while it runs on %s", o.Task, o.Run, w.id, other.id)
 		}
 	}
-	if s.failures[o.Task] >= simAttempts && !s.rows[o.Task.Job].job.Steps[o.Task.Step].Gang {
-		s.fail("task %s starts after %d failed runs", o.Task, s.failures[o.Task])
+	failed := s.failures[o.Task]
+	if s.rows[o.Task.Job].job.Steps[o.Task.Step].Gang {
+		failed = len(s.gangFailures[o.Task.step()])
+	}
+	if failed >= simAttempts {
+		s.fail("task %s starts after %d failed runs", o.Task, failed)
 	}
 	if s.acked[o.Task] {
 		s.fail("task %s starts after its end was acknowledged", o.Task)
@@ -240,6 +245,22 @@
 	}
 }
 
+// step returns the key of the first task of the step.
+func (k TaskKey) step() TaskKey {
+	k.Index = 0
+	return k
+}
+
+// countGangFailure records the failed run of a gang, which counts once.
+func (s *sim) countGangFailure(e *End) {
+	runs := s.gangFailures[e.Task.step()]
+	if runs == nil {
+		runs = make(map[uint64]bool)
+		s.gangFailures[e.Task.step()] = runs
+	}
+	runs[e.Run] = true
+}
+
 func (s *sim) endRun(w *simWorker, at int, kind EndKind) {
 	run := w.runs[at]
 	w.runs = slices.Delete(w.runs, at, at+1)
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -127,9 +127,6 @@
 	// declared one.
 	relativeRunTimes []float64
 	tickets          tickets
-	// lastFailedGangRun is the last run of the gang whose failure has been
-	// counted.
-	lastFailedGangRun uint64
 	// membersPlaced is how many members of the gang found a VM in the last placement
 	// pass.
 	membersPlaced int
