workflow: moves of throttled standing tasks respect MayMiss

Cause: moveThrottledTask stopped one throttled filling task for each VM without the check that moves off slow workers make, so the standing filling tasks of a step were all moved at once when the load rose on several VMs. The restart of a gang of standing background runs had no check either.

Change: a standing task is moved only if mayStop allows it; a standing gang is restarted only if all its members may be down at once.

--- a/internal/core/workflow/background.go
+++ b/internal/core/workflow/background.go
@@ -226,14 +226,14 @@
 }
 
 // restartGang stops a gang that runs in the background if VMs can take all its members
-// at full pace.
+// at full pace, and if a standing gang may have all of them down at once.
 func (o *Owner) restartGang(s *step) {
 	first := &s.tasks[0]
 	if o.now < first.nextMoveAt {
 		return
 	}
 	first.nextMoveAt = o.now + moveRetry
-	if !o.gangFits(s) {
+	if s.spec.Standing && s.spec.MayMiss > 0 && s.spec.MayMiss < len(s.tasks) || !o.gangFits(s) {
 		return
 	}
 	first.nextMoveAt = o.now + moveBackoff
--- a/internal/core/workflow/pace.go
+++ b/internal/core/workflow/pace.go
@@ -289,7 +289,8 @@
 }
 
 // moveThrottledTask stops a filling task that has been throttled for a while,
-// if that discards little work and another VM can run it.
+// if that discards little work, another VM can run it, and the MayMiss limit of a
+// standing task allows it.
 func (o *Owner) moveThrottledTask(v *vm) {
 	for _, t := range v.tasks {
 		spec := t.step.spec
@@ -299,6 +300,9 @@
 		if !spec.Checkpoints && o.now >= t.startedAt+maxLostRunTime {
 			continue
 		}
+		if spec.Standing && !t.mayStop() {
+			continue
+		}
 		if target := o.choose(t); target != nil && target != v {
 			o.stop(t)
 			return
