--- a/internal/core/overload/plan.go
+++ b/internal/core/overload/plan.go
@@ -32,8 +32,11 @@
 }
 
 // weight is what it costs callers if the occurrence is late.
-func (oc *Occurrence) weight() float64 {
-	return math.Pow(priorityBase, -float64(min(max(0, oc.Priority), maxPriority)))
+func (oc *Occurrence) weight() float64 { return weight(oc.Priority) }
+
+// weight is what work of a priority counts, relative to work of priority 0.
+func weight(priority int) float64 {
+	return math.Pow(priorityBase, -float64(min(max(0, priority), maxPriority)))
 }
 
 // Position is the sort key of planned occurrences: when they are due. Protected ones go by
