workflow: preemption for queues of priority 0, and headroom for short work

The owner had no way to free reserved processors, and placed standing tasks wherever they fitted.

Standing tasks that would take the headroom of short work wait for up to 2 s. Each has a constant in features.go, events (670 to 672), gauges and a reason in 652 and 659. The unsaved work of a task is known from the time when a list first shows its checkpoint.

--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -122,6 +122,7 @@
 		return
 	}
 	j := t.step.job
+	reason = t.preemption.endReason(reason)
 	o.recordDecision(Decision{Kind: DecisionRequeued, Task: t.key(), Run: t.run, VM: t.vmID(), Reason: reason, Age: o.now - j.accepted})
 	if t.phase == phaseRunning || t.listed {
 		t.waitingSince = o.now
--- a/internal/core/workflow/features.go
+++ b/internal/core/workflow/features.go
@@ -11,4 +11,10 @@
 	// paceByDelayCost: filling tasks are slowed down by their interference and
 	// overload.DelayCost, otherwise by the load that they add.
 	paceByDelayCost = true
+	// preemptForPriority: work of lower priorities is stopped for work of priority 0, see
+	// overload.Preempt.
+	preemptForPriority = true
+	// headroomForShortWork: standing tasks wait for a bounded time before they take what
+	// short work usually uses, see overload.Headroom.
+	headroomForShortWork = true
 )
--- a/internal/core/workflow/idle.go
+++ b/internal/core/workflow/idle.go
@@ -211,6 +211,8 @@
 		return obstacle
 	}
 	switch {
+	case o.waitsForHeadroom(t):
+		return "headroom for short work"
 	case !t.step.spec.Fills || o.mayFill(t.step.spec, v):
 		return "none"
 	case !v.hasUnusedProcessors(t.step.spec):
--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -329,4 +329,10 @@
 	DecisionDeferred
 	// DecisionPlanned: a deferred occurrence is planned again.
 	DecisionPlanned
+	// DecisionPreempted: a task is stopped for a job of a queue of priority 0.
+	DecisionPreempted
+	// DecisionPreempts: the same, of the job that it is stopped for.
+	DecisionPreempts
+	// DecisionHeadroom: a standing task waits, to leave capacity to short work.
+	DecisionHeadroom
 )
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -31,7 +31,8 @@
 	// MaxChanges limits the jobs changed by one batch and, separately, the
 	// expired jobs in it.
 	MaxChanges int
-	// OverloadControl turns on the plan of filling work and paces by the cost of delay.
+	// OverloadControl turns on the plan of filling work, paces by the cost of delay,
+	// preemption for queues of priority 0, and headroom for short work.
 	OverloadControl bool
 }
 
@@ -78,6 +79,8 @@
 	interference   *interference
 	runTimes       runTimes
 	overload       overloadState
+	preemption     preemptionState
+	headroom       headroomState
 	checkWorkersAt time.Duration
 	checkIdleAt    time.Duration
 	idleSteps      map[IdleCause]int
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -65,7 +65,9 @@
 			s.idleSince = o.now
 		}
 	}
-	for _, s := range o.waitingSteps() {
+	o.measureHeadroom()
+	steps := o.waitingSteps()
+	for _, s := range steps {
 		if s.background > 0 {
 			o.advanceBackground(s)
 		}
@@ -78,6 +80,7 @@
 			o.requestTickets(s)
 		}
 	}
+	o.preempt(steps)
 }
 
 // placeStep starts the waiting tasks of a step until one does not fit. A task
@@ -92,6 +95,9 @@
 		if o.knownUnplaceable(t) && !o.starving(t) {
 			return
 		}
+		if s.spec.Standing && o.delayForHeadroom(t) {
+			continue
+		}
 		v := o.choose(t)
 		if v == nil {
 			o.noteUnplaceable(t)
@@ -124,6 +130,9 @@
 	if s.waiting < len(s.tasks) {
 		return // earlier runs of the gang have not all ended
 	}
+	if s.spec.Standing && o.delayForHeadroom(&s.tasks[0]) {
+		return
+	}
 	var starts uint64
 	checkpoint := ""
 	chosen := make([]*vm, 0, len(s.tasks))
@@ -181,6 +190,7 @@
 		Reserved: v.reserved.MilliCPU, Filling: v.filling, Capacity: v.upstream.Capacity.MilliCPU, Targets: v.targets, Pace: v.lowestPace(), Kind: t.step.kind(),
 	}
 	v.bind(t)
+	o.countStanding(t)
 	if v.quarantined {
 		v.probe = t
 	}
@@ -321,6 +331,9 @@
 	if !v.hasRoom(t.step) {
 		return "no room"
 	}
+	if len(o.preemption.held) > 0 && o.heldFrom(t, v) {
+		return "held for priority 0"
+	}
 	return ""
 }
 
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -268,8 +268,8 @@
 	if t.phase == phaseStarting {
 		o.markRunning(t)
 	}
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
+	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
+		t.checkpoint, t.preemption.savedAt = r.Checkpoint, o.now
 	}
 	t.progress = r.Progress
 	t.measurement = r.Figure
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -102,6 +102,10 @@
 	ownerDiesAt    time.Duration
 	// filling: most steps fill.
 	filling bool
+	// overload: overload control is on, most jobs are of a queue of priority 1, and the
+	// others of priority 0. preempted counts the tasks that were stopped for them.
+	overload  bool
+	preempted int
 	// afterTick, if set, is called after each tick.
 	afterTick func()
 	born      int64
@@ -169,7 +173,8 @@
 	s.epoch++
 	s.batch = nil
 	s.owner = New(simConfig(s.mutant, s.epoch), s.now)
-	s.owner.SetQueues(map[string]Queue{"q": {Name: "q", Service: "svc", MaxAttempts: simAttempts, Stretch: 2, Target: time.Second}})
+	s.owner.cfg.OverloadControl = s.overload
+	s.owner.SetQueues(s.queues())
 	for _, w := range s.workers {
 		s.owner.AddVM(s.now, w.id)
 	}
@@ -189,8 +194,22 @@
 	s.event("owner of epoch %d", s.epoch)
 }
 
+// queues returns the queues of the run.
+func (s *sim) queues() map[string]Queue {
+	q := Queue{Name: "q", Service: "svc", MaxAttempts: simAttempts, Stretch: 2, Target: time.Second}
+	if !s.overload {
+		return map[string]Queue{"q": q}
+	}
+	urgent := q
+	urgent.Name, q.Priority = "urgent", 1
+	return map[string]Queue{"q": q, "urgent": urgent}
+}
+
 func (s *sim) submit() {
 	job := Job{Queue: "q", Accepted: s.now}
+	if s.overload && s.rng.IntN(3) == 0 {
+		job.Queue = "urgent"
+	}
 	for i := range 1 + s.rng.IntN(3) {
 		step := Step{
 			Tasks: 1 + s.rng.IntN(4), Demand: types.Resources{MilliCPU: 1000, MemoryBytes: 1}, RunTime: simRunTime,
@@ -313,6 +332,9 @@
 func (s *sim) sendOrders() {
 	out := s.owner.Poll(s.now, s.now)
 	for _, d := range out.Decisions {
+		if d.Kind == DecisionPreempted {
+			s.preempted++
+		}
 		if d.Kind == DecisionRequeued || d.Kind == DecisionEnded {
 			s.event("owner: %s run %d on %s: %s", d.Task, d.Run, d.VM, d.Reason)
 		}
--- a/internal/core/workflow/simfaults_test.go
+++ b/internal/core/workflow/simfaults_test.go
@@ -13,7 +13,7 @@
 	if s.noFaults {
 		return
 	}
-	if s.chance(0.06) {
+	if s.chance(0.06) || s.overload && s.chance(0.1) {
 		s.submit()
 	}
 	if s.chance(0.01) {
--- a/internal/core/workflow/slowness.go
+++ b/internal/core/workflow/slowness.go
@@ -262,11 +262,5 @@
 	if s.spec.MayMiss == 0 {
 		return true
 	}
-	away := 0
-	for i := range s.tasks {
-		if other := &s.tasks[i]; other != t && (other.phase != phaseRunning || other.progress < progressServing) {
-			away++
-		}
-	}
-	return away < s.spec.MayMiss
+	return s.away(t) < s.spec.MayMiss
 }
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -92,6 +92,7 @@
 	// stalledSince is when the task was first seen to use no processor, or 0.
 	stalledSince time.Duration
 	paceSentAt   time.Duration
+	preemption   taskPreemption
 }
 
 func (t *task) key() TaskKey {
@@ -113,6 +114,8 @@
 	// idleSince is when the step last had a running task, or became ready. idleLoggedAt
 	// is the last log event about it.
 	idleSince, idleLoggedAt time.Duration
+	// headroomLoggedAt is the last log event about a delay for headroom.
+	headroomLoggedAt time.Duration
 	// runTime is the estimated run time of a task, and criticalPath the
 	// estimated time of the longest path from the step on, both as of the last
 	// forecast.
@@ -258,6 +261,9 @@
 	// not serve.
 	probe        *task
 	servingSince time.Duration
+	// standingReserved is the part of reserved that standing tasks hold, held what is
+	// held for work of priority 0.
+	standingReserved, held types.Resources
 }
 
 // imageCount is the number of live tasks of one image with a tail target.
@@ -351,6 +357,9 @@
 	t.vm = v
 	v.tasks = append(v.tasks, t)
 	v.reserved = v.reserved.Add(t.step.reservation())
+	if t.step.spec.Standing {
+		v.standingReserved = v.standingReserved.Add(t.step.reservation())
+	}
 	v.countFilling(t, 1)
 	if t.step.spec.TailTarget > 0 {
 		v.targets++
@@ -378,6 +387,9 @@
 		v.probe = nil
 	}
 	v.reserved = v.reserved.Sub(t.step.reservation())
+	if t.step.spec.Standing {
+		v.standingReserved = v.standingReserved.Sub(t.step.reservation())
+	}
 	v.countFilling(t, -1)
 	if t.step.spec.TailTarget > 0 {
 		v.targets--
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -40,6 +40,12 @@
 		"Filling work that can still be in time is more than fits. The job goes after the planned ones, since it needs more work for its priority. The reason has the work that it needs, the time until it is due, and the processors that filling work gets. Many deferred jobs mean that VMs are missing. Fields: job, age, reason."),
 	workflow.DecisionPlanned: telemetry.Define(662, logrus.InfoLevel, "deferred job planned again",
 		"A job of event 661 is planned to be in time. Fields: job, age, reason. No action."),
+	workflow.DecisionPreempted: telemetry.Define(670, logrus.InfoLevel, "task preempted",
+		"The task is stopped and starts again, to make room for a job of a queue of priority 0 that could not be in time otherwise. The reason names that job, the work that the stop discards, and the cost. 652 follows when the run has ended. Many of them mean that VMs are missing, or that too many queues have priority 0. Fields: job, task, run, vm, age, reason."),
+	workflow.DecisionPreempts: telemetry.Define(671, logrus.InfoLevel, "job preempts a task",
+		"The same as 670, of the job for which the task is stopped. Fields: job, vm, age, reason. No action."),
+	workflow.DecisionHeadroom: telemetry.Define(672, logrus.InfoLevel, "standing task waits for headroom",
+		"Standing tasks would take capacity that short work of the service usually uses. The task starts when there is enough, and after 2 s at the latest if a VM has room. The reason has the processors that short work uses and those that standing tasks reserve. If it repeats, VMs are missing. Fields: job, task, age, reason."),
 }
 
 var eventVMLoad = telemetry.Define(658, logrus.DebugLevel, "load of a VM",
@@ -111,6 +117,7 @@
 	deferred                       tally.Gauge
 	protected                      tally.Gauge
 	throughput                     tally.Gauge
+	overloadGauges
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
@@ -121,7 +128,7 @@
 		idleSteps: make(map[workflow.IdleCause]tally.Gauge), background: scope.Gauge("jobs_background_runs"),
 		evacuatedDomains: scope.Gauge("jobs_evacuated_domains"), evacuatedVMs: scope.Gauge("jobs_evacuated_vms"),
 		planned: scope.Gauge("jobs_planned_occurrences"), deferred: scope.Gauge("jobs_deferred_occurrences"),
-		protected: scope.Gauge("jobs_protected_occurrences"), throughput: scope.Gauge("jobs_filling_throughput"),
+		protected: scope.Gauge("jobs_protected_occurrences"), throughput: scope.Gauge("jobs_filling_throughput"), overloadGauges: newOverloadGauges(scope),
 	}
 	for _, cause := range workflow.IdleCauses() {
 		m.idleSteps[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("jobs_idle_steps")
@@ -165,6 +172,8 @@
 		m.scope.Counter("jobs_tasks_done").Inc(1)
 	case workflow.DecisionRequeued:
 		m.scope.Counter("jobs_tasks_returned").Inc(1)
+	case workflow.DecisionPreempted:
+		m.scope.Counter("jobs_tasks_preempted").Inc(1)
 	case workflow.DecisionFinished:
 		m.scope.Tagged(map[string]string{"state": d.Reason}).Counter("jobs_over").Inc(1)
 		m.jobTime.RecordDuration(d.Age)
