--- a/internal/core/workflow/features.go
+++ b/internal/core/workflow/features.go
@@ -14,4 +14,10 @@
 	// forecastAdmission: the owner forecasts when the jobs of each queue complete, and
 	// entries reject those that would be worthless by then, see overload.Admission.
 	forecastAdmission = true
+	// preemptForPriority: work of lower priorities is stopped for work of priority 0, see
+	// overload.Preempt.
+	preemptForPriority = true
+	// headroomForShortWork: standing tasks wait for a bounded time before they take what
+	// short work usually uses, see overload.Headroom.
+	headroomForShortWork = true
 )
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -31,8 +31,9 @@
 	// MaxChanges limits the jobs changed by one batch and, separately, the
 	// expired jobs in it.
 	MaxChanges int
-	// OverloadControl turns on the plan of filling work, paces by the cost of delay, and
-	// the forecast for admission.
+	// OverloadControl turns on the plan of filling work, paces by the cost of delay,
+	// preemption for queues of priority 0, headroom for short work, and the forecast for
+	// admission.
 	OverloadControl bool
 }
 
@@ -79,6 +80,8 @@
 	interference   *interference
 	runTimes       runTimes
 	overload       overloadState
+	preemption     preemptionState
+	headroom       headroomState
 	checkWorkersAt time.Duration
 	checkIdleAt    time.Duration
 	idleSteps      map[IdleCause]int
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -102,6 +102,10 @@
 	ownerDiesAt    time.Duration
 	// filling: most steps fill.
 	filling bool
+	// overload: overload control is on, most jobs are of a queue of priority 1, and the
+	// others of priority 0. preempted counts the tasks that were stopped for them.
+	overload  bool
+	preempted int
 	// afterTick, if set, is called after each tick.
 	afterTick func()
 	born      int64
@@ -114,17 +118,20 @@
 	// end was acknowledged to the worker.
 	doneEver, acked map[TaskKey]bool
 	// failures counts the failed runs whose ends were acknowledged.
-	failures   map[TaskKey]int
-	starts     int
-	faults     map[string]int
-	violations []string
-	events     []string
+	failures map[TaskKey]int
+	// gangFailures holds the failed runs of gangs whose ends were acknowledged, by the
+	// first task of the step.
+	gangFailures map[TaskKey]map[uint64]bool
+	starts       int
+	faults       map[string]int
+	violations   []string
+	events       []string
 }
 
 func newSim(seed uint64, m mutant) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 3)), restartRNG: rand.New(rand.NewPCG(seed, 4)), mutant: m, now: time.Minute, rows: make(map[types.JobID]*stored),
-		doneEver: make(map[TaskKey]bool), acked: make(map[TaskKey]bool), failures: make(map[TaskKey]int), faults: make(map[string]int),
+		doneEver: make(map[TaskKey]bool), acked: make(map[TaskKey]bool), failures: make(map[TaskKey]int), gangFailures: make(map[TaskKey]map[uint64]bool), faults: make(map[string]int),
 	}
 	for i := range 4 {
 		w := &simWorker{id: types.VMID(fmt.Sprintf("vm%d", i))}
@@ -166,7 +173,8 @@
 	s.epoch++
 	s.batch = nil
 	s.owner = New(simConfig(s.mutant, s.epoch), s.now)
-	s.owner.SetQueues(map[string]Queue{"q": {Name: "q", Service: "svc", MaxAttempts: simAttempts, Stretch: 2, Target: time.Second}})
+	s.owner.cfg.OverloadControl = s.overload
+	s.owner.SetQueues(s.queues())
 	for _, w := range s.workers {
 		s.owner.AddVM(s.now, w.id)
 	}
@@ -186,8 +194,22 @@
 	s.event("owner of epoch %d", s.epoch)
 }
 
+// queues returns the queues of the run.
+func (s *sim) queues() map[string]Queue {
+	q := Queue{Name: "q", Service: "svc", MaxAttempts: simAttempts, Stretch: 2, Target: time.Second}
+	if !s.overload {
+		return map[string]Queue{"q": q}
+	}
+	urgent := q
+	urgent.Name, q.Priority = "urgent", 1
+	return map[string]Queue{"q": q, "urgent": urgent}
+}
+
 func (s *sim) submit() {
 	job := Job{Queue: "q", Accepted: s.now}
+	if s.overload && s.rng.IntN(3) == 0 {
+		job.Queue = "urgent"
+	}
 	for i := range 1 + s.rng.IntN(3) {
 		step := Step{
 			Tasks: 1 + s.rng.IntN(4), Demand: types.Resources{MilliCPU: 1000, MemoryBytes: 1}, RunTime: simRunTime,
@@ -310,6 +332,9 @@
 func (s *sim) sendOrders() {
 	out := s.owner.Poll(s.now, s.now)
 	for _, d := range out.Decisions {
+		if d.Kind == DecisionPreempted {
+			s.preempted++
+		}
 		if d.Kind == DecisionRequeued || d.Kind == DecisionEnded {
 			s.event("owner: %s run %d on %s: %s", d.Task, d.Run, d.VM, d.Reason)
 		}
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -125,6 +125,7 @@
 	t.metrics.setEvacuated(0, 0)
 	t.metrics.setOverload(workflow.OverloadStatus{})
 	t.metrics.setForecast(nil)
+	t.metrics.setPreemption(workflow.PreemptionStatus{}, workflow.HeadroomStatus{})
 	if parent.Err() != nil {
 		t.release()
 	}
@@ -239,6 +240,7 @@
 	t.metrics.setIdle(o.IdleSteps(), o.BackgroundRuns())
 	t.metrics.setEvacuated(o.EvacuatedDomains(), o.EvacuatedVMs())
 	t.metrics.setOverload(o.Overload())
+	t.metrics.setPreemption(o.Preemption(), o.Headroom())
 	t.dispatch(out.Orders)
 	t.requestAdvice(out.TicketRequests)
 	t.logLoads(o, now)
