workflow: a straggler is no evidence that its VM is slow

Cause: compareSpeeds counts the tasks that run at the moment. Tasks of usual length end and drop out, so where run times have a tail the long ones remain and make a sound VM look slow.

Change: a task that has been slow for all the time in which another task of the VM ran from start to end at the speed of its siblings elsewhere is exempt. It counts again only when it becomes slower than it has been.

--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -67,6 +67,8 @@
 	if t.phase == phaseWaiting {
 		t.step.waiting--
 	}
+	o.exemptStragglers(t)
+	t.recordEndedRun(o.now)
 	t.recordRelativeRunTime(o.now)
 	t.sample(o.now)
 	t.release()
--- a/internal/core/workflow/features.go
+++ b/internal/core/workflow/features.go
@@ -11,4 +11,7 @@
 	// paceByDelayCost: filling tasks are slowed down by their interference and
 	// overload.DelayCost, otherwise by the load that they add.
 	paceByDelayCost = true
+	// tailAwareSlowness: a long task is no evidence against its VM while others ran there
+	// at normal speed, see exemptStragglers. It does not depend on Config.Copies.
+	tailAwareSlowness = true
 )
--- a/internal/core/workflow/load_test.go
+++ b/internal/core/workflow/load_test.go
@@ -40,6 +40,8 @@
 	// actual returns the run time of a task of a step; nil means the declared
 	// one.
 	actual func(*Step) time.Duration
+	// long returns how many times as long a run of a task takes; nil means once.
+	long func(key TaskKey, run uint64) float64
 }
 
 func (h *harness) runTime(s *Step) time.Duration {
@@ -157,7 +159,11 @@
 			if h.speedOf(vm) > 0 {
 				entry.Figure = float64(run.spec.Demand.MilliCPU) * float64(run.pace) / fullPace
 			}
-			run.worked += time.Duration(float64(d) * h.speedOf(vm) * float64(run.pace) / fullPace)
+			factor := 1.0
+			if h.long != nil {
+				factor = h.long(key, run.run)
+			}
+			run.worked += time.Duration(float64(d) * h.speedOf(vm) * float64(run.pace) / fullPace / factor)
 			entry.Progress = int(fullPace * run.worked / h.runTime(run.spec))
 		}
 		if !run.spec.Standing && run.worked >= h.runTime(run.spec) {
--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -329,4 +329,6 @@
 	DecisionDeferred
 	// DecisionPlanned: a deferred occurrence is planned again.
 	DecisionPlanned
+	// DecisionStraggler: a task is long by itself, and no evidence against its VM.
+	DecisionStraggler
 )
--- a/internal/core/workflow/slowness.go
+++ b/internal/core/workflow/slowness.go
@@ -16,7 +16,9 @@
 // A worker counts as slow if its tasks advance much slower than tasks of the
 // same steps on other workers, or if standing tasks there miss their targets by
 // far without filling tasks that could be the cause. It gets no new tasks for a
-// while, and tasks that can be moved are restarted elsewhere.
+// while, and tasks that can be moved are restarted elsewhere. A task that is slow
+// while others run there at normal speed is a straggler and no evidence, see
+// exemptStragglers.
 const (
 	// slowRatio is how many times slower than elsewhere a task must advance.
 	// Tasks of one step differ by at most a third, and slow workers are at
@@ -142,12 +144,13 @@
 	type speed struct {
 		vm              *vm
 		relativeRunTime slowdownRange
+		own             float64
 	}
 	var all []speed
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if relativeRunTime, ok := t.slowdown(); ok {
-			all = append(all, speed{t.vm, relativeRunTime})
+			all = append(all, speed{t.vm, relativeRunTime, t.ownSlowdown})
 		}
 	}
 	for _, x := range all {
@@ -166,9 +169,13 @@
 		if math.IsInf(median, 1) {
 			continue
 		}
+		slow := x.relativeRunTime.least >= slowRatio*max(median, x.own)
+		if x.own > 0 && !slow {
+			continue // a straggler at its own speed says nothing about the VM
+		}
 		e := evidence[x.vm]
 		e.measured++
-		if x.relativeRunTime.least >= slowRatio*median {
+		if slow {
 			e.slowTasks++
 		}
 		evidence[x.vm] = e
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -81,6 +81,8 @@
 	measurement float64
 	// advance is the measured advance at full pace.
 	advance advance
+	// ownSlowdown is the slowdown of a straggler, see exemptStragglers; 0 for others.
+	ownSlowdown float64
 	// learnedMeasurement is the last measurement that the interference model
 	// has learned from.
 	learnedMeasurement float64
@@ -126,7 +128,9 @@
 	// relativeRunTimes holds run times of finished tasks as multiples of the
 	// declared one.
 	relativeRunTimes []float64
-	tickets          tickets
+	// endedRuns holds the first undisturbed runs that ended, see typicalRatio.
+	endedRuns []endedRun
+	tickets   tickets
 	// lastFailedGangRun is the last run of the gang whose failure has been
 	// counted.
 	lastFailedGangRun uint64
@@ -392,5 +396,5 @@
 	t.step.job.live--
 	t.step.live--
 	t.inFlight, t.listed, t.stopAcked, t.answerSeq = false, false, false, 0
-	t.progress, t.measurement, t.stalledSince, t.forced, t.background, t.advance = 0, 0, 0, false, false, advance{}
+	t.progress, t.measurement, t.stalledSince, t.forced, t.background, t.advance, t.ownSlowdown = 0, 0, 0, false, false, advance{}, 0
 }
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -40,6 +40,8 @@
 		"Filling work that can still be in time is more than fits. The job goes after the planned ones, since it needs more work for its priority. The reason has the work that it needs, the time until it is due, and the processors that filling work gets. Many deferred jobs mean that VMs are missing. Fields: job, age, reason."),
 	workflow.DecisionPlanned: telemetry.Define(662, logrus.InfoLevel, "deferred job planned again",
 		"A job of event 661 is planned to be in time. Fields: job, age, reason. No action."),
+	workflow.DecisionStraggler: telemetry.Define(683, logrus.InfoLevel, "straggler",
+		"The task runs several times as long as the others of its step while its VM runs other tasks at normal speed, so it is no evidence that the VM is slow. Fields: job, task, run, vm, age, reason. No action."),
 }
 
 var eventVMLoad = telemetry.Define(658, logrus.DebugLevel, "load of a VM",
@@ -165,6 +167,8 @@
 		m.scope.Counter("jobs_tasks_done").Inc(1)
 	case workflow.DecisionRequeued:
 		m.scope.Counter("jobs_tasks_returned").Inc(1)
+	case workflow.DecisionStraggler:
+		m.scope.Counter("jobs_stragglers").Inc(1)
 	case workflow.DecisionFinished:
 		m.scope.Tagged(map[string]string{"state": d.Reason}).Counter("jobs_over").Inc(1)
 		m.jobTime.RecordDuration(d.Age)
