--- a/internal/cli/jobroles.go
+++ b/internal/cli/jobroles.go
@@ -36,6 +36,9 @@
 			Flags: append(jobRoleFlags(), &cli.BoolFlag{
 				Name:  flagOverloadControl,
 				Usage: "plan which large jobs are delayed when not all can be in time, and protect size classes",
+			}, &cli.BoolFlag{
+				Name:  flagCopies,
+				Usage: "start second runs of tasks that take much longer than usual, in steps that allow it",
 			}),
 			Action: jobRoleAction("jobs-entry", jobserver.RunEntry),
 		},
@@ -47,7 +50,10 @@
 	}
 }
 
-const flagOverloadControl = "overload-control"
+const (
+	flagOverloadControl = "overload-control"
+	flagCopies          = "copies"
+)
 
 func jobRoleFlags() []cli.Flag {
 	return []cli.Flag{
@@ -84,7 +90,7 @@
 			defer func() { _ = metrics.Close() }()
 		}
 		go checkSettingsOnHangup(ctx, tel.Log)
-		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard, OverloadControl: c.Bool(flagOverloadControl)})
+		err = run(ctx, jobserver.Options{Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard, OverloadControl: c.Bool(flagOverloadControl), Copies: c.Bool(flagCopies)})
 		tel.Log.Log(eventJobRoleStopped, err, telemetry.Fields{"dropped": output.Dropped()})
 		return err
 	}
--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -12,6 +12,10 @@
 		return
 	}
 	v.endSeen = e.Number
+	if c := v.copyOfRun(e.Task, e.Run); c != nil {
+		o.applyCopyEnd(v, c, e)
+		return
+	}
 	t := o.findTask(e.Task)
 	if t == nil || t.step.job.outcome != "" && !t.phase.live() {
 		return
@@ -20,7 +24,9 @@
 	if e.Kind == EndFailed {
 		o.countFailure(t, v, e)
 	}
-	if !current && (t.phase != phaseWaiting || e.Run < t.run) {
+	if !current && e.Kind == EndDone && o.anyRunCounts(t) {
+		o.releaseForEarlierRun(t, e.Run)
+	} else if !current && (t.phase != phaseWaiting || e.Run < t.run) {
 		return // not the current run, and the task has started again or is done
 	}
 	if current {
@@ -68,12 +74,14 @@
 		t.step.waiting--
 	}
 	o.exemptStragglers(t)
+	o.learnRatio(t)
 	t.recordEndedRun(o.now)
 	t.recordRelativeRunTime(o.now)
 	t.sample(o.now)
 	t.release()
 	t.phase = phaseDone
 	t.step.done++
+	o.stopCopy(t)
 	o.placeDue = true
 }
 
@@ -105,6 +113,10 @@
 	if !t.phase.live() {
 		return
 	}
+	if t.copyOf != nil || t.copy != nil {
+		o.endOneRun(t, reason)
+		return
+	}
 	j := t.step.job
 	o.recordDecision(Decision{Kind: DecisionRequeued, Task: t.key(), Run: t.run, VM: t.vmID(), Reason: reason, Age: o.now - j.accepted})
 	if t.phase == phaseRunning || t.listed {
--- a/internal/core/workflow/features.go
+++ b/internal/core/workflow/features.go
@@ -14,4 +14,11 @@
 	// tailAwareSlowness: a long task is no evidence against its VM while others ran there
 	// at normal speed, see exemptStragglers. It does not depend on Config.Copies.
 	tailAwareSlowness = true
+	// stragglerCopies: stragglers get a second run, see startCopies.
+	stragglerCopies = true
+	// longestTaskForecast: a step is expected to take as long as its longest task, see
+	// stepTime. It is off since the expected maximum of 20 tasks with a tail of 3% is 3.7
+	// run times, so that all such steps would be placed as late, although more than half
+	// of them have no long task.
+	longestTaskForecast = false
 )
--- a/internal/core/workflow/job.go
+++ b/internal/core/workflow/job.go
@@ -61,8 +61,8 @@
 	Gang bool `json:"gang,omitempty"`
 	// SameRack: the tasks are slower when they run on more than one rack.
 	SameRack bool `json:"same_rack,omitempty"`
-	// Copies: the tasks tolerate two overlapping runs. The owner does not make
-	// use of it.
+	// Copies: the tasks tolerate two overlapping runs, of which the first to
+	// finish counts. The owner makes use of it if Config.Copies is set.
 	Copies bool `json:"copies,omitempty"`
 	// Standing tasks run until the job is cancelled.
 	Standing bool `json:"standing,omitempty"`
--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -329,6 +329,12 @@
 	DecisionDeferred
 	// DecisionPlanned: a deferred occurrence is planned again.
 	DecisionPlanned
+	// DecisionCopyStarted: the start of a copy was ordered; see Reason.
+	DecisionCopyStarted
+	// DecisionCopyWon: a task is done since its copy was the first to finish.
+	DecisionCopyWon
+	// DecisionCopyEnded: one of two runs of a task has ended, or never began.
+	DecisionCopyEnded
 	// DecisionStraggler: a task is long by itself, and no evidence against its VM.
 	DecisionStraggler
 )
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/health"
+	"github.com/boragecrank/boragecrank/internal/core/runtimes"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 )
 
-// Config holds the times and limits of an owner. All fields but OverloadControl are
-// required.
+// Config holds the times and limits of an owner. All fields but OverloadControl and Copies
+// are required.
 type Config struct {
 	Epoch types.Epoch
 	// LeaseDuration is the length of a lease, counted from the last reading of
@@ -33,6 +34,8 @@
 	MaxChanges int
 	// OverloadControl turns on the plan of filling work and paces by the cost of delay.
 	OverloadControl bool
+	// Copies turns on second runs of stragglers in steps with Step.Copies.
+	Copies bool
 }
 
 // maxPlaceInterval is the longest time between placement passes while tasks
@@ -77,6 +80,8 @@
 	health         *health.Tracker
 	interference   *interference
 	runTimes       runTimes
+	ratios         *runtimes.Kinds
+	copies         copiesState
 	overload       overloadState
 	checkWorkersAt time.Duration
 	checkIdleAt    time.Duration
@@ -120,7 +125,7 @@
 	return &Owner{
 		cfg: cfg, now: now,
 		queues: make(map[string]Queue), vms: make(map[types.VMID]*vm), jobs: make(map[types.JobID]*job), cancelled: make(map[types.JobID]uint64), finished: make(map[types.JobID]bool),
-		health: health.New(healthOptions()), interference: newInterference(), runTimes: make(runTimes), placeDue: true, confirmed: true,
+		health: health.New(healthOptions()), interference: newInterference(), runTimes: make(runTimes), ratios: runtimes.New(), placeDue: true, confirmed: true,
 	}
 }
 
@@ -301,6 +306,7 @@
 				if t := &s.tasks[i]; t.phase == phaseRunning || t.phase == phaseStarting {
 					o.stop(t)
 				}
+				o.stopCopy(&s.tasks[i])
 			}
 		}
 	}
@@ -380,6 +386,7 @@
 		o.place()
 		o.confirmEvacuations()
 	}
+	o.startCopies()
 	o.checkIdle()
 	out := Output{Orders: o.orders, TicketRequests: o.ticketRequests, Decisions: o.decisions}
 	o.orders, o.ticketRequests, o.decisions = nil, nil, nil
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -186,7 +186,9 @@
 	}
 	v.passLeftover = v.leftover()
 	t.phase = phaseStarting
-	t.step.waiting--
+	if t.copyOf == nil {
+		t.step.waiting--
+	}
 	t.run = run
 	t.inFlight = true
 	t.startedAt = o.now
@@ -196,6 +198,9 @@
 		Kind: OrderStart, VM: v.id, Boot: v.boot, Task: t.key(), Run: run,
 		Payload: t.step.job.spec.Payload, LeaseEnd: o.extendLease(v),
 	}
+	if t.copyOf != nil {
+		order.LeaseEnd = o.copyDeadline(v)
+	}
 	if o.queueOf(t.step.job).Advised {
 		order.Ticket = t.step.tickets.valid(o.now, v)
 	}
@@ -207,6 +212,9 @@
 	if t.background {
 		d.Reason = "background run: no VM takes the task at full pace"
 	}
+	if t.copyOf != nil {
+		d.Kind, d.Reason = DecisionCopyStarted, t.copyOf.copyReason(o.now)
+	}
 	o.recordDecision(d)
 }
 
--- a/internal/core/workflow/random_test.go
+++ b/internal/core/workflow/random_test.go
@@ -24,6 +24,9 @@
 // simSteps is the number of ticks with faults in a run: one minute.
 const simSteps = 1200
 
+// simSettle is the number of ticks within which the rows of ended jobs are deleted: 20 s.
+const simSettle = 400
+
 func runSim(seed uint64, m mutant) *sim {
 	return newSim(seed, m).run()
 }
@@ -97,6 +100,56 @@
 	}
 }
 
+// Guards against a third run of a task, a second one without Copies, a start after an
+// acknowledged end, more attempts than allowed, and jobs that never end, when stragglers
+// get copies, under the same faults. Guards against checks that cannot fail: with any one
+// rule for copies disabled, a run violates an invariant.
+func TestRandomRunsWithCopies(t *testing.T) {
+	t.Parallel()
+	copies := 0
+	for seed := *simFirst; seed < *simFirst+*simSeeds; seed++ {
+		s := newCopySim(seed, mutantNone)
+		s.filling = seed%3 == 0
+		s.afterTick = func() {
+			for _, o := range []*Owner{s.owner, s.former} {
+				if o == nil {
+					continue
+				}
+				if err := checkSums(o); err != nil {
+					s.fail("%v", err)
+				}
+			}
+		}
+		s.run()
+		for range simSettle {
+			s.step()
+		}
+		copies += s.copyStarts
+		if len(s.violations) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, s.violations[0], lastEvents(s))
+		}
+		if jobs, running := len(s.owner.jobs), s.owner.Copies(); jobs+running > 0 {
+			t.Fatalf("seed %d: %d jobs and %d copies are kept after all have ended", seed, jobs, running)
+		}
+	}
+	t.Logf("%d copies in %d seeds", copies, *simSeeds)
+	if copies < int(*simSeeds)*5 {
+		t.Errorf("%d copies started in %d seeds: too little activity", copies, *simSeeds)
+	}
+	for _, m := range []mutant{mutantAnyStep, mutantThirdRun, mutantOneRun} {
+		found := false
+		for seed := uint64(1); seed <= mutantSeeds && !found; seed++ {
+			if s := newCopySim(seed, m).run(); len(s.violations) > 0 {
+				t.Logf("%s: seed %d: %s", m, seed, s.violations[0])
+				found = true
+			}
+		}
+		if !found {
+			t.Errorf("%s: no violation in %d seeds", m, mutantSeeds)
+		}
+	}
+}
+
 // runSilentRestarts performs a run in which workers are cut off soon after restarts that
 // their agents miss, and owners die in between.
 func runSilentRestarts(seed uint64, m mutant) *sim {
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -252,13 +252,15 @@
 // listed applies an entry of a worker's list of runs. It returns the task if
 // the entry is the task's current run.
 func (o *Owner) listed(v *vm, r *Run) *task {
-	t := o.findTask(r.Task)
+	t := o.findRun(v.id, r.Task, r.Run)
 	if t == nil {
 		o.stopUntracked(v, r.Task, r.Run)
 		return nil
 	}
 	if t.phase == phaseWaiting && t.step.job.outcome == "" {
 		o.adopt(v, t, r)
+	} else if o.mayAdoptCopy(v, t, r) {
+		t = o.adoptCopy(v, t, r)
 	}
 	if t.vm != v || t.run != r.Run || !t.phase.live() {
 		o.stopUntracked(v, r.Task, r.Run)
--- a/internal/core/workflow/runtimes.go
+++ b/internal/core/workflow/runtimes.go
@@ -182,6 +182,19 @@
 	return time.Duration(math.Exp(min(expected, logSeconds(maxRunTime))) * float64(time.Second))
 }
 
+// stepTime returns how long the step is expected to take once all its tasks run: as long
+// as its longest task.
+func (o *Owner) stepTime(s *step) time.Duration {
+	if !longestTaskForecast || !o.cfg.Copies || s.spec.Standing {
+		return s.runTime
+	}
+	d := o.ratios.Of(s.kindOfRunTimes())
+	if !d.Known() {
+		return s.runTime
+	}
+	return min(maxRunTime, time.Duration(float64(s.runTime)*max(1, d.Max(len(s.tasks)-s.done)/d.Quantile(0.5))))
+}
+
 // forecast estimates the run times of an occurrence's steps, the critical path
 // from each step on, and the objective.
 func (o *Owner) forecast(oc *occurrence, j *job) {
@@ -191,15 +204,17 @@
 	oc.forecastAt = o.now
 	longest := time.Duration(0)
 	for i := len(oc.steps) - 1; i >= 0; i-- {
-		oc.steps[i].criticalPath = 0
+		oc.steps[i].criticalPath, oc.steps[i].nominalPath = 0, 0
 	}
 	for i := len(oc.steps) - 1; i >= 0; i-- {
 		s := oc.steps[i]
 		s.runTime = o.runTime(s)
-		s.criticalPath += s.runTime
-		longest = max(longest, s.criticalPath)
+		s.criticalPath += o.stepTime(s)
+		s.nominalPath += s.runTime
+		longest = max(longest, s.nominalPath)
 		for _, a := range s.spec.After {
-			oc.steps[a].criticalPath = max(oc.steps[a].criticalPath, s.criticalPath)
+			before := oc.steps[a]
+			before.criticalPath, before.nominalPath = max(before.criticalPath, s.criticalPath), max(before.nominalPath, s.nominalPath)
 		}
 	}
 	q := o.queueOf(j)
--- a/internal/core/workflow/search_test.go
+++ b/internal/core/workflow/search_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -167,6 +168,11 @@
 			{Tasks: 1, Demand: searchDemand, RunTime: simRunTime, After: []int{0}},
 		}})
 	}
+	return s.playFaults(faults, timed)
+}
+
+// playFaults runs the load that has been submitted with the given faults.
+func (s *sim) playFaults(faults []fault, timed []timedFault) *sim {
 	for tick := range searchSpan + searchSettle {
 		for _, x := range timed {
 			if x.tick == tick {
@@ -186,6 +192,11 @@
 // searchAll runs all combinations of up to n of the faults on a grid of ticks.
 // It returns the number of runs and the first run that violated an invariant.
 func searchAll(faults []fault, grid, n int, m mutant, warmUp int) (int64, *sim) {
+	return searchRuns(faults, grid, n, func(at []timedFault) *sim { return runSearchCase(faults, at, m, warmUp) })
+}
+
+// searchRuns does the same with any way to run the load.
+func searchRuns(faults []fault, grid, n int, play func([]timedFault) *sim) (int64, *sim) {
 	var singles []timedFault
 	for tick := 0; tick < searchSpan; tick += grid {
 		for f := range faults {
@@ -206,7 +217,7 @@
 				}
 				extendCombination(singles, []timedFault{singles[i]}, i, n, func(at []timedFault) bool {
 					runs.Add(1)
-					if s := runSearchCase(faults, at, m, warmUp); len(s.violations) > 0 {
+					if s := play(at); len(s.violations) > 0 {
 						found.CompareAndSwap(nil, s)
 					}
 					return found.Load() == nil
@@ -291,3 +302,69 @@
 		})
 	}
 }
+
+// Times of the search for copies. A copy starts at searchCopyTick, about 1 s after the first
+// run, and both end at nearly the same time.
+const (
+	searchCopyTick  = 20
+	searchRunTime   = 800 * time.Millisecond
+	searchStraggler = 2 * time.Second
+	// searchCopyLate is how late an order is: longer than simGrace after the end of the
+	// first run, and within a lease.
+	searchCopyLate = 2900 * time.Millisecond
+)
+
+// searchCopies runs combinations of up to two faults while a task has two runs: of a step
+// of two tasks, the first run of one is long.
+func searchCopies(m mutant) (int64, *sim) {
+	faults := append(searchFaults(), fault{name: fmt.Sprintf("the next order is carried out %v late", searchCopyLate), do: func(s *sim) { s.delayNext = searchCopyLate }})
+	play := func(at []timedFault) *sim { return runCopySearchCase(faults, at, m) }
+	// Only a stop that does not arrive right after the late start shows the difference that
+	// the validity of the start makes, which no coarse grid finds.
+	for tick := searchCopyTick; tick < searchCopyTick+searchDowntime; tick++ {
+		for f := range faults {
+			if s := play([]timedFault{{searchCopyTick - 1, len(faults) - 1}, {tick, f}}); len(s.violations) > 0 {
+				return 0, s
+			}
+		}
+	}
+	return searchRuns(faults, 2**searchGrid, 2, play)
+}
+
+func runCopySearchCase(faults []fault, timed []timedFault, m mutant) *sim {
+	s := newCopySim(1, m)
+	s.noFaults = true
+	s.longRun = searchStraggler
+	s.takeOver()
+	demand := types.Resources{MilliCPU: 1000, MemoryBytes: 1}
+	for _, copies := range []bool{true, false} {
+		s.submitJob(Job{Queue: "q", Accepted: s.now, Steps: []Step{
+			{Tasks: 2, Demand: demand, RunTime: searchRunTime, Copies: copies},
+			{Tasks: 1, Demand: demand, RunTime: searchRunTime, After: []int{0}},
+		}})
+	}
+	return s.playFaults(faults, timed)
+}
+
+// Guards against any combination of two faults that makes a task run three times at once,
+// or twice without Copies, start after its end was acknowledged, or never end, while it
+// has a copy; and against a search that cannot fail.
+func TestSearchOfFaultsWithCopies(t *testing.T) {
+	t.Parallel()
+	if s := runCopySearchCase(nil, nil, mutantNone); s.copyStarts != 1 {
+		t.Fatalf("%d copies start without faults, want 1\n%s", s.copyStarts, strings.Join(s.events, "\n"))
+	}
+	runs, s := searchCopies(mutantNone)
+	t.Logf("%d runs of up to two faults, every %d ticks of %d", runs, 2**searchGrid, searchSpan)
+	if s != nil {
+		t.Fatalf("%s\n%s", s.violations[0], lastEvents(s))
+	}
+	for _, m := range []mutant{mutantAnyStep, mutantThirdRun, mutantLateCopy} {
+		runs, s := searchCopies(m)
+		if s == nil {
+			t.Errorf("%s: no violation in %d runs", m, runs)
+			continue
+		}
+		t.Logf("%s: after %d runs: %s", m, runs, s.violations[0])
+	}
+}
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -102,6 +102,10 @@
 	ownerDiesAt    time.Duration
 	// filling: most steps fill.
 	filling bool
+	// copies: the owners start copies, and half of the steps tolerate them.
+	copies bool
+	// longRun is the run time of stragglers.
+	longRun time.Duration
 	// afterTick, if set, is called after each tick.
 	afterTick func()
 	born      int64
@@ -114,7 +118,12 @@
 	// end was acknowledged to the worker.
 	doneEver, acked map[TaskKey]bool
 	// failures counts the failed runs whose ends were acknowledged.
-	failures   map[TaskKey]int
+	failures map[TaskKey]int
+	// ackedAt is when the first end of a task as done, and its last failure, were
+	// acknowledged.
+	ackedAt, failedAt map[TaskKey]time.Duration
+	// copyStarts counts starts beside another run of the task.
+	copyStarts int
 	starts     int
 	faults     map[string]int
 	violations []string
@@ -124,7 +133,7 @@
 func newSim(seed uint64, m mutant) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 3)), restartRNG: rand.New(rand.NewPCG(seed, 4)), mutant: m, now: time.Minute, rows: make(map[types.JobID]*stored),
-		doneEver: make(map[TaskKey]bool), acked: make(map[TaskKey]bool), failures: make(map[TaskKey]int), faults: make(map[string]int),
+		doneEver: make(map[TaskKey]bool), acked: make(map[TaskKey]bool), failures: make(map[TaskKey]int), ackedAt: make(map[TaskKey]time.Duration), failedAt: make(map[TaskKey]time.Duration), faults: make(map[string]int),
 	}
 	for i := range 4 {
 		w := &simWorker{id: types.VMID(fmt.Sprintf("vm%d", i))}
@@ -175,7 +184,7 @@
 		if r.deletable {
 			continue
 		}
-		if err := s.owner.AddJob(s.now, s.now, r.job, r.state, r.revision, r.progress, false); err != nil {
+		if err := s.owner.AddJob(s.now, s.now, s.jobForOwner(r.job), r.state, r.revision, r.progress, false); err != nil {
 			s.fail("job %s cannot be recovered: %v", id, err)
 		}
 	}
@@ -183,6 +192,7 @@
 		s.owner.takeoverComplete = true
 	}
 	s.ignoreEarlierOrders()
+	s.enableCopies()
 	s.event("owner of epoch %d", s.epoch)
 }
 
@@ -192,6 +202,7 @@
 		step := Step{
 			Tasks: 1 + s.rng.IntN(4), Demand: types.Resources{MilliCPU: 1000, MemoryBytes: 1}, RunTime: simRunTime,
 			Checkpoints: s.rng.IntN(2) == 0, Gang: s.rng.IntN(6) == 0,
+			Copies: s.copies && s.rng.IntN(2) == 0,
 		}
 		if i > 0 {
 			step.After = []int{i - 1}
@@ -212,7 +223,7 @@
 		if o == nil || o == s.former && s.rng.IntN(2) == 0 {
 			continue
 		}
-		if err := o.AddJob(s.now, s.now, job, JobQueued, s.revision, Progress{}, true); err != nil {
+		if err := o.AddJob(s.now, s.now, s.jobForOwner(job), JobQueued, s.revision, Progress{}, true); err != nil {
 			s.fail("job %s is not accepted: %v", id, err)
 		}
 		if s.mutant == mutantUnconfirmed {
@@ -274,6 +285,7 @@
 		s.poll(w)
 	}
 	s.sendOrders()
+	s.forgetCopies()
 	s.commit()
 	if s.owner.Superseded() {
 		s.fail("owner of epoch %d was superseded without a successor", s.epoch)
--- a/internal/core/workflow/simfilling_test.go
+++ b/internal/core/workflow/simfilling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -23,12 +24,19 @@
 
 // checkSums returns the first sum of an owner that does not agree with its tasks.
 func checkSums(o *Owner) error {
+	running := 0
+	copies := make(map[*step][]*task)
 	for _, v := range o.vmOrder {
 		sums := vm{reserved: types.Resources{}}
 		for _, t := range v.tasks {
 			if t.vm != v || !t.phase.live() {
 				return fmt.Errorf("task %v in phase %d of VM %s is listed at VM %s", t.key(), t.phase, t.vmID(), v.id)
 			}
+			if t.copyOf != nil {
+				sums.copies++
+				running++
+				copies[t.step] = append(copies[t.step], t)
+			}
 			sums.reserved = sums.reserved.Add(t.step.reservation())
 			switch demand := t.step.spec.Demand; {
 			case t.background:
@@ -38,15 +46,18 @@
 				sums.filling += demand.MilliCPU
 			}
 		}
-		if sums.reserved != v.reserved || sums.filling != v.filling || sums.background != v.background || sums.backgroundMemory != v.backgroundMemory {
-			return fmt.Errorf("VM %s: reserved %v, filling %d, background %d and %d; tasks: %v, %d, %d and %d",
-				v.id, v.reserved, v.filling, v.background, v.backgroundMemory, sums.reserved, sums.filling, sums.background, sums.backgroundMemory)
+		if sums.reserved != v.reserved || sums.filling != v.filling || sums.background != v.background || sums.backgroundMemory != v.backgroundMemory || sums.copies != v.copies {
+			return fmt.Errorf("VM %s: reserved %v, filling %d, background %d and %d, copies %d; tasks: %v, %d, %d, %d and %d",
+				v.id, v.reserved, v.filling, v.background, v.backgroundMemory, v.copies, sums.reserved, sums.filling, sums.background, sums.backgroundMemory, sums.copies)
 		}
 	}
+	if running != o.Copies() {
+		return fmt.Errorf("%d copies are counted, and %d are on VMs", o.Copies(), running)
+	}
 	for _, j := range o.jobs {
 		for _, oc := range j.occurrences {
 			for _, s := range oc.steps {
-				if err := s.checkSums(); err != nil {
+				if err := s.checkSums(copies[s]); err != nil {
 					return err
 				}
 			}
@@ -55,11 +66,19 @@
 	return nil
 }
 
-func (s *step) checkSums() error {
+func (s *step) checkSums(copies []*task) error {
 	var live, background, waiting, done int
+	for _, c := range copies {
+		live++
+		if c.background {
+			background++
+		}
+	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		switch {
+		case t.copy != nil && (!slices.Contains(copies, t.copy) || !t.phase.live() && t.phase != phaseDone):
+			return fmt.Errorf("the copy of task %v in phase %d is on no VM or alone", t.key(), t.phase)
 		case t.phase.live():
 			live++
 			if t.background {
--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -103,21 +103,26 @@
 		s.extendLease(w, g.LeaseEnd)
 		for len(w.ended) > 0 && w.ended[0].Number <= g.Acknowledged {
 			if w.ended[0].Kind == EndDone && w.ended[0].Number > w.lastEndBeforeExpiry {
+				if !s.acked[w.ended[0].Task] {
+					s.ackedAt[w.ended[0].Task] = s.now
+				}
 				s.acked[w.ended[0].Task] = true
 			}
 			if w.ended[0].Kind == EndFailed {
 				s.failures[w.ended[0].Task]++
+				s.failedAt[w.ended[0].Task] = s.now
 			}
 			w.ended = w.ended[1:]
 		}
 	}
+	progress := s.progressOfRuns()
 	r.Fence, r.Boot, r.Clock = max(w.agentFence, FirstFence(s.epoch)), w.boot, w.clock(s.now)
-	r.Upstream = &Upstream{Boot: w.boot, Service: "svc", Capacity: types.Resources{MilliCPU: 6000, MemoryBytes: 100}}
+	r.Upstream = &Upstream{Boot: w.boot, Service: "svc", Capacity: s.capacity()}
 	for _, run := range w.runs {
-		r.Running = append(r.Running, Run{Task: run.task, Run: run.run, Progress: 50, Figure: 1000})
+		r.Running = append(r.Running, Run{Task: run.task, Run: run.run, Progress: progress, Figure: 1000})
 	}
 	r.Ended = slices.Clone(w.ended)
-	s.owner.Report(s.now, r)
+	s.reportRuns(r)
 	s.ignoreEarlierOrders()
 }
 
@@ -129,6 +134,7 @@
 func (s *sim) sendOrder(o Order) {
 	w := s.workers[slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.id == o.VM })]
 	result := ResultUnknown
+	o = s.delayCopies(w, o)
 	delay, lose := s.delayNext, s.loseNext
 	s.delayNext, s.loseNext = 0, false
 	switch {
@@ -211,6 +217,7 @@
 	if !s.noFaults && s.rng.IntN(simExtendedEvery) == 0 {
 		ends += s.randomDuration(0, simMaxExtension)
 	}
+	ends = s.endOfRun(o, ends)
 	w.runs = append(w.runs, simRun{o.Task, o.Run, ends})
 	s.starts++
 	return ResultDone
@@ -219,6 +226,23 @@
 // checkStart checks the invariants for a start.
 func (s *sim) checkStart(w *simWorker, o Order) {
 	s.event("start %s run %d on %s", o.Task, o.Run, w.id)
+	if s.copies && s.rows[o.Task.Job].job.Steps[o.Task.Step].Copies {
+		s.checkCopyStart(w, o)
+	} else {
+		s.checkOnlyRun(w, o)
+	}
+	job := &s.rows[o.Task.Job].job
+	for _, a := range job.Steps[o.Task.Step].After {
+		for i := range job.Steps[a].Tasks {
+			if !s.doneEver[TaskKey{o.Task.Job, o.Task.Occurrence, a, i}] && !job.Steps[a].Gang {
+				s.fail("task %s starts before task %d of step %d is done", o.Task, i, a)
+			}
+		}
+	}
+}
+
+// checkOnlyRun checks a start of a task that tolerates no second run.
+func (s *sim) checkOnlyRun(w *simWorker, o Order) {
 	for _, other := range s.workers {
 		if other.up && slices.ContainsFunc(other.runs, func(r simRun) bool { return r.task == o.Task }) {
 			s.fail("task %s run %d starts on %s while it runs on %s", o.Task, o.Run, w.id, other.id)
@@ -230,14 +254,6 @@
 	if s.acked[o.Task] {
 		s.fail("task %s starts after its end was acknowledged", o.Task)
 	}
-	job := &s.rows[o.Task.Job].job
-	for _, a := range job.Steps[o.Task.Step].After {
-		for i := range job.Steps[a].Tasks {
-			if !s.doneEver[TaskKey{o.Task.Job, o.Task.Occurrence, a, i}] && !job.Steps[a].Gang {
-				s.fail("task %s starts before task %d of step %d is done", o.Task, i, a)
-			}
-		}
-	}
 }
 
 func (s *sim) endRun(w *simWorker, at int, kind EndKind) {
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -30,6 +30,11 @@
 	step  *step
 	index int
 	phase phase
+	// copy is the second run of the task, nil if there is none. It is a task of its own
+	// that is not among those of the step, and copyOf is its task.
+	copy, copyOf *task
+	// nextCopyAt is the earliest time of the next copy.
+	nextCopyAt time.Duration
 
 	// run and vm belong to the current or last run, except that a gang that did
 	// not fit leaves the last VM tried here.
@@ -120,6 +125,9 @@
 	// forecast.
 	runTime      time.Duration
 	criticalPath time.Duration
+	// nominalPath is the same path with the run time of one task for each step, on which
+	// the objective is based.
+	nominalPath time.Duration
 	// live counts the live tasks, background those of them that are background runs.
 	live, background int
 	// users is the estimated load that the users of standing tasks cause.
@@ -226,6 +234,8 @@
 	left bool
 
 	tasks []*task
+	// copies counts the copies among tasks.
+	copies int
 	// untrackedRuns holds the time of the last stop order of each untracked run:
 	// one that is listed but is not the current run of any task.
 	untrackedRuns map[runID]time.Duration
@@ -357,6 +367,7 @@
 func (v *vm) bind(t *task) {
 	t.vm = v
 	v.tasks = append(v.tasks, t)
+	v.countCopy(t, 1)
 	v.reserved = v.reserved.Add(t.step.reservation())
 	v.countFilling(t, 1)
 	if t.step.spec.TailTarget > 0 {
@@ -381,6 +392,7 @@
 		return
 	}
 	v.tasks = slices.Delete(v.tasks, i, i+1)
+	v.countCopy(t, -1)
 	if v.probe == t {
 		v.probe = nil
 	}
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -119,6 +119,8 @@
 	StopTimeout time.Duration
 	// OverloadControl is passed on to the core.
 	OverloadControl bool
+	// Copies is passed on to the core.
+	Copies bool
 	// Advisor answers which workers may run a step; nil if there is none.
 	Advisor   Advisor
 	Telemetry *telemetry.Telemetry
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -40,6 +40,12 @@
 		"Filling work that can still be in time is more than fits. The job goes after the planned ones, since it needs more work for its priority. The reason has the work that it needs, the time until it is due, and the processors that filling work gets. Many deferred jobs mean that VMs are missing. Fields: job, age, reason."),
 	workflow.DecisionPlanned: telemetry.Define(662, logrus.InfoLevel, "deferred job planned again",
 		"A job of event 661 is planned to be in time. Fields: job, age, reason. No action."),
+	workflow.DecisionCopyStarted: telemetry.Define(680, logrus.InfoLevel, "copy started",
+		"The start of a second run of a task was ordered, since its first run is expected to take much longer than a fresh one. The reason has the first run. Fields: as of event 650. No action."),
+	workflow.DecisionCopyWon: telemetry.Define(681, logrus.InfoLevel, "copy finished first",
+		"The task is done by its second run, and the first one is stopped. The reason has the first run. Fields: job, task, run, vm, age, reason. No action."),
+	workflow.DecisionCopyEnded: telemetry.Define(682, logrus.InfoLevel, "one of two runs ended",
+		"The other run of the task goes on or has finished. The reason says how this one ended. If many of them name the same VM and failed, look at its worker. Fields: job, task, run, vm, age, reason."),
 	workflow.DecisionStraggler: telemetry.Define(683, logrus.InfoLevel, "straggler",
 		"The task runs several times as long as the others of its step while its VM runs other tasks at normal speed, so it is no evidence that the VM is slow. Fields: job, task, run, vm, age, reason. No action."),
 }
@@ -113,6 +119,7 @@
 	deferred                       tally.Gauge
 	protected                      tally.Gauge
 	throughput                     tally.Gauge
+	copies                         tally.Gauge
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
@@ -124,6 +131,7 @@
 		evacuatedDomains: scope.Gauge("jobs_evacuated_domains"), evacuatedVMs: scope.Gauge("jobs_evacuated_vms"),
 		planned: scope.Gauge("jobs_planned_occurrences"), deferred: scope.Gauge("jobs_deferred_occurrences"),
 		protected: scope.Gauge("jobs_protected_occurrences"), throughput: scope.Gauge("jobs_filling_throughput"),
+		copies: scope.Gauge("jobs_copies"),
 	}
 	for _, cause := range workflow.IdleCauses() {
 		m.idleSteps[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("jobs_idle_steps")
@@ -167,6 +175,11 @@
 		m.scope.Counter("jobs_tasks_done").Inc(1)
 	case workflow.DecisionRequeued:
 		m.scope.Counter("jobs_tasks_returned").Inc(1)
+	case workflow.DecisionCopyStarted:
+		m.scope.Counter("jobs_starts").Inc(1)
+		m.scope.Counter("jobs_copies_started").Inc(1)
+	case workflow.DecisionCopyWon:
+		m.scope.Counter("jobs_copies_won").Inc(1)
 	case workflow.DecisionStraggler:
 		m.scope.Counter("jobs_stragglers").Inc(1)
 	case workflow.DecisionFinished:
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -122,6 +122,7 @@
 	t.metrics.setIdle(nil, 0) // the next owner reports its own
 	t.metrics.setEvacuated(0, 0)
 	t.metrics.setOverload(workflow.OverloadStatus{})
+	t.metrics.copies.Update(0)
 	if parent.Err() != nil {
 		t.release()
 	}
@@ -235,6 +236,7 @@
 	t.metrics.setIdle(o.IdleSteps(), o.BackgroundRuns())
 	t.metrics.setEvacuated(o.EvacuatedDomains(), o.EvacuatedVMs())
 	t.metrics.setOverload(o.Overload())
+	t.metrics.copies.Update(float64(o.Copies()))
 	t.dispatch(out.Orders)
 	t.requestAdvice(out.TicketRequests)
 	t.logLoads(o, now)
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -74,9 +74,11 @@
 type Options struct {
 	// OverloadControl makes an owner plan filling work, see internal/core/overload.
 	OverloadControl bool
-	Settings        *platform.Settings
-	Store           *platform.Store
-	Telemetry       *telemetry.Telemetry
+	// Copies makes an owner start second runs of stragglers, see docs/design/stragglers.md.
+	Copies    bool
+	Settings  *platform.Settings
+	Store     *platform.Store
+	Telemetry *telemetry.Telemetry
 	// Guard protects the process from untrusted clients; nil means one with the
 	// limits of the settings.
 	Guard *httpserve.Guard
@@ -132,7 +134,7 @@
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: vm, Cores: s.CPUCores, Incarnation: incarnation, Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:      jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin, EvacuationBound: s.EvacuationBound},
-		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
+		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, Copies: o.Copies, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 		Evacuated: e.evacuations.domains, ReadOperatorRows: e.readOperatorRows,
 		Peers: registry.Peers, PeerClient: entryapi.NewClient(),
 	})
