--- a/internal/core/workflow/copies.go
+++ b/internal/core/workflow/copies.go
@@ -346,6 +346,16 @@
 	return o.cfg.Copies && s.Copies && !s.Gang && !s.Standing && t.phase != phaseDone
 }
 
+// appliesToTask reports whether the end of a run that is not the current one decides on
+// its task. If another run goes on, it is released.
+func (o *Owner) appliesToTask(t *task, e *End) bool {
+	if e.Kind == EndDone && o.anyRunCounts(t) {
+		o.releaseForEarlierRun(t, e.Run)
+		return true
+	}
+	return t.phase == phaseWaiting && e.Run >= t.run
+}
+
 // releaseForEarlierRun makes the current run of a task, if there is one, a copy and stops
 // it, since an earlier run is done.
 func (o *Owner) releaseForEarlierRun(t *task, run uint64) {
--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -24,9 +24,7 @@
 	if e.Kind == EndFailed {
 		o.countFailure(t, v, e)
 	}
-	if !current && e.Kind == EndDone && o.anyRunCounts(t) {
-		o.releaseForEarlierRun(t, e.Run)
-	} else if !current && (t.phase != phaseWaiting || e.Run < t.run) {
+	if !current && !o.appliesToTask(t, e) {
 		return // not the current run, and the task has started again or is done
 	}
 	if current {
