workflow: find the run of a list entry without a lookup of its VM

Cause: each entry of a worker's list looked its VM up once more, 13,000 times between two placement passes at the target size.

Change: findRun takes the VM.

--- a/internal/core/workflow/copies.go
+++ b/internal/core/workflow/copies.go
@@ -86,9 +86,10 @@
 	return nil
 }
 
-// findRun returns the copy that is the given run, otherwise the task with the key, or nil.
-func (o *Owner) findRun(id types.VMID, k TaskKey, run uint64) *task {
-	if v := o.vms[id]; v != nil {
+// findRun returns the copy that is the given run on a VM, otherwise the task with the key,
+// or nil. The VM may be nil.
+func (o *Owner) findRun(v *vm, k TaskKey, run uint64) *task {
+	if v != nil {
 		if c := v.copyOfRun(k, run); c != nil {
 			return c
 		}
@@ -373,7 +374,7 @@
 // earlier owner.
 func (o *Owner) mayAdoptCopy(v *vm, t *task, r *Run) bool {
 	earlier := types.Epoch(r.Run>>runEpochShift) < o.cfg.Epoch
-	return earlier && t.copyOf == nil && o.anyRunCounts(t) && t.phase == phaseRunning && t.copy == nil && t.vm != v && t.run != r.Run && t.step.job.outcome == ""
+	return o.anyRunCounts(t) && earlier && t.copyOf == nil && t.phase == phaseRunning && t.copy == nil && t.vm != v && t.run != r.Run && t.step.job.outcome == ""
 }
 
 // adoptCopy takes over a second run that an earlier owner started.
--- a/internal/core/workflow/orders.go
+++ b/internal/core/workflow/orders.go
@@ -31,7 +31,7 @@
 			o.superseded = true
 			return
 		}
-		t := o.findRun(r.Order.VM, r.Order.Task, r.Order.Run)
+		t := o.findRun(o.vms[r.Order.VM], r.Order.Task, r.Order.Run)
 		if t == nil || t.run != r.Order.Run || !t.phase.live() || t.vmID() != r.Order.VM {
 			continue
 		}
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -252,7 +252,7 @@
 // listed applies an entry of a worker's list of runs. It returns the task if
 // the entry is the task's current run.
 func (o *Owner) listed(v *vm, r *Run) *task {
-	t := o.findRun(v.id, r.Task, r.Run)
+	t := o.findRun(v, r.Task, r.Run)
 	if t == nil {
 		o.stopUntracked(v, r.Task, r.Run)
 		return nil
--- a/internal/core/workflow/simcopies_test.go
+++ b/internal/core/workflow/simcopies_test.go
@@ -103,7 +103,7 @@
 
 // delayCopies applies mutantLateCopy to an order.
 func (s *sim) delayCopies(w *simWorker, o Order) Order {
-	if t := s.owner.findRun(o.VM, o.Task, o.Run); s.mutant == mutantLateCopy && o.Kind == OrderStart && t != nil && t.copyOf != nil {
+	if t := s.owner.findRun(s.owner.vms[o.VM], o.Task, o.Run); s.mutant == mutantLateCopy && o.Kind == OrderStart && t != nil && t.copyOf != nil {
 		o.LeaseEnd = max(o.LeaseEnd, w.clock(s.now)+simLease)
 	}
 	return o
