--- a/internal/core/workflow/doc.go
+++ b/internal/core/workflow/doc.go
@@ -18,6 +18,9 @@
 //   - the worker process has ended or has been replaced by a later boot,
 //   - the last lease granted to the worker has expired on the worker's clock.
 //
+// A task of a step with Copies may have one more run beside its current one, see
+// copies.go. It starts again only when both have ended by such a proof.
+//
 // A new owner raises the fence of each worker to its own epoch before it relies
 // on the worker's lists, so that the worker refuses later orders of the
 // previous owner. Jobs accepted before the owner's term wait until every known
