--- a/internal/core/workflow/ends.go
+++ b/internal/core/workflow/ends.go
@@ -12,6 +12,10 @@
 		return
 	}
 	v.endSeen = e.Number
+	if c := v.copyOfRun(e.Task, e.Run); c != nil {
+		o.applyCopyEnd(v, c, e)
+		return
+	}
 	t := o.findTask(e.Task)
 	if t == nil || t.step.job.outcome != "" && !t.phase.live() {
 		return
@@ -20,7 +24,7 @@
 	if e.Kind == EndFailed {
 		o.countFailure(t, v, e)
 	}
-	if !current && (t.phase != phaseWaiting || e.Run < t.run) {
+	if !current && !o.appliesToTask(t, e) {
 		return // not the current run, and the task has started again or is done
 	}
 	if current {
@@ -67,11 +71,15 @@
 	if t.phase == phaseWaiting {
 		t.step.waiting--
 	}
+	o.exemptStragglers(t)
+	o.learnRatio(t)
+	t.recordEndedRun(o.now)
 	t.recordRelativeRunTime(o.now)
 	t.sample(o.now)
 	t.release()
 	t.phase = phaseDone
 	t.step.done++
+	o.stopCopy(t)
 	o.placeDue = true
 }
 
@@ -121,6 +129,10 @@
 	if !t.phase.live() {
 		return
 	}
+	if t.copyOf != nil || t.copy != nil {
+		o.endOneRun(t, reason)
+		return
+	}
 	j := t.step.job
 	reason = t.preemption.endReason(reason)
 	o.recordDecision(Decision{Kind: DecisionRequeued, Task: t.key(), Run: t.run, VM: t.vmID(), Reason: reason, Age: o.now - j.accepted})
--- a/internal/core/workflow/messages.go
+++ b/internal/core/workflow/messages.go
@@ -349,4 +349,12 @@
 	DecisionPreempts
 	// DecisionHeadroom: a standing task waits, to leave capacity to short work.
 	DecisionHeadroom
+	// DecisionCopyStarted: the start of a copy was ordered; see Reason.
+	DecisionCopyStarted
+	// DecisionCopyWon: a task is done since its copy was the first to finish.
+	DecisionCopyWon
+	// DecisionCopyEnded: one of two runs of a task has ended, or never began.
+	DecisionCopyEnded
+	// DecisionStraggler: a task is long by itself, and no evidence against its VM.
+	DecisionStraggler
 )
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/health"
+	"github.com/boragecrank/boragecrank/internal/core/runtimes"
 	"github.com/boragecrank/boragecrank/internal/core/types"
 )
 
-// Config holds the times and limits of an owner. All fields but OverloadControl are
-// required.
+// Config holds the times and limits of an owner. All fields but OverloadControl and Copies
+// are required.
 type Config struct {
 	Epoch types.Epoch
 	// LeaseDuration is the length of a lease, counted from the last reading of
@@ -35,6 +36,8 @@
 	// preemption for queues of priority 0, headroom for short work, and the forecast for
 	// admission.
 	OverloadControl bool
+	// Copies turns on second runs of stragglers in steps with Step.Copies.
+	Copies bool
 }
 
 // maxPlaceInterval is the longest time between placement passes while tasks
@@ -79,6 +82,8 @@
 	health         *health.Tracker
 	interference   *interference
 	runTimes       runTimes
+	ratios         *runtimes.Kinds
+	copies         copiesState
 	overload       overloadState
 	preemption     preemptionState
 	headroom       headroomState
@@ -124,7 +129,7 @@
 	return &Owner{
 		cfg: cfg, now: now,
 		queues: make(map[string]Queue), vms: make(map[types.VMID]*vm), jobs: make(map[types.JobID]*job), cancelled: make(map[types.JobID]uint64), finished: make(map[types.JobID]bool),
-		health: health.New(healthOptions()), interference: newInterference(), runTimes: make(runTimes), placeDue: true, confirmed: true,
+		health: health.New(healthOptions()), interference: newInterference(), runTimes: make(runTimes), ratios: runtimes.New(), placeDue: true, confirmed: true,
 	}
 }
 
@@ -306,6 +311,7 @@
 				if t := &s.tasks[i]; t.phase == phaseRunning || t.phase == phaseStarting {
 					o.stop(t)
 				}
+				o.stopCopy(&s.tasks[i])
 			}
 		}
 	}
@@ -388,6 +394,7 @@
 		o.place()
 		o.confirmEvacuations()
 	}
+	o.startCopies()
 	o.checkIdle()
 	out := Output{Orders: o.orders, TicketRequests: o.ticketRequests, Decisions: o.decisions}
 	o.orders, o.ticketRequests, o.decisions = nil, nil, nil
--- a/internal/core/workflow/sim_test.go
+++ b/internal/core/workflow/sim_test.go
@@ -106,6 +106,10 @@
 	// others of priority 0. preempted counts the tasks that were stopped for them.
 	overload  bool
 	preempted int
+	// copies: the owners start copies, and half of the steps tolerate them.
+	copies bool
+	// longRun is the run time of stragglers.
+	longRun time.Duration
 	// afterTick, if set, is called after each tick.
 	afterTick func()
 	born      int64
@@ -122,16 +126,22 @@
 	// gangFailures holds the failed runs of gangs whose ends were acknowledged, by the
 	// first task of the step.
 	gangFailures map[TaskKey]map[uint64]bool
-	starts       int
-	faults       map[string]int
-	violations   []string
-	events       []string
+	// ackedAt is when the first end of a task as done, and its last failure, were
+	// acknowledged.
+	ackedAt, failedAt map[TaskKey]time.Duration
+	// copyStarts counts starts beside another run of the task.
+	copyStarts int
+	starts     int
+	faults     map[string]int
+	violations []string
+	events     []string
 }
 
 func newSim(seed uint64, m mutant) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 3)), restartRNG: rand.New(rand.NewPCG(seed, 4)), mutant: m, now: time.Minute, rows: make(map[types.JobID]*stored),
-		doneEver: make(map[TaskKey]bool), acked: make(map[TaskKey]bool), failures: make(map[TaskKey]int), gangFailures: make(map[TaskKey]map[uint64]bool), faults: make(map[string]int),
+		doneEver: make(map[TaskKey]bool), acked: make(map[TaskKey]bool), failures: make(map[TaskKey]int), gangFailures: make(map[TaskKey]map[uint64]bool),
+		ackedAt: make(map[TaskKey]time.Duration), failedAt: make(map[TaskKey]time.Duration), faults: make(map[string]int),
 	}
 	for i := range 4 {
 		w := &simWorker{id: types.VMID(fmt.Sprintf("vm%d", i))}
@@ -183,7 +193,7 @@
 		if r.deletable {
 			continue
 		}
-		if err := s.owner.AddJob(s.now, s.now, r.job, r.state, r.revision, r.progress, false); err != nil {
+		if err := s.owner.AddJob(s.now, s.now, s.jobForOwner(r.job), r.state, r.revision, r.progress, false); err != nil {
 			s.fail("job %s cannot be recovered: %v", id, err)
 		}
 	}
@@ -191,6 +201,7 @@
 		s.owner.takeoverComplete = true
 	}
 	s.ignoreEarlierOrders()
+	s.enableCopies()
 	s.event("owner of epoch %d", s.epoch)
 }
 
@@ -214,6 +225,7 @@
 		step := Step{
 			Tasks: 1 + s.rng.IntN(4), Demand: types.Resources{MilliCPU: 1000, MemoryBytes: 1}, RunTime: simRunTime,
 			Checkpoints: s.rng.IntN(2) == 0, Gang: s.rng.IntN(6) == 0,
+			Copies: s.copies && s.rng.IntN(2) == 0,
 		}
 		if i > 0 {
 			step.After = []int{i - 1}
@@ -234,7 +246,7 @@
 		if o == nil || o == s.former && s.rng.IntN(2) == 0 {
 			continue
 		}
-		if err := o.AddJob(s.now, s.now, job, JobQueued, s.revision, Progress{}, true); err != nil {
+		if err := o.AddJob(s.now, s.now, s.jobForOwner(job), JobQueued, s.revision, Progress{}, true); err != nil {
 			s.fail("job %s is not accepted: %v", id, err)
 		}
 		if s.mutant == mutantUnconfirmed {
@@ -296,6 +308,7 @@
 		s.poll(w)
 	}
 	s.sendOrders()
+	s.forgetCopies()
 	s.commit()
 	if s.owner.Superseded() {
 		s.fail("owner of epoch %d was superseded without a successor", s.epoch)
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -30,6 +30,11 @@
 	step  *step
 	index int
 	phase phase
+	// copy is the second run of the task, nil if there is none. It is a task of its own
+	// that is not among those of the step, and copyOf is its task.
+	copy, copyOf *task
+	// nextCopyAt is the earliest time of the next copy.
+	nextCopyAt time.Duration
 
 	// run and vm belong to the current or last run, except that a gang that did
 	// not fit leaves the last VM tried here.
@@ -81,6 +86,8 @@
 	measurement float64
 	// advance is the measured advance at full pace.
 	advance advance
+	// ownSlowdown is the slowdown of a straggler, see exemptStragglers; 0 for others.
+	ownSlowdown float64
 	// learnedMeasurement is the last measurement that the interference model
 	// has learned from.
 	learnedMeasurement float64
@@ -121,6 +128,9 @@
 	// forecast.
 	runTime      time.Duration
 	criticalPath time.Duration
+	// nominalPath is the same path with the run time of one task for each step, on which
+	// the objective is based.
+	nominalPath time.Duration
 	// live counts the live tasks, background those of them that are background runs.
 	live, background int
 	// users is the estimated load that the users of standing tasks cause.
@@ -129,7 +139,9 @@
 	// relativeRunTimes holds run times of finished tasks as multiples of the
 	// declared one.
 	relativeRunTimes []float64
-	tickets          tickets
+	// endedRuns holds the first undisturbed runs that ended, see typicalRatio.
+	endedRuns []endedRun
+	tickets   tickets
 	// membersPlaced is how many members of the gang found a VM in the last placement
 	// pass.
 	membersPlaced int
@@ -231,6 +243,8 @@
 	left bool
 
 	tasks []*task
+	// copies counts the copies among tasks.
+	copies int
 	// untrackedRuns holds the time of the last stop order of each untracked run:
 	// one that is listed but is not the current run of any task.
 	untrackedRuns map[runID]time.Duration
@@ -365,6 +379,7 @@
 func (v *vm) bind(t *task) {
 	t.vm = v
 	v.tasks = append(v.tasks, t)
+	v.countCopy(t, 1)
 	v.reserved = v.reserved.Add(t.step.reservation())
 	if t.step.spec.Standing {
 		v.standingReserved = v.standingReserved.Add(t.step.reservation())
@@ -392,6 +407,7 @@
 		return
 	}
 	v.tasks = slices.Delete(v.tasks, i, i+1)
+	v.countCopy(t, -1)
 	if v.probe == t {
 		v.probe = nil
 	}
@@ -410,5 +426,5 @@
 	t.step.job.live--
 	t.step.live--
 	t.inFlight, t.listed, t.stopAcked, t.answerSeq = false, false, false, 0
-	t.progress, t.measurement, t.stalledSince, t.forced, t.background, t.advance = 0, 0, 0, false, false, advance{}
+	t.progress, t.measurement, t.stalledSince, t.forced, t.background, t.advance, t.ownSlowdown = 0, 0, 0, false, false, advance{}, 0
 }
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -122,6 +122,8 @@
 	// QuietHandover makes an owner with few cores hand over to a larger entry in a quiet
 	// period. It needs Peers.
 	QuietHandover bool
+	// Copies is passed on to the core.
+	Copies bool
 	// Advisor answers which workers may run a step; nil if there is none.
 	Advisor   Advisor
 	Telemetry *telemetry.Telemetry
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -47,6 +47,14 @@
 		"The same as 670, of the job for which the task is stopped. Fields: job, vm, age, reason. No action."),
 	workflow.DecisionHeadroom: telemetry.Define(672, logrus.InfoLevel, "standing task waits for headroom",
 		"Standing tasks would take capacity that short work of the service usually uses. The task starts when there is enough, and after 2 s at the latest if a VM has room. The reason has the processors that short work uses and those that standing tasks reserve. If it repeats, VMs are missing. Fields: job, task, age, reason."),
+	workflow.DecisionCopyStarted: telemetry.Define(680, logrus.InfoLevel, "copy started",
+		"The start of a second run of a task was ordered, since its first run is expected to take much longer than a fresh one. The reason has the first run. Fields: as of event 650. No action."),
+	workflow.DecisionCopyWon: telemetry.Define(681, logrus.InfoLevel, "copy finished first",
+		"The task is done by its second run, and the first one is stopped. The reason has the first run. Fields: job, task, run, vm, age, reason. No action."),
+	workflow.DecisionCopyEnded: telemetry.Define(682, logrus.InfoLevel, "one of two runs ended",
+		"The other run of the task goes on or has finished. The reason says how this one ended. If many of them name the same VM and failed, look at its worker. Fields: job, task, run, vm, age, reason."),
+	workflow.DecisionStraggler: telemetry.Define(683, logrus.InfoLevel, "straggler",
+		"The task runs several times as long as the others of its step while its VM runs other tasks at normal speed, so it is no evidence that the VM is slow. Fields: job, task, run, vm, age, reason. No action."),
 }
 
 var eventVMLoad = telemetry.Define(658, logrus.DebugLevel, "load of a VM",
@@ -123,6 +131,7 @@
 	throughput                     tally.Gauge
 	forecasts                      forecastGauges
 	overloadGauges
+	copies tally.Gauge
 }
 
 func newTermMetrics(scope tally.Scope) *termMetrics {
@@ -134,6 +143,7 @@
 		evacuatedDomains: scope.Gauge("jobs_evacuated_domains"), evacuatedVMs: scope.Gauge("jobs_evacuated_vms"),
 		planned: scope.Gauge("jobs_planned_occurrences"), deferred: scope.Gauge("jobs_deferred_occurrences"),
 		protected: scope.Gauge("jobs_protected_occurrences"), throughput: scope.Gauge("jobs_filling_throughput"), overloadGauges: newOverloadGauges(scope),
+		copies: scope.Gauge("jobs_copies"),
 	}
 	for _, cause := range workflow.IdleCauses() {
 		m.idleSteps[cause] = scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("jobs_idle_steps")
@@ -179,6 +189,13 @@
 		m.scope.Counter("jobs_tasks_returned").Inc(1)
 	case workflow.DecisionPreempted:
 		m.scope.Counter("jobs_tasks_preempted").Inc(1)
+	case workflow.DecisionCopyStarted:
+		m.scope.Counter("jobs_starts").Inc(1)
+		m.scope.Counter("jobs_copies_started").Inc(1)
+	case workflow.DecisionCopyWon:
+		m.scope.Counter("jobs_copies_won").Inc(1)
+	case workflow.DecisionStraggler:
+		m.scope.Counter("jobs_stragglers").Inc(1)
 	case workflow.DecisionFinished:
 		m.scope.Tagged(map[string]string{"state": d.Reason}).Counter("jobs_over").Inc(1)
 		if d.Outcome != nil {
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -126,6 +126,7 @@
 	t.metrics.setOverload(workflow.OverloadStatus{})
 	t.metrics.setForecast(nil)
 	t.metrics.setPreemption(workflow.PreemptionStatus{}, workflow.HeadroomStatus{})
+	t.metrics.copies.Update(0)
 	if parent.Err() != nil {
 		t.release()
 	}
@@ -241,6 +242,7 @@
 	t.metrics.setEvacuated(o.EvacuatedDomains(), o.EvacuatedVMs())
 	t.metrics.setOverload(o.Overload())
 	t.metrics.setPreemption(o.Preemption(), o.Headroom())
+	t.metrics.copies.Update(float64(o.Copies()))
 	t.dispatch(out.Orders)
 	t.requestAdvice(out.TicketRequests)
 	t.logLoads(o, now)
