--- a/internal/core/workflow/random_test.go
+++ b/internal/core/workflow/random_test.go
@@ -110,6 +110,10 @@
 	for seed := *simFirst; seed < *simFirst+*simSeeds; seed++ {
 		s := newCopySim(seed, mutantNone)
 		s.filling = seed%3 == 0
+		if s.overload = seed%2 == 1; s.overload { // copies and their tasks are preempted too
+			s.owner.cfg.OverloadControl = true
+			s.owner.SetQueues(s.queues())
+		}
 		s.afterTick = func() {
 			for _, o := range []*Owner{s.owner, s.former} {
 				if o == nil {
