workflow: at most two calls to the policy service are in progress

The owner sent the request of each waiting step at once. The service answers one call at a time for each caller, also those whose callers have given up, so that from about 17 waiting steps on each response came after the timeout of 3 s, and the request was repeated.

Two calls are in progress now, so that the service is never idle; a call that is unanswered for 3 s may be lost and does not count, up to four in all. Requests name the workers as of the time when they are sent. When there are more waiting steps than calls, every second call is for the step that has waited longest; otherwise steps that come first in the order of placement, and renew tickets that they cannot use, would starve the others. The protocol has one step for each call, so steps are not batched.

--- a/internal/core/workflow/advice.go
+++ b/internal/core/workflow/advice.go
@@ -18,6 +18,16 @@
 	// ticketMargin is subtracted from the validity of tickets, since a start
 	// takes time to reach the worker. It is at most half of the validity.
 	ticketMargin = 300 * time.Millisecond
+	// maxPolicyCalls is the number of calls to the policy service in progress. It serves
+	// one at a time for each calling machine, so a second one suffices to keep it busy.
+	// Calls beyond that would wait there until their callers give up, and the service
+	// still takes its time for each.
+	maxPolicyCalls = 2
+	// latePolicyCall is the time after which a call is not counted by maxPolicyCalls: its
+	// response may have been lost. maxLatePolicyCalls bounds all calls in progress, since
+	// a slow service still has these to serve.
+	latePolicyCall     = 3 * time.Second
+	maxLatePolicyCalls = 4
 	// refusalLifetime is how long a worker to which the policy service gave no
 	// ticket is not named again. The policy does not change, but the service may
 	// not have known the worker yet.
@@ -64,6 +74,36 @@
 	pending map[types.VMID]Boot
 	// retryAt is the earliest time of the next request.
 	retryAt time.Duration
+	// neededSince is the time since which a request is wanted; 0 if none is.
+	neededSince time.Duration
+}
+
+// policyCalls holds the calls to the policy service in progress.
+type policyCalls struct {
+	// began maps the steps of the requests to the times when these were returned.
+	began map[TaskKey]time.Duration
+	// requests counts all requests.
+	requests int
+}
+
+// free reports whether one more call may be made.
+func (c *policyCalls) free(now time.Duration) bool {
+	recent := 0
+	for _, began := range c.began {
+		if now < began+latePolicyCall {
+			recent++
+		}
+	}
+	return recent < maxPolicyCalls && len(c.began) < maxLatePolicyCalls
+}
+
+// begin records a request for a step.
+func (c *policyCalls) begin(now time.Duration, step TaskKey) {
+	if c.began == nil {
+		c.began = make(map[TaskKey]time.Duration)
+	}
+	c.began[step] = now
+	c.requests++
 }
 
 // answer returns the answer about the current boot of a VM's worker, and false if
@@ -107,20 +147,55 @@
 	rankRefused
 )
 
-// requestTickets adds a ticket request for a step of which tasks still wait, or run in
-// the background, after a placement pass. It names the workers that could take one of them but for a ticket,
-// and about which there is no answer. Placement alone decides whether the tickets at
-// hand suffice, so a ticket that the waiting tasks cannot use never keeps others from
-// being requested.
-func (o *Owner) requestTickets(s *step) {
-	if s.tickets.pending != nil || o.now < s.tickets.retryAt {
-		return
+// requestTickets adds ticket requests for steps, in the order of placement, of which
+// tasks still wait, or run in the background, after a placement pass. Placement alone
+// decides whether the tickets at hand suffice, so a ticket that the waiting tasks cannot
+// use never keeps others from being requested. While the calls in progress allow fewer
+// requests than are wanted, every second one is for the step that has waited longest, so
+// that steps which come first, and renew their tickets, do not keep the others from theirs.
+func (o *Owner) requestTickets(steps []*step) {
+	steps = slices.DeleteFunc(steps, func(s *step) bool { return !o.needsTickets(s) })
+	for _, s := range steps {
+		if s.tickets.neededSince == 0 {
+			s.tickets.neededSince = o.now
+		}
+	}
+	for len(steps) > 0 && o.policyCalls.free(o.now) {
+		i := 0
+		if o.policyCalls.requests%2 == 1 {
+			for n, s := range steps {
+				if s.tickets.neededSince < steps[i].tickets.neededSince {
+					i = n
+				}
+			}
+		}
+		o.requestTicketsFor(steps[i])
+		steps = slices.Delete(steps, i, i+1)
 	}
+}
+
+// needsTickets reports whether a task of a step may use one more ticket now, and no
+// request for the step is in progress.
+func (o *Owner) needsTickets(s *step) bool {
+	return s.tickets.pending == nil && o.now >= s.tickets.retryAt && o.ticketTask(s) != nil
+}
+
+// ticketTask returns the first task of a step that waits or runs in the background, or
+// nil if there is none.
+func (o *Owner) ticketTask(s *step) *task {
 	i := slices.IndexFunc(s.tasks, func(t task) bool { return t.background || t.phase == phaseWaiting && o.now >= t.notBefore })
 	if i < 0 {
-		return
+		return nil
 	}
-	t := &s.tasks[i]
+	return &s.tasks[i]
+}
+
+// requestTicketsFor adds a ticket request for a step. It names the workers that could take
+// one of the tasks but for a ticket, and about which there is no answer; without such
+// workers there is no request.
+func (o *Owner) requestTicketsFor(s *step) {
+	t := o.ticketTask(s)
+	s.tickets.neededSince = 0
 	type candidate struct {
 		vm    *vm
 		rank  ticketRank
@@ -145,6 +220,7 @@
 		s.tickets.pending[c.vm.id] = c.vm.boot
 		request.Workers = append(request.Workers, c.vm.boot.ID)
 	}
+	o.policyCalls.begin(o.now, request.Step)
 	o.ticketRequests = append(o.ticketRequests, request)
 }
 
@@ -169,9 +245,11 @@
 }
 
 // Advised applies the answer to a ticket request. r.Tickets is nil if the
-// policy service did not answer.
+// policy service did not answer. Each request must be followed by a call of Advised.
 func (o *Owner) Advised(now time.Duration, r TicketResponse) {
 	o.now = now
+	delete(o.policyCalls.began, r.Step)
+	o.placeDue = true // others may wait for their request
 	t := o.findTask(r.Step)
 	if t == nil {
 		return
@@ -193,5 +271,4 @@
 		}
 		held.answers[id] = a
 	}
-	o.placeDue = true
 }
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -100,6 +100,7 @@
 	batches         uint64
 	orders          []Order
 	ticketRequests  []TicketRequest
+	policyCalls     policyCalls
 	decisions       []Decision
 	// takeoverComplete is set once every run that an earlier owner may have
 	// started is listed or has provably ended.
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -65,6 +65,7 @@
 			s.idleSince = o.now
 		}
 	}
+	var advised []*step
 	for _, s := range o.waitingSteps() {
 		if s.background > 0 {
 			o.advanceBackground(s)
@@ -75,9 +76,10 @@
 			o.placeStep(s)
 		}
 		if o.queueOf(s.job).Advised {
-			o.requestTickets(s)
+			advised = append(advised, s)
 		}
 	}
+	o.requestTickets(advised)
 }
 
 // placeStep starts the waiting tasks of a step until one does not fit. A task
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -252,8 +252,8 @@
 }
 
 // requestAdvice sends ticket requests to the policy service without waiting; the core
-// gets the responses later. The advisor bounds the time of a call itself. The end of
-// the term does not cancel a call, so finish waits for it.
+// gets the responses later. The advisor bounds the time of a call itself, and the end of
+// the term cancels it.
 func (t *term) requestAdvice(requests []workflow.TicketRequest) {
 	for _, q := range requests {
 		t.wg.Add(1)
@@ -263,7 +263,7 @@
 			err := errors.New("no policy service is set in the settings")
 			begin := time.Now()
 			if t.c.opts.Advisor != nil {
-				advice, err = t.c.opts.Advisor.Advise(context.Background(), q)
+				advice, err = t.c.opts.Advisor.Advise(t.ctx, q)
 			}
 			if err != nil {
 				t.log.Log(eventAdviceFailed, err, telemetry.Fields{"step": q.Step.String(), "workers": len(q.Workers)})
