workflow: listed runs that no task tracks count against the capacity

A run that a worker lists and that is not the current run of a task now occupies the reservation of its step until it is no longer listed. Its demand is known from the rows of its job, so the rows of a cancelled or failed job that an earlier owner may have seen are deleted only once all VMs have listed their runs or can have none.

Runs of jobs whose rows were deleted before the term are stopped, as before, but not counted: their demand is not known.

--- a/internal/core/workflow/durable.go
+++ b/internal/core/workflow/durable.go
@@ -77,7 +77,7 @@
 	}
 	// The rows of the job stay while tasks are live, so that the next owner
 	// stops them.
-	c.Deletable = j.live == 0
+	c.Deletable = o.deletable(j)
 	return c, c.Deletable || c.State != ""
 }
 
--- a/internal/core/workflow/orders.go
+++ b/internal/core/workflow/orders.go
@@ -11,17 +11,6 @@
 // carried out: 12 s by the platform's specification, plus clock drift.
 const maxOrderDelay = 13 * time.Second
 
-// stopUntracked orders the stop of a run that is not the current run of any
-// task.
-func (o *Owner) stopUntracked(v *vm, k TaskKey, run uint64) {
-	id := runID{k, run}
-	if last, ok := v.untrackedRuns[id]; ok && o.now < last+o.cfg.OrderRetry {
-		return
-	}
-	v.untrackedRuns[id] = o.now
-	o.orders = append(o.orders, Order{Kind: OrderStop, VM: v.id, Boot: v.boot, Task: k, Run: run})
-}
-
 // ApplyResults applies the answers to orders that an agent has forwarded.
 func (o *Owner) ApplyResults(now time.Duration, agent types.Incarnation, results []OrderResult) {
 	o.now = now
@@ -153,6 +142,7 @@
 	if allReached && !o.takeoverComplete {
 		o.takeoverComplete = true
 		o.placeDue = true
+		o.markDeletable()
 	}
 }
 
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -148,7 +148,7 @@
 	if _, ok := o.vms[id]; ok {
 		return
 	}
-	v := &vm{id: id, unreachedSince: now, lastContact: now, earlierOrders: true, untrackedRuns: make(map[runID]time.Duration)}
+	v := &vm{id: id, unreachedSince: now, lastContact: now, earlierOrders: true, untrackedRuns: make(map[runID]untrackedRun)}
 	o.vms[id] = v
 	o.vmOrder = append(o.vmOrder, v)
 	slices.SortFunc(o.vmOrder, func(a, b *vm) int {
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -328,7 +328,7 @@
 
 // hasRoom reports whether the VM has room for another task of a step.
 func (v *vm) hasRoom(s *step) bool {
-	return v.reserved.Add(s.reservation()).Fits(v.upstream.Capacity)
+	return v.occupied().Add(s.reservation()).Fits(v.upstream.Capacity)
 }
 
 // constraint returns what keeps a task off a VM whatever room the VM has. It is empty
--- a/internal/core/workflow/report.go
+++ b/internal/core/workflow/report.go
@@ -330,16 +330,5 @@
 			o.requeue(t, "stopped before it started")
 		}
 	}
-	if len(v.untrackedRuns) == 0 {
-		return
-	}
-	runs := make(map[runID]bool, len(r.Running))
-	for i := range r.Running {
-		runs[runID{r.Running[i].Task, r.Running[i].Run}] = true
-	}
-	for id := range v.untrackedRuns {
-		if !runs[id] {
-			delete(v.untrackedRuns, id)
-		}
-	}
+	o.forgetUntracked(v, r.Running)
 }
--- a/internal/core/workflow/state.go
+++ b/internal/core/workflow/state.go
@@ -222,9 +222,9 @@
 	left bool
 
 	tasks []*task
-	// untrackedRuns holds the time of the last stop order of each untracked run:
-	// one that is listed but is not the current run of any task.
-	untrackedRuns map[runID]time.Duration
+	// untrackedRuns holds the runs that are listed but are not the current run of any
+	// task.
+	untrackedRuns map[runID]untrackedRun
 	// reserved is the sum of reservations; filling is the processor demand of
 	// filling tasks, except background runs, whose demands are background and
 	// backgroundMemory.
@@ -321,7 +321,7 @@
 // thousandths of a core. A standing task uses the share of its reservation that
 // equals the load of its users.
 func (v *vm) leftover() int64 {
-	left := v.upstream.Capacity.MilliCPU - v.reserved.MilliCPU
+	left := v.upstream.Capacity.MilliCPU - v.occupied().MilliCPU
 	for _, t := range v.tasks {
 		if !t.step.spec.Standing {
 			continue
