jobs: tests of the circuit breakers depend less on the machine's speed

Seven tests failed for the speed of the machine; these causes are mended:

- TestGivenUpCallDoesNotSuspendPartition ended its call by a timer of 20 ms, while the table answered after 60 ms.
The call now ends when the table has received it, and the table does not answer.
- TestResetsOfAllCalls and TestTableRefusesOneProcess wanted 60 refusals of the 80 submissions that a machine without other load makes during the outage.
They now want three quarters of those made.
- TestLostResponsesOfWrites wanted closed breakers 3 s after the outage.
The last write of the outage may time out 1.5 s after it, and by reading the read that finds it stored leaves its partition half-open for 2 s.
It now waits for this.
- TestJobAboveTheRowLimitIsRefused allowed 100 ms.
It runs in a synctest bubble, where the refusal must take no time.

--- a/internal/jobs/batch_test.go
+++ b/internal/jobs/batch_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/boragecrank/boragecrank/internal/core/types"
@@ -204,10 +205,13 @@
 // Guards against a job that is accepted but cannot be stored, and against one that is
 // refused only after its callers have waited for the table.
 func TestJobAboveTheRowLimitIsRefused(t *testing.T) {
-	in := NewIntake(&silentTable{t: t}, platform.Limits{ValueBytes: 1000}, telemetry.Discard(), nil)
-	begin := time.Now()
-	err := in.Submit(t.Context(), &workflow.Job{ID: "j", Queue: "q", Payload: strings.Repeat("x", 1000)}, 1)
-	if err == nil || !strings.Contains(err.Error(), "split it") || time.Since(begin) > 100*time.Millisecond {
-		t.Errorf("error %v after %v, want one that names the remedy at once", err, time.Since(begin))
-	}
+	// In the bubble, only waits take time, however busy the machine is.
+	synctest.Test(t, func(t *testing.T) {
+		in := NewIntake(&silentTable{t: t}, platform.Limits{ValueBytes: 1000}, telemetry.Discard(), nil)
+		begin := time.Now()
+		err := in.Submit(t.Context(), &workflow.Job{ID: "j", Queue: "q", Payload: strings.Repeat("x", 1000)}, 1)
+		if err == nil || !strings.Contains(err.Error(), "split it") || time.Since(begin) > 0 {
+			t.Errorf("error %v after %v, want one that names the remedy at once", err, time.Since(begin))
+		}
+	})
 }
--- a/internal/jobs/watched_test.go
+++ b/internal/jobs/watched_test.go
@@ -89,8 +89,13 @@
 	return platform.TxnResult{Committed: true, Revision: uint64(f.commits)}, err          //nolint:gosec // a small count
 }
 
-// outageResult counts the submissions of a playOutage by their result.
-type outageResult struct{ accepted, refused, uncertain int }
+// outageResult counts the submissions of a playOutage by their result, and those that
+// began during the outage.
+type outageResult struct{ accepted, refused, uncertain, during int }
+
+// mostlyRefused reports whether at least three quarters of the submissions that began
+// during the outage were refused. A busy machine makes fewer than 20 per second.
+func (r outageResult) mostlyRefused() bool { return r.during > 0 && 4*r.refused >= 3*r.during }
 
 // playOutage submits 20 jobs per second to an intake from 0.5 s before an outage until
 // 3 s after it, beside a read every 300 ms. It checks that refusals are true, in time
@@ -127,6 +132,11 @@
 	var mu sync.Mutex
 	var r outageResult
 	for i := 0; time.Since(begin) < before+lasts+after; i++ {
+		if during() {
+			mu.Lock()
+			r.during++
+			mu.Unlock()
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -157,14 +167,25 @@
 	}
 	wg.Wait()
 	t.Logf("%+v, %d writes", r, table.commits)
-	watched.mu.Lock()
-	defer watched.mu.Unlock()
-	if state, _, _ := watched.breakers.State(clock.Now()); state != outage.Closed {
+	if state := awaitClosed(watched); state != outage.Closed {
 		t.Errorf("the breaker is %v after the outage", state)
 	}
 	return r, table
 }
 
+// awaitClosed waits until the breakers of a table are closed, and returns the most severe
+// state. The last write of an outage may time out maxCommitTimeout after it, and the read
+// that finds it stored leaves its partition half-open for 2 s, the limit of package outage.
+func awaitClosed(s *WatchedTable) outage.State {
+	state := outage.Open
+	for end := time.Now().Add(maxCommitTimeout + 3*time.Second); state != outage.Closed && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.mu.Lock()
+		state, _, _ = s.breakers.State(clock.Now())
+		s.mu.Unlock()
+	}
+	return state
+}
+
 // Guards against submissions that are sent, and retried, while the table resets all
 // connections: on recorded days, 20 to 59 of them ended with an unknown outcome. One or
 // two are sent before the first failure is noticed.
@@ -177,7 +198,7 @@
 		}
 		return time.Millisecond, fmt.Errorf("%w: %w", platform.ErrUnavailable, platform.ErrNoResponse)
 	})
-	if r.uncertain > 3 || r.refused < 60 {
+	if r.uncertain > 3 || !r.mostlyRefused() {
 		t.Errorf("%+v, want at most 3 of unknown outcome, and the others refused", r)
 	}
 	if sent := table.commits - r.accepted; sent > 6 || table.lateWrites > 0 {
@@ -252,7 +273,7 @@
 		other <- r
 	}()
 	r, table := playOutage(t, 4*time.Second, func(bool) (time.Duration, error) { return time.Millisecond, platform.ErrUnavailable })
-	if sent := table.commits - r.accepted; r.uncertain > 0 || r.refused < 60 || table.lateWrites > 0 {
+	if sent := table.commits - r.accepted; r.uncertain > 0 || !r.mostlyRefused() || table.lateWrites > 0 {
 		t.Errorf("%+v with %d writes refused by the table, %d of them after 1.5 s; want none of unknown outcome, and 0 writes after 1.5 s", r, sent, table.lateWrites)
 	}
 	if o := <-other; o.refused+o.uncertain > 0 {
@@ -307,16 +328,16 @@
 func TestGivenUpCallDoesNotSuspendPartition(t *testing.T) {
 	t.Parallel()
 	table := &faultyTable{rows: make(map[string]platform.Row)}
+	ctx, cancel := context.WithCancel(t.Context())
 	table.setFault(func(write bool) (time.Duration, error) {
 		if write {
-			return 60 * time.Millisecond, nil
+			cancel() // the caller gives up once the write has arrived
+			return unanswered, nil
 		}
 		return time.Millisecond, nil
 	})
 	s := NewWatchedTable(table, telemetry.Nop())
 	key := stateKey("a")
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(20*time.Millisecond, cancel)
 	if _, err := s.Commit(ctx, platform.Txn{Conditions: []platform.Condition{{Key: key}}, Writes: []platform.Write{{Key: key}}}); err == nil {
 		t.Fatal("the write was not given up")
 	}
