--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -109,6 +109,7 @@
 	batches         uint64
 	orders          []Order
 	ticketRequests  []TicketRequest
+	policyCalls     policyCalls
 	decisions       []Decision
 	// takeoverComplete is set once every run that an earlier owner may have
 	// started is listed or has provably ended.
@@ -156,7 +157,7 @@
 	if _, ok := o.vms[id]; ok {
 		return
 	}
-	v := &vm{id: id, unreachedSince: now, lastContact: now, earlierOrders: true, untrackedRuns: make(map[runID]time.Duration)}
+	v := &vm{id: id, unreachedSince: now, lastContact: now, earlierOrders: true, untrackedRuns: make(map[runID]untrackedRun)}
 	o.vms[id] = v
 	o.vmOrder = append(o.vmOrder, v)
 	slices.SortFunc(o.vmOrder, func(a, b *vm) int {
--- a/internal/core/workflow/place.go
+++ b/internal/core/workflow/place.go
@@ -65,6 +65,7 @@
 			s.idleSince = o.now
 		}
 	}
+	var advised []*step
 	o.measureHeadroom()
 	steps := o.waitingSteps()
 	for _, s := range steps {
@@ -77,10 +78,11 @@
 			o.placeStep(s)
 		}
 		if o.queueOf(s.job).Advised {
-			o.requestTickets(s)
+			advised = append(advised, s)
 		}
 	}
 	o.preempt(steps)
+	o.requestTickets(advised)
 }
 
 // placeStep starts the waiting tasks of a step until one does not fit. A task
@@ -347,7 +349,7 @@
 
 // hasRoom reports whether the VM has room for another task of a step.
 func (v *vm) hasRoom(s *step) bool {
-	return v.reserved.Add(s.reservation()).Fits(v.upstream.Capacity)
+	return v.occupied().Add(s.reservation()).Fits(v.upstream.Capacity)
 }
 
 // constraint returns what keeps a task off a VM whatever room the VM has. It is empty
