workflow: the simulated agent keeps its fence when its worker ends

The real agent reports the fence of its last lists also when its worker has ended (markGone), so that the former owner stops; the simulated one left it out.

--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -25,7 +25,10 @@
 	// agentFence is the fence that the worker's agent passes to it. The agent raises
 	// it for a new boot at fenceAt, which is 0 once it has.
 	agentFence Fence
-	fenceAt    time.Duration
+	// reportFence is the fence of the agent's last report with lists. It keeps it when the
+	// worker ends, so that a former owner learns of its successor.
+	reportFence Fence
+	fenceAt     time.Duration
 	// agentBorn is the boot that the agent knows; 0 if it found none. Until it is
 	// polled, the agent passes orders for the previous boot on to a new one.
 	agentBorn int64
@@ -63,7 +66,7 @@
 	}
 	*w = simWorker{
 		id: w.id, boot: Boot{ID: id, Born: s.born}, up: true, began: s.now, rate: 0.98 + 0.02*s.rng.Float64(),
-		stoppedRuns: make(map[TaskKey]uint64), cutUntil: w.cutUntil, agentFence: w.agentFence, fenceAt: fenceAt,
+		stoppedRuns: make(map[TaskKey]uint64), cutUntil: w.cutUntil, agentFence: w.agentFence, reportFence: w.reportFence, fenceAt: fenceAt,
 		agentBorn: w.agentBorn,
 	}
 }
@@ -80,7 +83,7 @@
 		if fence := s.owner.Grant(w.id).Fence; s.mutant != mutantNoFence {
 			w.agentFence = max(w.agentFence, fence)
 		}
-		r.Gone = true
+		r.Gone, r.Fence = true, w.reportFence
 		w.agentBorn = 0
 		s.owner.Report(s.now, r)
 		return
@@ -118,6 +121,7 @@
 	}
 	progress := s.progressOfRuns()
 	r.Fence, r.Boot, r.Clock = max(w.agentFence, FirstFence(s.epoch)), w.boot, w.clock(s.now)
+	w.reportFence = r.Fence
 	r.Upstream = &Upstream{Boot: w.boot, Service: "svc", Capacity: s.capacity()}
 	for _, run := range w.runs {
 		r.Running = append(r.Running, Run{Task: run.task, Run: run.run, Progress: progress, Figure: 1000})
