workflow: no queue is over its limit while its throughput is not measured

Cause: the throughput of filling work is measured once the owner has planned some that can be in time. A new owner that had read late jobs only took it for 0, so that after 4 s the queue counted as over its limit with an expected time of an hour. Entries rejected its jobs, so that none came that could be planned. Change: until the throughput is measured, capacity counts as free. Measured: TestUnmeasuredThroughputIsNoLimit failed before (expected time 1 h, throughput 0.001) and passes.

--- a/internal/core/workflow/forecast.go
+++ b/internal/core/workflow/forecast.go
@@ -103,7 +103,7 @@
 	o.measureReserved()
 	var all []overload.QueueForecast
 	for key, p := range o.overload.forecast.pools {
-		queues := overload.Predict(overload.Pool{Now: now, Throughput: o.poolThroughput(key, p), Free: o.hasFreeCapacity(p), Work: p.work, Arrivals: &p.arrivals})
+		queues := overload.Predict(overload.Pool{Now: now, Throughput: o.poolThroughput(key, p), Free: o.hasFreeCapacity(key, p), Work: p.work, Arrivals: &p.arrivals})
 		for i := range queues {
 			queues[i].Fills, queues[i].Line = key.fills, o.runTimeLine(queues[i].Queue)
 		}
@@ -215,9 +215,11 @@
 }
 
 // hasFreeCapacity reports whether capacity is free for work of the pool, or it is not
-// known that none is.
-func (o *Owner) hasFreeCapacity(p *forecastPool) bool {
-	return p.saturatedSince == 0 || o.now < p.saturatedSince+saturationTime
+// known that none is. The throughput of filling work is known once the owner has planned
+// filling work of the service that can be in time.
+func (o *Owner) hasFreeCapacity(key poolKey, p *forecastPool) bool {
+	unmeasured := key.fills && o.overload.services[key.service] == nil
+	return unmeasured || p.saturatedSince == 0 || o.now < p.saturatedSince+saturationTime
 }
 
 // poolThroughput returns the processors that the work of a pool gets.
--- a/internal/core/workflow/forecast_test.go
+++ b/internal/core/workflow/forecast_test.go
@@ -115,3 +115,32 @@
 		}
 	}
 }
+
+// Guards against a new owner that counts a queue as over its limit because it has not
+// measured the throughput of filling work yet: it has read a late job only, and none that
+// can be in time.
+func TestUnmeasuredThroughputIsNoLimit(t *testing.T) {
+	h, run := forecastHarness(t)
+	step := Step{Tasks: 40, Demand: types.Resources{MilliCPU: harnessMilliCPU / 4}, RunTime: 2 * time.Second, Fills: true, Image: "calm"}
+	job := Job{ID: "late", Queue: "q", Steps: []Step{step}, Accepted: h.now - 10*time.Second}
+	if err := h.o.AddJob(h.now, h.now, job, JobRunning, 1, Progress{}, false); err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		if q, over := run(time.Second); over {
+			t.Fatalf("over its limit with one late job: %+v", q)
+		}
+	}
+	if h.o.jobs["late"].outcome != "" || h.o.jobs["late"].live == 0 {
+		t.Error("the late job does not run any more")
+	}
+	step.Tasks = 4
+	h.submit("fresh", step)
+	begin := h.now
+	for h.o.jobs["fresh"].outcome == "" && h.now < begin+5*time.Second {
+		h.step(100 * time.Millisecond)
+	}
+	if h.o.jobs["fresh"].outcome != JobCompleted {
+		t.Error("a job that arrives meanwhile is not in time")
+	}
+}
