workflow: jobs that cannot run anyway do not show that capacity is short

Cause: a filling task without room on any VM, a gang with less room than it needs, or an image that disturbs standing tasks waits although processors are unused. Capacity counted as short, and on VMs with targets the throughput was only what happened to run, so the queue counted as over its limit, also on an idle VM. Entries then rejected its jobs, and the throughput stayed low. Change: such waits are no evidence, judged by VMs with standing tasks only. Measured: TestJobThatCannotRunIsNoLimit failed before in its three cases (expected 16 to 61 s on a VM whose other jobs took about 2 s) and passes; in it real overload of the same VM still counts as over the limit.

--- a/internal/core/workflow/forecast.go
+++ b/internal/core/workflow/forecast.go
@@ -135,7 +135,7 @@
 		}
 		q := o.queueOf(j)
 		p := o.forecastPoolOf(poolKey{q.Service, j.spec.mostlyFills()})
-		if s.waiting > 0 && s.spec.Label == "" && s.spec.MaxPerVM == 0 && !q.Advised && o.waitsForCapacity(s) {
+		if !p.waits && s.waiting > 0 && s.spec.Label == "" && s.spec.MaxPerVM == 0 && !q.Advised && o.waitsForCapacity(s) && o.needsOnlyCapacity(s) {
 			p.waits = true
 		}
 		if seen[oc] {
@@ -159,6 +159,33 @@
 	})
 }
 
+// needsOnlyCapacity reports whether the VMs could run a task of the step, or its whole gang,
+// if only standing tasks were there. The wait of others does not show that processors are
+// short: it may last although all of them are unused. It is true if no VM takes work.
+func (o *Owner) needsOnlyCapacity(s *step) bool {
+	missing, vms := 1, 0
+	if s.spec.Gang {
+		missing = len(s.tasks)
+	}
+	service, reservation := o.queueOf(s.job).Service, s.reservation()
+	for _, v := range o.vmOrder {
+		if v.upstream.Service != service || !o.usable(v) || v.quarantined {
+			continue
+		}
+		vms++
+		if s.spec.Fills && v.targets > 0 && o.spareShare(v, s.spec.Image, nil) < float64(s.spec.Demand.MilliCPU)/v.processors() {
+			continue // it would disturb the standing tasks too much
+		}
+		for free := v.upstream.Capacity.Sub(v.standingReserved); missing > 0 && reservation.Fits(free); missing-- {
+			free = free.Sub(reservation)
+		}
+		if missing == 0 {
+			return true
+		}
+	}
+	return vms == 0
+}
+
 // remaining returns the longest critical path of the occurrence's ready steps, and the
 // work that is left. Of a running task the part counts that is left by its estimate.
 func (o *Owner) remaining(oc *occurrence) (path time.Duration, work float64) {
--- a/internal/core/workflow/forecast_test.go
+++ b/internal/core/workflow/forecast_test.go
@@ -144,3 +144,41 @@
 		t.Error("a job that arrives meanwhile is not in time")
 	}
 }
+
+// Guards against a queue that counts as over its limit while the processors are unused,
+// because of a job that waits for something else: its task or gang has no room on any VM,
+// or would disturb the standing task too much. Other jobs come every 10 s and start at
+// once. With more of them than the VM can do, the queue is over its limit all the same.
+func TestJobThatCannotRunIsNoLimit(t *testing.T) {
+	huge := Step{Tasks: 1, Demand: types.Resources{MilliCPU: 1000, MemoryBytes: 2 * harnessMemory}, RunTime: 2 * time.Second, Fills: true, Image: "calm"}
+	gang := huge
+	gang.Tasks, gang.Gang, gang.Demand.MemoryBytes = 3, true, harnessMemory/2
+	for name, waits := range map[string]Step{"huge": huge, "gang": gang, "harmful": fillingStep("press", 12)} {
+		t.Run(name, func(t *testing.T) {
+			h, run := forecastHarness(t)
+			h.factors = map[string]float64{"press": 4}
+			h.submit("standing", standingStep(1))
+			h.step(100 * time.Millisecond)
+			h.submit("waits", waits)
+			small := Step{Tasks: 8, Demand: types.Resources{MilliCPU: 1000}, RunTime: 2 * time.Second, Fills: true, Image: "calm"}
+			for i := range 6 {
+				h.submit(types.JobID(fmt.Sprint("small", i)), small)
+				for range 10 {
+					if q, over := run(time.Second); over {
+						t.Fatalf("over its limit with unused processors: %+v", q)
+					}
+				}
+			}
+			over := false
+			for i := 0; i < 20 && !over; i++ {
+				for k := range 4 {
+					h.submit(types.JobID(fmt.Sprint("more", i, "-", k)), small)
+				}
+				_, over = run(time.Second)
+			}
+			if !over {
+				t.Error("not over its limit with four times the work that can be done")
+			}
+		})
+	}
+}
