workflow: random runs check the attempts of gangs with copies

Cause: the check of attempts left out gangs of steps with Copies, and only 2% of the runs failed, so that gangs hardly ever used up their attempts. Change: failed runs of a gang are counted for the gang there too, and 30% of the runs of gangs fail in runs with copies.

--- a/internal/core/workflow/simcopies_test.go
+++ b/internal/core/workflow/simcopies_test.go
@@ -138,7 +138,25 @@
 	if s.acked[o.Task] && s.now > s.ackedAt[o.Task]+simGrace {
 		s.fail("task %s run %d starts %v after its end was acknowledged", o.Task, o.Run, s.now-s.ackedAt[o.Task])
 	}
-	if s.failures[o.Task] >= simAttempts && s.now > s.failedAt[o.Task]+simGrace && !s.rows[o.Task.Job].job.Steps[o.Task.Step].Gang {
-		s.fail("task %s run %d starts after %d failed runs", o.Task, o.Run, s.failures[o.Task])
+	failed, failedAt := s.failures[o.Task], s.failedAt[o.Task]
+	if step := &s.rows[o.Task.Job].job.Steps[o.Task.Step]; step.Gang {
+		failed = len(s.gangFailures[o.Task.step()])
+		for i := range step.Tasks {
+			member := o.Task
+			member.Index = i
+			failedAt = max(failedAt, s.failedAt[member])
+		}
+	}
+	if failed >= simAttempts && s.now > failedAt+simGrace {
+		s.fail("task %s run %d starts after %d failed runs", o.Task, o.Run, failed)
+	}
+}
+
+// failureRate returns the share of the runs of a task that fail. With copies those of gangs
+// fail often, so that gangs use up their attempts.
+func (s *sim) failureRate(key TaskKey) float64 {
+	if s.copies && s.rows[key.Job].job.Steps[key.Step].Gang {
+		return 0.3
 	}
+	return 0.02
 }
--- a/internal/core/workflow/simworker_test.go
+++ b/internal/core/workflow/simworker_test.go
@@ -306,7 +306,7 @@
 		switch {
 		case w.clock(s.now) >= w.lease:
 			s.endRun(w, i, EndExpired)
-		case s.now >= w.runs[i].ends && s.chance(0.02):
+		case s.now >= w.runs[i].ends && s.chance(s.failureRate(w.runs[i].task)):
 			s.endRun(w, i, EndFailed)
 		case s.now >= w.runs[i].ends:
 			s.endRun(w, i, EndDone)
