jobs, outage: a caller that hangs up does not pause the peer

Cause: a forwarded submission whose caller closed its connection ended as lost like one without a response, so that the peer was not used for 2 s and further submissions went one at a time. Callers that hang up thus had those of others rejected, although the peer was served. Change: its end only frees its place. The outcome stays unknown. Measured: TestClosedConnectionOfCallerDoesNotPausePeer failed before (the next submission was rejected) and passes.

--- a/internal/core/outage/forward.go
+++ b/internal/core/outage/forward.go
@@ -82,7 +82,7 @@
 	ForwardAsk
 	// ForwardWait: call Next again soon.
 	ForwardWait
-	// ForwardSend: forward the submission to the peer. Ended must follow.
+	// ForwardSend: forward the submission to the peer. Ended or GivenUp must follow.
 	ForwardSend
 )
 
@@ -257,10 +257,7 @@
 // Ended records the result of a submission that was forwarded to the peer at the time
 // started.
 func (f *Forwarding) Ended(now, started time.Duration, peer, partition string, r ForwardResult) {
-	f.total--
-	if f.inFlight[peer]--; f.inFlight[peer] == 0 {
-		delete(f.inFlight, peer)
-	}
+	f.release(peer)
 	if r == ForwardAccepted {
 		f.window = min(f.window+1, f.cfg.MaxInFlight)
 		f.confirm(peer, started)
@@ -279,3 +276,14 @@
 	f.window = 1
 	f.pausedTo[peer] = now + f.cfg.PeerPause
 }
+
+// GivenUp records that the caller of a submission that was forwarded to the peer does not
+// wait for its result any more, which says nothing about the peer.
+func (f *Forwarding) GivenUp(peer string) { f.release(peer) }
+
+func (f *Forwarding) release(peer string) {
+	f.total--
+	if f.inFlight[peer]--; f.inFlight[peer] == 0 {
+		delete(f.inFlight, peer)
+	}
+}
--- a/internal/jobs/forward.go
+++ b/internal/jobs/forward.go
@@ -261,8 +261,8 @@
 	}
 }
 
-func (f *Forwarder) send(ctx context.Context, job ForwardedJob, step outage.ForwardStep, address string, cause error) (ForwardAnswer, bool) {
-	ctx, cancel := context.WithTimeout(ctx, step.Timeout)
+func (f *Forwarder) send(caller context.Context, job ForwardedJob, step outage.ForwardStep, address string, cause error) (ForwardAnswer, bool) {
+	ctx, cancel := context.WithTimeout(caller, step.Timeout)
 	defer cancel()
 	began := clock.Now()
 	f.mu.Lock()
@@ -275,7 +275,11 @@
 	a, err := f.client.SubmitJob(ctx, address, job, step.Timeout-forwardReturn)
 	a.By = types.VMID(step.Peer)
 	f.mu.Lock()
-	f.machine.Ended(clock.Now(), began, step.Peer, partition(job.ID), a.Outcome)
+	if a.Outcome == outage.ForwardLost && errors.Is(caller.Err(), context.Canceled) {
+		f.machine.GivenUp(step.Peer) // the caller has closed its connection
+	} else {
+		f.machine.Ended(clock.Now(), began, step.Peer, partition(job.ID), a.Outcome)
+	}
 	f.mu.Unlock()
 	f.count(a.Outcome.String())
 	fields := telemetry.Fields{"job": job.ID, "to": step.Peer}
--- a/internal/jobs/forward_test.go
+++ b/internal/jobs/forward_test.go
@@ -202,6 +202,29 @@
 	}
 }
 
+// Guards against a caller that closes its connection and thereby keeps the submissions of
+// others from a peer that is served.
+func TestClosedConnectionOfCallerDoesNotPausePeer(t *testing.T) {
+	n, m := newForwardNet(), newMemoryTable()
+	a, b := newForwardEntry(m, n, "b"), newForwardEntry(m, n)
+	n.entries["b"] = b
+	a.admit, a.get = refusal(errTableUnresponsive), refusal(platform.ErrUnavailable)
+	ctx, hangUp := context.WithCancel(t.Context())
+	n.lose = func() (bool, bool) {
+		hangUp()
+		return true, true
+	}
+	if err := a.in.Submit(ctx, forwardedJob("00000000000000a1"), 1); apperr.KindOf(err) != apperr.KindUncertain {
+		t.Fatalf("submission of a caller that hangs up: %v, want an unknown outcome", err)
+	}
+	n.lose = func() (bool, bool) { return false, false }
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	if err := a.in.Submit(ctx, forwardedJob("00000000000000a2"), 1); err != nil {
+		t.Errorf("next submission: %v, want it accepted by the peer", err)
+	}
+}
+
 // Guards against an entry without the flag that takes forwarded submissions, and against
 // forwarded jobs that damage the table's keys or the owner.
 func TestForwardedSubmissionIsChecked(t *testing.T) {
