jobs: a rejection by the forecast follows a read that shows that the job is not stored

An entry knows the jobs that others have stored up to 1.5 s late. A caller whose response was lost there, and who tried again here at once, was told that its job never runs. The entry now reads the job's state row before it rejects, and admits the job if it is stored or the read is not answered.

--- a/internal/jobs/forecast_test.go
+++ b/internal/jobs/forecast_test.go
@@ -176,7 +176,8 @@
 	row := encode(forecastRow{Format: forecastFormat, Epoch: 3, Entries: 2, Queues: overQueue(time.Minute)})
 	lost := func() (platform.TxnResult, error) { return platform.TxnResult{}, platform.ErrUncertain }
 	stored := func() (platform.TxnResult, error) { return platform.TxnResult{Committed: true, Revision: 4}, nil }
-	in := NewIntake(&scriptedTable{commits: []func() (platform.TxnResult, error){lost, stored, stored}}, platform.Limits{}, telemetry.Discard(), nil)
+	table := &rowTable{scriptedTable: &scriptedTable{commits: []func() (platform.TxnResult, error){lost, stored, stored, stored, stored}}}
+	in := NewIntake(table, platform.Limits{}, telemetry.Discard(), nil)
 	in.UseForecast(r)
 	r.markAnswered()
 	in.markCurrent()
@@ -196,4 +197,26 @@
 	if err := in.Submit(t.Context(), forecastJob("c"), 1); err != nil {
 		t.Errorf("job that another entry may have stored: %v, want it accepted", err)
 	}
+	in.markCurrent()
+	table.err = platform.ErrUnavailable
+	if err := in.Submit(t.Context(), forecastJob("d"), 1); err != nil {
+		t.Errorf("job of which no read shows that it is not stored: %v, want it accepted", err)
+	}
+	table.err, table.row = nil, platform.Row{Value: encode(stateRow{Queue: "q", State: workflow.JobQueued}), Revision: 9}
+	if err := in.Submit(t.Context(), forecastJob("e"), 1); err != nil {
+		t.Errorf("job that another entry has just stored: %v, want it accepted", err)
+	}
+}
+
+// rowTable is a scriptedTable whose reads return a row, or an error.
+type rowTable struct {
+	*scriptedTable
+	row platform.Row
+	err error
+}
+
+func (r *rowTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	row := r.row
+	row.Key = keys[0]
+	return []platform.Row{row}, r.err
 }
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -214,7 +214,9 @@
 	var stored platform.Row
 	var err error
 	if !forwarded { // the entry that forwards has checked it
-		err = in.checkForecast(job, fields)
+		if err = in.checkForecast(job, fields); err != nil && !in.certainlyNotStored(ctx, job.ID) {
+			err = nil // the write finds out, and a stored job is accepted
+		}
 	}
 	if err == nil {
 		in.forecast.begin(job.ID)
@@ -242,6 +244,13 @@
 	return nil
 }
 
+// certainlyNotStored reports whether a read shows that a job is not stored. Another entry
+// may have stored it since the states were last read, and its response may have been lost.
+func (in *Intake) certainlyNotStored(ctx context.Context, id types.JobID) bool {
+	_, err := in.readState(ctx, id)
+	return apperr.KindOf(err) == apperr.KindNotFound
+}
+
 // checkForecast returns an error of kind unavailable if the forecast rejects the job, and
 // adds fields for the log.
 func (in *Intake) checkForecast(job *workflow.Job, fields telemetry.Fields) error {
