faultsoak: flags drawn from the seed, copies, bursts, failing candidates

Cause: no run used overload control, copies, forwarded submissions or handovers in quiet periods. Change: with -mechanisms (the default) the seed draws the flags of all entries, none to four; jobs have steps that tolerate copies, in which one run in 12 takes seven times as long; a second queue of low priority gets bursts beyond the capacity and standing jobs; the store refuses, resets or does not answer single entries; half of the callers repeat after a 503. Refused jobs, also those with a 503 in each attempt, are checked at the end of the run instead of when submissions end. Standing jobs that were accepted must run after the faults and end when cancelled. Each run prints its flags and the events of the mechanisms.

--- a/internal/faultsoak/check.go
+++ b/internal/faultsoak/check.go
@@ -25,11 +25,17 @@
 	longRunTime = 12 * time.Second
 	// callTimeout is how long a caller waits for a response.
 	callTimeout = 4 * time.Second
+	// copyStartGrace is how long after the acknowledgement of an end as done the task of
+	// a step that tolerates copies may start.
+	copyStartGrace = time.Second
+	// retryPause is the pause of a caller after a 503.
+	retryPause = 300 * time.Millisecond
 )
 
 // runChecker counts the runs that the workers record and checks that no task
 // runs twice at the same time, or starts again after an end as done that is
-// acknowledged.
+// acknowledged. With copies, a task may run twice but not three times, and may start
+// until copyStartGrace after the acknowledgement.
 type runChecker struct {
 	mu         sync.Mutex
 	running    map[string]int
@@ -41,6 +47,9 @@
 	// twice holds the tasks that have had two runs at the same time. Their further
 	// events are reported, which shows how the runs ended.
 	twice map[string]bool
+	// speculative holds the steps that tolerate copies, copies those whose tasks may
+	// have two runs because the entries start copies, each by stepOf.
+	speculative, copies map[string]bool
 }
 
 // doneRun is a run that has ended as done. The task may start again only if the end is
@@ -48,11 +57,37 @@
 type doneRun struct {
 	run                     uint64
 	acknowledged, restarted bool
+	acknowledgedAt          time.Time
 }
 
 func (w *runChecker) reset() {
 	w.running, w.done, w.twice = make(map[string]int), make(map[string]int), make(map[string]bool)
 	w.doneRuns = make(map[string][]doneRun)
+	w.speculative, w.copies = make(map[string]bool), make(map[string]bool)
+}
+
+// stepOf returns the part of a task's name that all tasks of its step have.
+func stepOf(task string) string { return task[:strings.LastIndexByte(task, '.')+1] }
+
+// addSpeculative adds a step that tolerates copies. With copies, its tasks may have two
+// runs at the same time.
+func (w *runChecker) addSpeculative(step string, copies bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.speculative[step], w.copies[step] = true, copies
+}
+
+// countRunning returns the number of runs of a job that are in progress.
+func (w *runChecker) countRunning(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for task, runs := range w.running {
+		if strings.HasPrefix(task, id+".") {
+			n += runs
+		}
+	}
+	return n
 }
 
 // record implements standin.WorkerOptions.Record. Every event other than start
@@ -60,14 +95,21 @@
 func (w *runChecker) record(event, task string, run uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now().Format("15:04:05.000")
+	now, maxRuns := time.Now().Format("15:04:05.000"), 1
+	copies := w.copies[stepOf(task)]
+	if copies {
+		maxRuns = 2
+	}
 	if w.twice[task] {
 		w.violations = append(w.violations, fmt.Sprintf("%s task %s run %d: %s", now, task, run, event))
 	}
 	for i := range w.doneRuns[task] {
 		d := &w.doneRuns[task][i]
-		d.acknowledged = d.acknowledged || event == "noted" && d.run == run
-		d.restarted = d.restarted || event == "start"
+		if event == "noted" && d.run == run && !d.acknowledged {
+			d.acknowledged, d.acknowledgedAt = true, time.Now()
+		}
+		// A copy may start before the acknowledgement and for copyStartGrace after it.
+		d.restarted = d.restarted || event == "start" && (!copies || d.acknowledged && time.Since(d.acknowledgedAt) > copyStartGrace)
 		if d.acknowledged && d.restarted && !w.twice[task] {
 			w.twice[task] = true
 			w.violations = append(w.violations, fmt.Sprintf("%s task %s run %d: %s, so that it started again although the end of run %d as done is acknowledged", now, task, run, event, d.run))
@@ -79,9 +121,9 @@
 	case "start":
 		w.starts++
 		w.running[task]++
-		if w.running[task] > 1 {
+		if w.running[task] > maxRuns {
 			w.twice[task] = true
-			w.violations = append(w.violations, fmt.Sprintf("%s task %s run %d started while another run was in progress", now, task, run))
+			w.violations = append(w.violations, fmt.Sprintf("%s task %s run %d started, so that %d runs are in progress; allowed are %d", now, task, run, w.running[task], maxRuns))
 		}
 		return
 	case "done":
@@ -131,10 +173,12 @@
 	mu         sync.Mutex
 	outcomes   map[string]jobOutcome
 	taskCounts map[string]int
+	// standing holds the jobs that run until they are cancelled.
+	standing map[string]bool
 }
 
 func newJobClient(w *soakRun) *jobClient {
-	return &jobClient{w: w, client: &http.Client{Timeout: callTimeout}, outcomes: make(map[string]jobOutcome), taskCounts: make(map[string]int)}
+	return &jobClient{w: w, client: &http.Client{Timeout: callTimeout}, outcomes: make(map[string]jobOutcome), taskCounts: make(map[string]int), standing: make(map[string]bool)}
 }
 
 // call sends one request to an entry and returns the status code and the body
@@ -148,7 +192,7 @@
 		}
 		reader = bytes.NewReader(data)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+j.w.callerAddresses[entry]+prefix+id, reader)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+j.w.callerAddresses[entry]+prefixOf(id)+id, reader)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -182,6 +226,9 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%016x", uint64(n)+1)
 		body, tasks := j.randomJob(rng)
+		if j.w.mechanisms != nil && (!j.w.opts.SilentRestarts || rng.IntN(2) == 0) {
+			body, tasks = j.w.mechanisms.randomJob(rng, id)
+		}
 		entry := rng.IntN(len(j.w.callerAddresses))
 		wg.Add(1)
 		go func() {
@@ -228,9 +275,14 @@
 }
 
 // submit submits a job. Without a response it retries at other entries, as
-// callers do, with up to 4 attempts in all.
+// callers do, with up to 4 attempts in all. After a 503 callers give up; with
+// Options.Mechanisms half of them retry.
 func (j *jobClient) submit(ctx context.Context, id string, body any, tasks, entry int) {
 	outcome := outcomeUnknown
+	attempts, refusals := 1, 0
+	if j.w.mechanisms != nil {
+		attempts = 1 + int(id[len(id)-1])%2*3
+	}
 	for try := 0; try < 4 && outcome == outcomeUnknown; try++ {
 		switch code, _ := j.call(ctx, (entry+try)%len(j.w.callerAddresses), http.MethodPost, id, body); code {
 		case http.StatusOK:
@@ -238,8 +290,12 @@
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 			// After an unanswered attempt, a refusal does not prove that the job
 			// was not accepted.
-			if try == 0 {
+			if refusals++; refusals == attempts && refusals == try+1 {
 				outcome = outcomeRefused
+				continue
+			}
+			if attempts > 1 {
+				time.Sleep(retryPause)
 			}
 		}
 	}
@@ -253,15 +309,15 @@
 func (j *jobClient) awaitCompletion(ctx context.Context) {
 	open := make(map[string]bool)
 	for id, outcome := range j.outcomes {
+		if j.standing[id] {
+			continue
+		}
 		switch outcome {
 		case outcomeAccepted:
 			j.w.res.Accepted++
 			open[id] = true
 		case outcomeRefused:
 			j.w.res.Refused++
-			if j.w.runChecker.hasStarted(id) {
-				j.w.addViolation("job %s was refused but has run", id)
-			}
 		default:
 			j.w.res.Unknown++
 		}
@@ -285,6 +341,15 @@
 	}
 }
 
+// checkRefused checks that no refused job has run by the end of the soak.
+func (j *jobClient) checkRefused() {
+	for id, outcome := range j.outcomes {
+		if outcome == outcomeRefused && j.w.runChecker.hasStarted(id) {
+			j.w.addViolation("job %s was refused but has run", id)
+		}
+	}
+}
+
 func (j *jobClient) checkCompleted(id string) {
 	j.w.res.Completed++
 	if done := j.w.runChecker.countDone(id); done != j.taskCounts[id] {
--- a/internal/faultsoak/cmd/main.go
+++ b/internal/faultsoak/cmd/main.go
@@ -28,6 +28,7 @@
 	rate := flag.Float64("jobs", 4, "jobs submitted per second")
 	workerFaults := flag.Bool("workerfaults", true, "also restart workers and let them fail tasks")
 	platformFaults := flag.Bool("platformfaults", true, "also evacuations, further faults of the store, owners that stop in series, and untrusted clients")
+	mechanisms := flag.Bool("mechanisms", true, "draw flags for the entries from the seed, with jobs, bursts and faults that exercise them")
 	silentRestarts := flag.String("silentrestarts", "off", "workers that restart behind a silent network and are cut off soon after: off, also, or only (no other faults)")
 	maxLease := flag.Duration("maxlease", standin.DefaultMaxLease, "longest lease of a worker")
 	rowBytes := flag.Int("rowbytes", 0, "maximum size of a value in the store, 0 for one that divides the progress of large jobs")
@@ -37,6 +38,7 @@
 	code := runAll(ctx, *first, *seeds, faultsoak.Options{
 		Binary: *binary, Entries: *entries, Workers: *workers, Faults: *faults, WorkerFaults: *workerFaults, RowBytes: *rowBytes, JobsPerSecond: *rate,
 		SilentRestarts: *silentRestarts != "off", OnlySilentRestarts: *silentRestarts == "only", PlatformFaults: *platformFaults && *silentRestarts != "only", MaxLease: *maxLease,
+		Mechanisms: *mechanisms && *silentRestarts != "only",
 	})
 	stop()
 	os.Exit(code)
@@ -60,6 +62,10 @@
 		for _, k := range slices.Sorted(maps.Keys(r.Faults)) {
 			fmt.Printf(" %s %d", k, r.Faults[k])
 		}
+		fmt.Printf(", flags %v, events", r.Flags)
+		for _, k := range slices.Sorted(maps.Keys(r.Events)) {
+			fmt.Printf(" %s %d", k, r.Events[k])
+		}
 		fmt.Printf(", %d violations\n", len(r.Violations))
 		for _, v := range r.Violations {
 			fmt.Println("  violation:", v)
--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -21,6 +21,8 @@
 // processes that the soak itself has started, through their handles.
 type process struct {
 	name, binary, role, settings, log string
+	// flags follow the role on the command line.
+	flags []string
 	// mu guards cmd: the end of a pause may come while the process is restarted.
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -48,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.CommandContext(context.Background(), p.binary, p.role)
+	cmd := exec.CommandContext(context.Background(), p.binary, append([]string{p.role}, p.flags...)...) //nolint:gosec // flags of the soak
 	cmd.Env = append(os.Environ(), standin.SettingsVariable+"="+p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
--- a/internal/faultsoak/proxy.go
+++ b/internal/faultsoak/proxy.go
@@ -2,9 +2,9 @@
 // processes on loopback and injects faults from outside: signals to the
 // processes; proxies that delay data, reset connections, or drop data in one or
 // both directions; and a store that refuses calls, loses responses or discards
-// its change history. It checks the guarantees to callers and workers during the
-// run. The platform is the stand-in, which runs inside the driver. The package
-// is not part of the shipped binary.
+// its change history. The seed draws the flags of the entries, too. It checks the
+// guarantees to callers and workers during the run. The platform is the stand-in,
+// which runs inside the driver. The package is not part of the shipped binary.
 package faultsoak
 
 import (
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -38,6 +38,9 @@
 	// PlatformFaults adds evacuations, further faults of the store, owners that stop in
 	// series, and untrusted clients.
 	PlatformFaults bool
+	// Mechanisms starts the entries with flags drawn from the seed, and adds the jobs,
+	// bursts and faults that exercise them.
+	Mechanisms bool
 	// MaxLease is the longest lease of a worker; 0 means standin.DefaultMaxLease.
 	MaxLease time.Duration
 	// RowBytes is the maximum size of a value in the store; 0 means defaultRowBytes.
@@ -59,6 +62,10 @@
 	Violations []string
 	// ExcusedStarts counts starts in evacuated failure domains that a fault excuses.
 	ExcusedStarts int
+	// Flags are those of the entries. Events counts the events of entries that
+	// mechanismEvents lists.
+	Flags  []string
+	Events map[string]int
 }
 
 const (
@@ -105,6 +112,8 @@
 	allGate     *gate
 	entryGates  []*gate
 	evacuations evacuationChecker
+	// mechanisms is nil without Options.Mechanisms.
+	mechanisms *mechanisms
 }
 
 // Run performs a run with one seed.
@@ -116,6 +125,10 @@
 	w.res.Faults = make(map[string]int)
 	w.runChecker.reset()
 	w.jobClient = newJobClient(w)
+	if o.Mechanisms {
+		w.mechanisms = newMechanisms(w)
+		w.res.Flags = w.mechanisms.flags
+	}
 	defer w.close()
 	if err := w.startProcesses(); err != nil {
 		return w.res, err
@@ -130,6 +143,10 @@
 		defer submitting.Done()
 		w.jobClient.submitAll(submitCtx)
 	}()
+	if w.mechanisms != nil {
+		submitting.Go(func() { w.mechanisms.submit(submitCtx) })
+		w.mechanisms.awaitQuietHandover(ctx)
+	}
 	silent := make(chan struct{})
 	go func() {
 		defer close(silent)
@@ -146,6 +163,10 @@
 	submitting.Wait()
 	w.pendingUndos.Wait()
 	w.jobClient.awaitCompletion(ctx)
+	if w.mechanisms != nil {
+		w.mechanisms.checkStanding(ctx)
+	}
+	w.jobClient.checkRefused()
 	for i, p := range w.entries {
 		if !w.jobClient.awaitReady(ctx, i) {
 			w.addViolation("entry %s does not answer after the faults", p.name)
@@ -154,6 +175,7 @@
 	violations, excused := w.evacuations.check()
 	w.res.Violations, w.res.ExcusedStarts = append(w.res.Violations, violations...), excused
 	w.res.Calls = w.store.Calls()
+	w.res.Events = w.countEvents()
 	w.res.Starts = w.runChecker.starts
 	w.res.Violations = append(w.res.Violations, w.runChecker.violations...)
 	return w.res, nil
@@ -173,7 +195,11 @@
 	w.allGate = &gate{next: w.store}
 	w.evacuations.store = []*faultLog{&w.storeFaults, &w.allGate.faults}
 	store := w.serve(w.allGate)
-	config := standin.Configuration(1, standin.Queue{Name: "r-q", Host: host, Prefix: prefix, Service: service})
+	queues := []standin.Queue{{Name: "r-q", Host: host, Prefix: prefix, Service: service}}
+	if w.mechanisms != nil {
+		queues = append(queues, standin.Queue{Name: "r-low", Host: host, Prefix: lowPrefix, Service: service, Priority: lowPriority})
+	}
+	config := standin.Configuration(1, queues...)
 	if err := w.store.Put(standin.ConfigTable, standin.ConfigKey, config); err != nil {
 		return err
 	}
@@ -183,6 +209,9 @@
 		if err := w.addEntry(i); err != nil {
 			return err
 		}
+		if i == 0 && w.mechanisms != nil {
+			w.mechanisms.awaitSmallOwner()
+		}
 	}
 	for i := range w.opts.Workers {
 		if err := w.addWorker(store, i); err != nil {
@@ -236,11 +265,15 @@
 	if w.opts.PlatformFaults {
 		settings.MemoryMB, settings.MaxOpenFiles = entryMemoryMB, entryOpenFiles
 	}
+	if w.mechanisms != nil {
+		settings.CPUShare = w.mechanisms.cpuShare(i)
+	}
 	p, err := newProcess(w.opts.Dir, w.opts.Binary, "jobs-entry", settings)
 	if err != nil {
 		return err
 	}
 	p.onCrash = w.recordCrash
+	p.flags = w.res.Flags
 	w.entries, w.entryGates = append(w.entries, p), append(w.entryGates, g)
 	w.evacuations.entries = append(w.evacuations.entries, []*faultLog{&p.kills, &p.pauses, &storeProxy.faults, &g.faults})
 	w.callerAddresses = append(w.callerAddresses, settings.CallerAPI)
@@ -284,6 +317,9 @@
 			}
 		},
 	}
+	if w.mechanisms != nil {
+		options.MilliCPU, options.RunTimeOf = w.mechanisms.workerMilliCPU, w.mechanisms.runTimeOf
+	}
 	if i == 0 {
 		options.Labels = []string{labelOfOne}
 	}
@@ -315,6 +351,9 @@
 			newPlatformFaults(w).run(ctx, end)
 		}
 	}()
+	if w.mechanisms != nil {
+		w.mechanisms.injectFaults(ctx, end)
+	}
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if !w.opts.OnlySilentRestarts {
 			w.injectFault()
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -116,6 +116,59 @@
 	}, platformFaultKinds...)
 }
 
+// Guards against the failures of TestPlatformFaultSeeds, against a third run of a task, two
+// runs of a task that tolerates none, and refused jobs that run, with overload control,
+// copies and forwarded submissions.
+func TestMechanismSeeds(t *testing.T) {
+	runSeed(t, Options{
+		Seed: 70018, Binary: buildBinary(t), Entries: 3, Workers: 6, Faults: 9 * time.Second, WorkerFaults: true, PlatformFaults: true, Mechanisms: true, JobsPerSecond: 4,
+	}, "store fails a candidate")
+}
+
+// Guards against a check that misses three runs, two runs of a step without copies, or a
+// start too long after an acknowledged end.
+func TestCheckOfCopies(t *testing.T) {
+	const a, b, c = "1.0.0.0", "1.0.1.0", "1.0.2.0"
+	newChecker := func() *runChecker {
+		var w runChecker
+		w.reset()
+		w.addSpeculative(stepOf(a), true)
+		w.addSpeculative(stepOf(c), false)
+		return &w
+	}
+	type event struct {
+		event, task string
+		run         uint64
+	}
+	for name, test := range map[string]struct {
+		events   []event
+		violates bool
+	}{
+		"two runs with copies":                           {[]event{{"start", a, 1}, {"start", a, 2}, {"done", a, 2}, {"stopped", a, 1}}, false},
+		"three runs with copies":                         {[]event{{"start", a, 1}, {"start", a, 2}, {"start", a, 3}}, true},
+		"two runs without copies":                        {[]event{{"start", b, 1}, {"start", b, 2}}, true},
+		"two runs of a step that gets none":              {[]event{{"start", c, 1}, {"start", c, 2}}, true},
+		"copy before the acknowledgement":                {[]event{{"start", a, 1}, {"done", a, 1}, {"start", a, 2}, {"noted", a, 1}}, false},
+		"copy soon after the acknowledgement":            {[]event{{"start", a, 1}, {"done", a, 1}, {"noted", a, 1}, {"start", a, 2}}, false},
+		"late copy":                                      {[]event{{"start", a, 1}, {"done", a, 1}, {"noted", a, 1}, {"late", "", 0}, {"start", a, 2}}, true},
+		"start without copies after the acknowledgement": {[]event{{"start", b, 1}, {"done", b, 1}, {"noted", b, 1}, {"start", b, 2}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newChecker()
+			for _, e := range test.events {
+				if e.event == "late" {
+					w.doneRuns[a][0].acknowledgedAt = time.Now().Add(-copyStartGrace - time.Millisecond)
+					continue
+				}
+				w.record(e.event, e.task, e.run)
+			}
+			if (len(w.violations) > 0) != test.violates {
+				t.Errorf("violations %q, want some: %v", w.violations, test.violates)
+			}
+		})
+	}
+}
+
 // Guards against a driver that crashes when a pause of a process ends while the process
 // is restarted (seed 31107, once): the new command had no process yet.
 func TestSignalDuringRestart(t *testing.T) {
