telemetry: a log line after the end of the output is dropped

Cause: goroutines that nobody awaits, such as followers of the table, still log while a process ends. After Close the write panicked (send on closed channel), so that an entry ended with status 2 and a stack trace after a stop that was complete. Change: lines after Close are dropped and counted. Result: TestAsyncWriterIgnoresLinesAfterClose panics without the change; go test -race -count=5 ./internal/telemetry passes with it.

--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -15,6 +16,9 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Uint64
+	// mu guards closed. No write to lines may follow the end of lines.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewAsyncWriter returns a writer in front of w.
@@ -38,8 +42,15 @@
 	}
 }
 
-// Write queues a copy of the line. It never fails and never blocks.
+// Write queues a copy of the line. It never fails and never blocks. Lines after Close are
+// dropped: goroutines that nobody awaits still log while the process ends.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.closed {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
@@ -48,13 +59,15 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines that found the queue full, plus the number
-// of failed writes, each of which may have held several lines.
+// Dropped returns the number of lines that found the queue full or came after Close, plus
+// the number of failed writes, each of which may have held several lines.
 func (a *AsyncWriter) Dropped() uint64 { return a.dropped.Load() }
 
-// Close waits until the queued lines are written. Write must not be called after
-// Close.
+// Close waits until the queued lines are written. It must be called once.
 func (a *AsyncWriter) Close() {
+	a.mu.Lock()
+	a.closed = true
 	close(a.lines)
+	a.mu.Unlock()
 	<-a.done
 }
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -51,3 +51,26 @@
 		t.Errorf("%d lines written and %d dropped, want %d each", written, w.Dropped(), asyncQueueLines)
 	}
 }
+
+// Guards against a process that panics as it ends, when goroutines that are not awaited
+// still log.
+func TestAsyncWriterIgnoresLinesAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out)
+	_, _ = w.Write([]byte("first\n")) // never fails
+	writing := make(chan struct{})
+	go func() {
+		defer close(writing)
+		for w.Dropped() == 0 {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	w.Close()
+	if n, err := w.Write([]byte("late\n")); n != len("late\n") || err != nil {
+		t.Errorf("write after Close: %d, %v, want %d and no error", n, err, len("late\n"))
+	}
+	<-writing
+	if written := out.String(); !strings.HasPrefix(written, "first\n") || strings.Contains(written, "late") || w.Dropped() == 0 {
+		t.Errorf("%d bytes written, %d lines dropped, want the first line and not the last", len(written), w.Dropped())
+	}
+}
