faultsoak: a calm start also for copies

Change: with either flag, faults and bursts begin 10 to 14 s after the start. TestMechanismSeeds was not run again with it.

--- a/internal/faultsoak/mechanisms.go
+++ b/internal/faultsoak/mechanisms.go
@@ -116,9 +116,14 @@
 	}
 }
 
-// awaitQuietHandover waits until about the first handover in a quiet period.
-func (m *mechanisms) awaitQuietHandover(ctx context.Context) {
-	if m.has("--quiet-handover") {
+// calmStart reports whether the run begins without faults and bursts: for a handover in a
+// quiet period, and because copies need an owner that has seen 30 tasks end, and free
+// capacity.
+func (m *mechanisms) calmStart() bool { return m.has("--quiet-handover") || m.has("--copies") }
+
+// awaitCalmStart waits until about the first handover in a quiet period.
+func (m *mechanisms) awaitCalmStart(ctx context.Context) {
+	if m.calmStart() {
 		m.pause(ctx, m.faultRNG, minQuietStart, maxQuietStart)
 	}
 }
@@ -181,7 +186,7 @@
 		entry := m.jobRNG.IntN(len(m.w.callerAddresses))
 		submissions.Go(func() { m.w.jobClient.submit(context.WithoutCancel(ctx), id, body, tasks, entry) })
 	}
-	if m.has("--quiet-handover") {
+	if m.calmStart() {
 		m.pause(ctx, m.jobRNG, minQuietStart, maxQuietStart)
 	}
 	for ctx.Err() == nil {
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -145,7 +145,7 @@
 	}()
 	if w.mechanisms != nil {
 		submitting.Go(func() { w.mechanisms.submit(submitCtx) })
-		w.mechanisms.awaitQuietHandover(ctx)
+		w.mechanisms.awaitCalmStart(ctx)
 	}
 	silent := make(chan struct{})
 	go func() {
