--- a/internal/cli/jobroles.go
+++ b/internal/cli/jobroles.go
@@ -42,6 +42,9 @@
 			}, &cli.BoolFlag{
 				Name:  flagQuietHandover,
 				Usage: "as an owner with few cores of a large deployment, hand over to a larger entry in a quiet period",
+			}, &cli.BoolFlag{
+				Name:  flagHeadroom,
+				Usage: "let standing tasks wait for a bounded time when they would take what short work usually uses; part of --overload-control",
 			}, &cli.BoolFlag{
 				Name:  flagCopies,
 				Usage: "start second runs of tasks that take much longer than usual, in steps that allow it",
@@ -58,6 +61,7 @@
 
 const (
 	flagOverloadControl = "overload-control"
+	flagHeadroom        = "headroom"
 	flagPassSubmissions = "pass-submissions"
 	flagQuietHandover   = "quiet-handover"
 	flagCopies          = "copies"
@@ -100,7 +104,7 @@
 		go checkSettingsOnHangup(ctx, tel.Log)
 		err = run(ctx, jobserver.Options{
 			Settings: s, Store: platform.NewStore(s.Store, s.MaxRowBytes), Telemetry: tel, Guard: guard,
-			OverloadControl: c.Bool(flagOverloadControl), Copies: c.Bool(flagCopies), PassSubmissions: c.Bool(flagPassSubmissions), QuietHandover: c.Bool(flagQuietHandover),
+			OverloadControl: c.Bool(flagOverloadControl), Headroom: c.Bool(flagHeadroom), Copies: c.Bool(flagCopies), PassSubmissions: c.Bool(flagPassSubmissions), QuietHandover: c.Bool(flagQuietHandover),
 		})
 		tel.Log.Log(eventJobRoleStopped, err, telemetry.Fields{"dropped": output.Dropped()})
 		return err
--- a/internal/core/workflow/headroom.go
+++ b/internal/core/workflow/headroom.go
@@ -40,7 +40,9 @@
 	return status
 }
 
-func (o *Owner) headroomOn() bool { return headroomForShortWork && o.cfg.OverloadControl }
+func (o *Owner) headroomOn() bool {
+	return headroomForShortWork && (o.cfg.OverloadControl || o.cfg.Headroom)
+}
 
 // measureHeadroom measures what standing and other tasks reserve. Services that no VM has
 // are dropped.
--- a/internal/core/workflow/owner.go
+++ b/internal/core/workflow/owner.go
@@ -36,6 +36,8 @@
 	// preemption for queues of priority 0, headroom for short work, and the forecast for
 	// admission.
 	OverloadControl bool
+	// Headroom turns on headroom for short work without the rest of OverloadControl.
+	Headroom bool
 	// Copies turns on second runs of stragglers in steps with Step.Copies.
 	Copies bool
 }
--- a/internal/core/workflow/preempt_test.go
+++ b/internal/core/workflow/preempt_test.go
@@ -279,7 +279,7 @@
 		{"switched off", false, true, 6, 4, false},
 	} {
 		h := newHarness(t, 3, nil)
-		h.o.cfg.OverloadControl = c.enabled
+		h.o.cfg.Headroom = c.enabled
 		h.submit("s", standing(c.running))
 		stream := func(seconds int) {
 			for i := range 4 * seconds {
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -117,8 +117,8 @@
 	// returns. An owner uses it for a planned handover; without it, it releases the
 	// lease at once.
 	StopTimeout time.Duration
-	// OverloadControl is passed on to the core.
-	OverloadControl bool
+	// OverloadControl and Headroom are passed on to the core.
+	OverloadControl, Headroom bool
 	// QuietHandover makes an owner with few cores hand over to a larger entry in a quiet
 	// period. It needs Peers.
 	QuietHandover bool
--- a/internal/jobs/recover.go
+++ b/internal/jobs/recover.go
@@ -47,7 +47,7 @@
 	timing := t.c.opts.Timing
 	core := workflow.New(workflow.Config{
 		Epoch: t.epoch, LeaseDuration: timing.LeaseDuration, WorkerMaxLease: timing.WorkerMaxLease, ClockDrift: clockDrift,
-		OrderRetry: orderRetry, StateRetention: timing.StateRetention, MaxChanges: maxChanges, OverloadControl: t.c.opts.OverloadControl, Copies: t.c.opts.Copies,
+		OrderRetry: orderRetry, StateRetention: timing.StateRetention, MaxChanges: maxChanges, OverloadControl: t.c.opts.OverloadControl, Headroom: t.c.opts.Headroom, Copies: t.c.opts.Copies,
 	}, now)
 	t.setQueues(core)
 	agents := t.agents(s.agents.Rows)
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -75,6 +75,9 @@
 	// OverloadControl makes an owner plan filling work and publish a forecast, by which
 	// entries reject submissions, see internal/core/overload.
 	OverloadControl bool
+	// Headroom makes standing tasks leave room for short work, without the rest of
+	// OverloadControl.
+	Headroom bool
 	// PassSubmissions makes an entry forward submissions that the store does not serve to
 	// other entries, and accept theirs.
 	PassSubmissions bool
@@ -142,7 +145,7 @@
 	e.candidate = jobs.NewCandidate(jobs.CandidateOptions{
 		VM: vm, Cores: s.CPUCores, Incarnation: incarnation, Table: table, Takeovers: o.Store, Limits: o.Store.Limits(), Changes: table, Agents: agentClient(),
 		Timing:      jobs.Timing{LeaseDuration: min(workerLease, s.MaxLease), WorkerMaxLease: s.MaxLease, StateRetention: s.StateRetention + stateRetentionMargin, EvacuationBound: s.EvacuationBound},
-		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, Copies: o.Copies, QuietHandover: o.QuietHandover, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
+		StopTimeout: s.GracePeriod - stopMargin, OverloadControl: o.OverloadControl, Headroom: o.Headroom, Copies: o.Copies, QuietHandover: o.QuietHandover, Advisor: advisor, Telemetry: o.Telemetry, System: actors.NewSystem(), Queues: e.queues,
 		Evacuated: e.evacuations.domains, ReadOperatorRows: e.readOperatorRows,
 		Peers: registry.Peers, PeerClient: peers,
 	})
