--- a/internal/core/overload/headroom.go
+++ b/internal/core/overload/headroom.go
@@ -19,10 +19,10 @@
 	// maxHeadroomShare limits headroom to a share of the service's capacity. Short work
 	// that uses all that standing tasks leave would otherwise delay each of them.
 	maxHeadroomShare = 0.25
-	// MaxHeadroomDelay is how long a standing task may wait for headroom: one of the
-	// windows of 2 s of which callers count shares. It is below the 3 s within which an
-	// accepted job must run if there is room for it, and most of the short work that was
-	// lost with the capacity has started again by then.
+	// MaxHeadroomDelay is how long a standing task may wait for headroom. It is short
+	// beside the minutes for which standing tasks run, and below the 3 s within which an
+	// accepted job must run if there is room for it. Most of the short work that was lost
+	// with the capacity has started again by then.
 	MaxHeadroomDelay = 2 * time.Second
 )
 
--- a/internal/core/workflow/headroom.go
+++ b/internal/core/workflow/headroom.go
@@ -112,8 +112,8 @@
 	return h.Delays(o.now-t.waitingSince, h.capacity, h.standing, demand)
 }
 
-// delayForHeadroom reports the same of a standing task in a placement pass, where it counts the task, and
-// records the delay of a step once.
+// delayForHeadroom is waitsForHeadroom for a placement pass: it also counts the delayed
+// task, and records the delay of a step at most once per MaxHeadroomDelay.
 func (o *Owner) delayForHeadroom(t *task) bool {
 	if !o.waitsForHeadroom(t) {
 		return false
