--- a/review/stand-3/crashatstart.go
+++ b/review/stand-3/crashatstart.go
@@ -18,7 +18,7 @@
 		limit   = 25 * time.Second
 	)
 	_ = l.store.Put(standin.ConfigTable, standin.ConfigKey, standin.Configuration(1, queue("checks"), queue("watch")))
-	t := l.newTown(3, 7, 16000)
+	t := l.newTown(3, 7, 16000, false)
 	for _, o := range t.entries {
 		if err := waitAccepting(o.CallerAPI, 15*time.Second); err != nil {
 			l.logf("%v", err)
--- a/review/stand-3/silentworker.go
+++ b/review/stand-3/silentworker.go
@@ -11,7 +11,7 @@
 // silentWorker checks AVAIL after the open connections to the workers have gone silent.
 func silentWorker(l *lab) int {
 	_ = l.store.Put(standin.ConfigTable, standin.ConfigKey, standin.Configuration(1, queue("checks"), queue("watch")))
-	t := l.newTown(3, 3, 16000)
+	t := l.newTown(3, 3, 16000, true)
 	for _, o := range t.entries {
 		if err := waitAccepting(o.CallerAPI, 15*time.Second); err != nil {
 			l.logf("%v", err)
--- a/review/stand-3/soak.go
+++ b/review/stand-3/soak.go
@@ -23,12 +23,14 @@
 	entries []standin.ProcessOptions
 	agents  []standin.ProcessOptions
 	procs   map[string]*process
-	// toWorkers are the proxies between the agents and their workers.
+	// toWorkers are the proxies between the agents and their workers, if these are proxied:
+	// a proxy accepts connections also while its worker is down.
+	proxied   bool
 	toWorkers []*proxy
 }
 
-func (l *lab) newTown(entries, workers int, cpu int64) *town {
-	t := &town{lab: l, wd: &world{l: l, jobs: map[string]*wJob{}, tasks: map[string]*wTask{}, gangWait: 3 * time.Second}, procs: map[string]*process{}}
+func (l *lab) newTown(entries, workers int, cpu int64, proxied bool) *town {
+	t := &town{lab: l, proxied: proxied, wd: &world{l: l, jobs: map[string]*wJob{}, tasks: map[string]*wTask{}, gangWait: 3 * time.Second}, procs: map[string]*process{}}
 	t.storeAt = l.serveStore()
 	for i := range entries {
 		o := standin.NewLocalVM().EntryOptions(fmt.Sprintf("front-%d", i+1), t.storeAt)
@@ -64,14 +66,16 @@
 	l := t.lab
 	vm := standin.NewLocalVM()
 	name := fmt.Sprintf("side-%d", len(t.agents)+1)
-	// The agent calls its worker through a proxy.
-	p := l.startProxy(vm.WorkerAddress())
-	t.toWorkers = append(t.toWorkers, p)
-	o := vm.AgentOptions(name, t.storeAt, serviceName, p.address)
+	app := vm.WorkerAddress()
+	if t.proxied {
+		p := l.startProxy(app)
+		t.toWorkers, app = append(t.toWorkers, p), p.address
+	}
+	o := vm.AgentOptions(name, t.storeAt, serviceName, app)
 	o.MemoryMB, o.MaxOpenFiles, o.CPUShare = 152, 4096, 0.24
 	t.agents = append(t.agents, o)
 	t.procs[name] = l.startAgent(o)
-	w := &wWorker{wd: t.wd, name: name, address: vm.WorkerAddress(), announced: p.address, control: o.Announcements, cpu: cpu}
+	w := &wWorker{wd: t.wd, name: name, address: vm.WorkerAddress(), announced: app, control: o.Announcements, cpu: cpu}
 	t.wd.mu.Lock()
 	t.wd.workers = append(t.wd.workers, w)
 	t.wd.mu.Unlock()
@@ -182,7 +186,7 @@
 		cpu = int64(n)
 	}
 	_ = l.store.Put(standin.ConfigTable, standin.ConfigKey, standin.Configuration(1, standin.Queue{Name: "checks", Host: hostName, Prefix: "/checks/", Service: serviceName, Attempts: 4}))
-	t := l.newTown(3, 5, cpu)
+	t := l.newTown(3, 5, cpu, strings.Contains(kinds, "silence"))
 	for _, o := range t.entries {
 		if err := waitAccepting(o.CallerAPI, 15*time.Second); err != nil {
 			l.logf("%v", err)
