--- a/review/stand-3/lab.go
+++ b/review/stand-3/lab.go
@@ -44,6 +44,8 @@
 	procs  []*process
 	store  *standin.Store
 	ends   []func()
+	// proxyAgents puts proxies between the entries and the agents.
+	proxyAgents bool
 }
 
 func newLab() *lab {
