--- a/review/stand-3/soak.go
+++ b/review/stand-3/soak.go
@@ -129,6 +129,9 @@
 		if s.mayMiss > 0 {
 			m["may"+"_miss"] = s.mayMiss
 		}
+		if s.label != "" {
+			m["requirements"] = s.label
+		}
 		if s.ckpt {
 			m["checkpointing"] = true
 		}
@@ -176,7 +179,12 @@
 func randomJob() *wJob {
 	id := newID()
 	j := &wJob{id: id, spec: "spec of " + id, attempts: 4}
-	work := func() time.Duration { return 200*time.Millisecond + rand.N(2500*time.Millisecond) }
+	work := func() time.Duration {
+		if os.Getenv("LONG") != "" {
+			return 4*time.Second + rand.N(8*time.Second)
+		}
+		return 200*time.Millisecond + rand.N(2500*time.Millisecond)
+	}
 	for n := range 1 + rand.IntN(3) {
 		s := wStep{count: 1 + rand.IntN(5), work: work(), gang: rand.IntN(2) == 0, ckpt: rand.IntN(2) == 0}
 		if n > 0 && rand.IntN(4) > 0 {
@@ -280,6 +288,18 @@
 			time.Sleep(rand.N(2 * time.Second))
 			w.launch(id)
 		},
+		"recut": func() {
+			n := rand.IntN(len(t.wd.workers))
+			w, p := t.wd.workers[n], t.procs[t.agents[n].Name]
+			l.logf("FAULT %s restarts under its id and is cut off", w.name)
+			w.crash()
+			time.Sleep(rand.N(60 * time.Millisecond))
+			w.launch(w.id)
+			time.Sleep(rand.N(80 * time.Millisecond))
+			p.signal(syscall.SIGSTOP)
+			time.Sleep(8 * time.Second)
+			p.signal(syscall.SIGCONT)
+		},
 		"late": func() {
 			l.logf("FAULT orders late")
 			t.wd.mu.Lock()
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -49,6 +49,8 @@
 	// cpu is the demand of a task in thousandths of a core; 0 means 500. mayMiss is how
 	// many tasks may be away.
 	cpu, mayMiss int64
+	// label is the label that a worker must have.
+	label string
 }
 
 type wJob struct {
@@ -114,6 +116,10 @@
 	server    *http.Server
 	stop      context.CancelFunc
 	draining  bool
+	// label is announced besides those of every worker; empty for none. failing is set
+	// while the worker fails all that it starts.
+	label   string
+	failing bool
 	// diesOn is the job whose start ends the worker's process.
 	diesOn string
 }
@@ -217,7 +223,7 @@
 		}
 		body, _ := json.Marshal(map[string]any{
 			"service": serviceName, "address": w.announced, "zone": "here", "version": "v1", "slots": 8, "state": state, "cold_remaining" + "_ms": 0,
-			"capacity": map[string]int64{"cpu": w.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", "r1-1"}, "clock_ms": time.Since(born).Milliseconds(), "sequence": n, "born": born.UnixMilli(),
+			"capacity": map[string]int64{"cpu": w.cpu, "mem_mb": 65536, "gpu": 0}, "labels": append([]string{"a", "r1-1"}, strings.Fields(w.label)...), "clock_ms": time.Since(born).Milliseconds(), "sequence": n, "born": born.UnixMilli(),
 		})
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.control+"/v1/Instances."+"Heartbeat/"+id, bytes.NewReader(body))
 		if err == nil {
@@ -436,7 +442,7 @@
 	if !t.job.cancelled.IsZero() && time.Since(t.job.cancelled) > 3*time.Second {
 		wd.breakf("UNASKED: %s starts %.3f s after the cancellation", t.name, time.Since(t.job.cancelled).Seconds())
 	}
-	r = &wRun{t: t, w: w, n: c.Run, from: from, check: c.Check, started: time.Now(), fails: rand.Float64() < wd.failShare}
+	r = &wRun{t: t, w: w, n: c.Run, from: from, check: c.Check, started: time.Now(), fails: w.failing || rand.Float64() < wd.failShare}
 	w.runs[c.Task], t.runs[r] = r, true
 	wd.l.logf("%s start %s run %d from %v", w.name, t.name, c.Run, from)
 	if !step.gang {
